Follow discovery to its new address on SIGHUP instead of dying of it

The file is read again, a watch that is on goes over at once and keeps its revision; a file that can't be read leaves the old address in force.

--- a/orchidledge/__main__.py
+++ b/orchidledge/__main__.py
@@ -21,6 +21,18 @@
     return parse_config(Path(path).read_bytes())
 
 
+def reload(node: Node) -> None:
+    """SIGHUP: the configuration file has been replaced, and discovery may have moved."""
+    try:
+        config = read_config()
+    except (OSError, ValueError) as error:
+        # Guard: a bad file must not end a node in service; it goes on with what it was told before.
+        logging.error("configuration not read again, the old one holds: %s", " ".join(str(error).split()))
+        return
+    logging.info("%s follows discovery at %s:%d", config.name, *config.discovery)
+    node.watcher.move(config.discovery)
+
+
 async def serve(config: Config) -> None:
     """Run the node until SIGTERM or SIGINT."""
     stop = asyncio.Event()
@@ -28,6 +40,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config)
+    loop.add_signal_handler(signal.SIGHUP, reload, node)
     await node.start()
     gc.collect()
     gc.freeze()  # what is there for good need not be looked at again
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -114,9 +114,20 @@
         if self._task is None:
             self._task = asyncio.create_task(self._follow())
 
+    def move(self, address: Address) -> None:
+        """Follow the list at this address from now on; a watch that is on goes over at once."""
+        if address == self._address:
+            return
+        self._address = address
+        watching = self._task is not None
+        self.close()
+        if watching:
+            self.start()
+
     def close(self) -> None:
         if self._task is not None:
             self._task.cancel()
+            self._task = None
         self._drop()
 
     async def _follow(self) -> None:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -18,6 +18,7 @@
     Message,
     Peer,
     config_row,
+    listing,
     read_message,
     reply,
     request,
@@ -70,6 +71,44 @@
         assert said.count("\n") == 1
 
 
+def test_sighup_moves_discovery_and_a_bad_file_leaves_it(tmp_path):
+    async def main():
+        old = await Discovery().start()
+        new = await Discovery(listing(2, True, s0=("127.0.0.1:1", "Ready"))).start()
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = free.getsockname()
+        row = config_row(old.endpoint, settings={"registryMode": "push"})
+        row["listen"] = f"{address[0]}:{address[1]}"
+        path = tmp_path / "config.json"
+        path.write_bytes(orjson.dumps(row))
+        program = start(path)
+        try:
+            await until(lambda: old.seen)
+            path.write_text("{")
+            program.send_signal(signal.SIGHUP)
+            said = await asyncio.to_thread(next_line, program, "not read again")
+            assert "the old one holds" in said
+            path.write_bytes(orjson.dumps(row | {"discovery": new.endpoint}))
+            program.send_signal(signal.SIGHUP)
+            await until(lambda: len(new.seen) > 1)  # the next call, once the first has been read
+            caller = Caller(*await asyncio.open_connection(*address))
+            assert (await caller.ask(UP)).status == 200  # ready by what the new address told
+            assert program.poll() is None
+        finally:
+            program.kill()
+            program.communicate()
+            old.stop()
+            new.stop()
+
+    asyncio.run(main())
+
+
+def next_line(program: subprocess.Popen[str], text: str) -> str:
+    """The program's next line of log that holds this text; empty if it ends without one."""
+    assert program.stderr is not None
+    return next((line for line in program.stderr if text in line), "")
+
+
 def test_sigterm_serves_what_still_comes_finishes_what_is_held_and_exits_with_0(tmp_path):
     async def main():
         hold = asyncio.Event()
