Log what moved the cursor and why calls were turned away, every 5 s

The stats line gave the cursor at one moment in ten seconds: neither what drove it nor where the threshold stood against the calls in flight could be read from it. No change of behaviour.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 
@@ -140,6 +141,8 @@
         self.class_ms: dict[str, float] = {}
         shares = {tenant.name: tenant.quota_per_s / settings.siblings for tenant in settings.tenants}
         self.buckets = {name: _Bucket(share, share, now_ms) for name, share in shares.items()}
+        self.tally: Counter[str] = Counter()  # refusals and cursor steps by their reason, since last read
+        self.util: float | None = None  # median reported utilisation of the last period
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         acts: list[api.Action] = []
@@ -168,6 +171,17 @@
             self._hear(now, event.server, event.report)
         return acts
 
+    def figures(self) -> str:
+        """What moved the cursor and turned calls away since this was last asked, and where both stand."""
+        said = ", ".join(f"{name} {count}" for name, count in sorted(self.tally.items())) or "idle"
+        self.tally.clear()
+        util = "-" if self.util is None else f"{self.util:.2f}"
+        return (
+            f"{said}; cursor {self.cursor}, threshold {self.threshold(1.0, len(self.ready)):.1f}, "
+            f"in flight {sum(peer.load for peer in self.ready):.1f}, ready {len(self.ready)}, "
+            f"latency {self.level:.3f} over base {self.base or 0.0:.3f}, utilisation {util}"
+        )
+
     # ------------------------------------------------------------ membership
 
     def _on_membership(self, event: api.Membership, acts: list[api.Action]) -> None:
@@ -232,6 +246,7 @@
         # Guard: one call from each of hundreds of balancers kept a jam alive, so a fraction of one is drawn.
         full = room < 1.0 and self.rng.random() >= room
         if full or not self._send(now, job, acts):
+            self.tally["refused at threshold" if full else "refused unsent"] += 1
             self._answer(job, acts)
 
     # --------------------------------------------------------------- ranking
@@ -396,13 +411,16 @@
         if self.base is not None and (self.ratios or jammed):
             slack = SLACK if utils is None else SLACK_SEEN
             load = self.level / (self.base + slack * (1.0 - self.base))
+        why = "latency"
         if utils is not None:
             # Guard: at size the servers over the median were jammed one by one while it was under 0.97.
             room = UTIL_ROOM * (1.0 - min(1.0, FEW / self.cfg.siblings))
-            load = max(load, utils / (UTIL_TARGET - room))
+            load, why = max((load, why), (utils / (UTIL_TARGET - room), "utilisation"))
         if self.ended:
-            load = max(load, self.full / self.ended / FULL_TARGET)
+            load, why = max((load, why), (self.full / self.ended / FULL_TARGET, "answers as full"))
         step = 1 if load > 1.0 else -1
+        self.util = utils
+        self.tally[f"right by {why}" if step > 0 else "left"] += 1
         self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
         gain = min(1.0, self.period_ms / RATE_MS)
         self.rate += gain * (self.completed / self.period_ms - self.rate)
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -33,7 +33,7 @@
 STOP_LEAST_S = 0.6
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 LONGEST_DEADLINE_S = 3.0
-STATS_S = 10.0
+STATS_S = 5.0
 BEAT_S = 0.1
 
 HOP_BY_HOP = frozenset(
@@ -368,14 +368,14 @@
         """One line of figures every few seconds."""
         figures = ", ".join(f"{name} {count}" for name, count in sorted(self.counts.items()))
         log.info(
-            "%s: %s; open %d, cursor %d, callers %d, upstream %d, loop late %.0f ms",
+            "%s: %s; open %d, callers %d, upstream %d, loop late %.0f ms; module: %s",
             self.config.name,
             figures,
             self.open,
-            self.balancer.cursor,
             len(self.server.connections),
             self.pool.size,
             self.lag * 1000.0,
+            self.balancer.figures(),
         )
         self.counts.clear()
         self.lag = 0.0
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -178,8 +178,6 @@
 class Scripted:
     """Stands in for the decision module: records events and acts as told."""
 
-    cursor = 0
-
     def __init__(self, act: Callable[[api.Event], list[api.Action]] = lambda event: []) -> None:
         self.act = act
         self.events: list[api.Event] = []
@@ -188,6 +186,9 @@
         self.events.append(event)
         return self.act(event)
 
+    def figures(self) -> str:
+        return "scripted"
+
     def of(self, kind: type) -> list[Any]:
         return [event for event in self.events if isinstance(event, kind)]
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -220,3 +220,21 @@
         return acts
 
     assert run() == run()
+
+
+def test_the_figures_name_what_moved_the_cursor_and_what_was_turned_away():
+    bed = Bed(count=2)
+    bed.ask(left=0.5)  # too late for an attempt
+    assert "refused unsent 1" in bed.brain.figures()
+    for _ in range(40):
+        bed.ask()
+    bed.period()
+    said = bed.brain.figures()
+    assert "refused at threshold" in said
+    assert "left 1" in said
+    assert f"cursor {bed.brain.cursor}," in said
+    assert bed.brain.figures().startswith("idle; ")
+    for _ in range(30):
+        bed.brain.ended, bed.brain.full = 10.0, 9.0
+        bed.period()
+    assert "right by answers as full 30" in bed.brain.figures()
