Bound what T1 adds to the quiet count by the servers, not by the aim

Cause: the slack over the quiet count was a share of the aim and two square roots, so it grew with the rate until each two-core box held 10 to 15 calls, tipped into its slow state and stayed there.

Ruled out: network code, the utilisation target.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -89,6 +89,18 @@
     assert bed.brain.threshold(1.0, 4) > before
 
 
+def test_what_the_threshold_adds_to_the_quiet_count_is_bounded_by_the_servers_not_by_the_aim():
+    bed, ready = Bed(), 4
+    brain = bed.brain
+    brain.periods = 10**6  # past the start
+    brain.base, brain.mean_aim = 0.1, 1000.0
+    for rate in (0.02, 0.2):
+        brain.rate = brain.peak = rate
+        quiet = rate * brain.mean_aim * brain.base
+        over = (brain.threshold(1.0, ready) - quiet) * brain.cfg.siblings / ready
+        assert 2.0 < over < 5.0  # calls that a server holds beyond its quiet count, over all siblings
+
+
 def test_calls_spread_by_queue_and_prefer_the_faster_server():
     bed = Bed(count=2)
     first = {sent(bed.ask()[1])[0].server for _ in range(2)}
