End connections that bring no whole request in time to keep the 3 s owed to any peer

Cause: a request might take 15 s to come in, looked at every 5 s, and a peer that sent nothing, or only line ends, was kept for ever; the terms owe any peer an error or a close within 3 s.

--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -366,6 +366,9 @@
 
     def _stats(self) -> None:
         """One line of figures every few seconds."""
+        if self.server.expired:
+            self.counts["no request in time"] += self.server.expired
+            self.server.expired = 0
         figures = ", ".join(f"{name} {count}" for name, count in sorted(self.counts.items()))
         log.info(
             "%s: %s; open %d, callers %d, upstream %d, loop late %.0f ms; module: %s",
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -16,7 +16,8 @@
 READY_PATH = b"/up"
 LINGER_S = 1.0  # how long what a caller still sends after a fatal answer is read and dropped
 BACKLOG = 1024
-PARTIAL_S = 15.0  # how long a request may take to come in
+COMING_S = 2.0  # how long a request may take to come in, the first one from its connection's start:
+SWEEP_S = 0.25  # looked at so often, as a peer that sends no request is owed an error or a close within 3 s
 
 
 @dataclass(slots=True, eq=False)
@@ -64,6 +65,8 @@
         self._fault = 0  # the status that ends this connection, once something was wrong on it
         self._closing = False  # the last answer has been written, or will be with what is in hand
         self.since = 0.0  # the loop's time of the last byte either way
+        self._fresh = True  # no whole request has come yet
+        self._began = 0.0  # the loop's time of the connection's start, then of the first byte of a request
 
     @property
     def idle(self) -> bool:
@@ -76,16 +79,22 @@
         self._transport.abort()
         return True
 
-    def expire(self, before: float) -> None:
-        if self._partial is not None and self.since < before and not self._calls:
+    def expire(self, before: float) -> bool:
+        """End a connection on which a request has been due since before this; whether that was so."""
+        if self._closing or self._calls or self._began >= before:
+            return False
+        if self._partial is not None:
             self._fail(408)
+            return True
+        # Guard: judged by the connection's start, as line ends before a request look like traffic for ever.
+        return self._fresh and self.close_if_idle()
 
     # ---------------------------------------------------------- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self.since = self._server.loop.time()
+        self.since = self._began = self._server.loop.time()
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -125,6 +134,8 @@
 
     def on_message_begin(self) -> None:
         self._partial = Call(self)
+        if not self._fresh:
+            self._began = self._server.loop.time()
         self._size = self._head = 0
         self._in_head = True
 
@@ -158,6 +169,7 @@
         call, self._partial = self._partial, None
         if call is None or self._fault:
             return
+        self._fresh = False
         call.arrived = self._server.loop.time()
         call.method = self._parser.get_method()
         call.keep_alive = self._parser.should_keep_alive()
@@ -187,7 +199,7 @@
         close = close and len(self._calls) == 1
         self._transport.write(_head(status, len(body), close, retry_after_ms) + body)
         self._calls.popleft()
-        self.since = self._server.loop.time()
+        self.since = self._began = self._server.loop.time()  # what waited its turn to be read is due from now
         if close:
             self._end()
         elif self._calls:
@@ -229,6 +241,7 @@
         self.on_call = on_call
         self.ready = False
         self.stopping = False
+        self.expired = 0  # connections ended for want of a request
         self.connections: dict[ServerConnection, None] = {}  # in the order of their opening
         self._listener: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -276,7 +289,10 @@
             self._sweep_timer.cancel()
 
     def _sweep(self) -> None:
-        before = self.loop.time() - PARTIAL_S
+        self.expire(self.loop.time() - COMING_S)
+        self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def expire(self, before: float) -> None:
+        """End the connections on which a request has been due since before this."""
         for connection in list(self.connections):
-            connection.expire(before)
-        self._sweep_timer = self.loop.call_later(PARTIAL_S / 3, self._sweep)
+            self.expired += connection.expire(before)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,6 +30,7 @@
 from orchidledge.net import node as node_module
 from orchidledge.net.discovery import Listing
 from orchidledge.net.node import Clock
+from orchidledge.net.server import COMING_S, SWEEP_S
 
 
 def send_to(*names):
@@ -328,6 +329,47 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("said", [b"", b"\r\n", b"GET /read/1 HTT", request("post", "q1", b"whole")[:-1]])
+def test_a_peer_that_sends_no_whole_request_is_answered_or_closed_within_3_s(said):
+    async def main():
+        async with running(Peer()) as node:
+            begun = node.loop.time()
+            caller = await Caller.to(node)
+            await until(lambda: node.server.connections)
+            connection = next(iter(node.server.connections))
+            opened = connection.since
+            caller.writer.write(said)
+            await until(lambda: not said or connection.since > opened)  # what was sent has been read
+            node.server.expire(begun)  # not due yet
+            assert node.server.expired == 0
+            assert COMING_S + SWEEP_S < 3.0
+            node.server.expire(node.loop.time())
+            answer = await caller.reader.read()
+            assert answer == b"" or answer.startswith(b"HTTP/1.1 408 ")
+            assert node.server.expired == 1
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_caller_between_requests_or_waiting_for_its_answer_is_not_closed_for_want_of_one():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request(name="q1"))
+            await until(lambda: server.seen)
+            node.server.expire(node.loop.time() + 60.0)
+            server.release.set()
+            assert (await caller.answer()).status == 200
+            node.server.expire(node.loop.time() + 60.0)
+            assert (await caller.ask(request(name="q2"))).status == 200
+            assert node.server.expired == 0
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
 def test_more_open_requests_than_allowed_are_refused_at_once():
     async def main():
         server = Held()
