Leave out latencies of calls sent before the table bit: they held the cursor right

Latencies are now heard only of calls sent since the cursor last left the flat slots, and the smoothed one starts anew there.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -135,6 +135,7 @@
         self.base: float | None = None  # quiet latency as a share of the aim
         self.level = 0.0  # smoothed latency as a share of the aim
         self.completed = self.ended = self.full = 0.0
+        self.bit_ms = -math.inf  # when the table last began to bite
         self.rate = self.peak = 0.0  # completed units per ms
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
@@ -375,7 +376,8 @@
             return
         peer.errs += GAIN * ((result is not api.Result.OK) - peer.errs)
         if result in (api.Result.OK, api.Result.TIMEOUT):  # a fast error must not look fast
-            self.ratios.append(event.latency_ms / job.kind.aim_ms)
+            if item.sent_ms >= self.bit_ms:
+                self.ratios.append(event.latency_ms / job.kind.aim_ms)
             mean = self.class_ms.get(job.kind.name)
             if result is api.Result.OK:
                 mean = event.latency_ms if mean is None else mean + CLASS_GAIN * (event.latency_ms - mean)
@@ -421,6 +423,11 @@
         if self.ended:
             load, why = max((load, why), (self.full / self.ended / FULL_TARGET, "answers as full"))
         step = 1 if load > 1.0 else -1
+        if step > 0 and self.cursor == FLAT - 1:
+            # Guard: calls sent before the table bites end seconds after it; their latencies held the cursor
+            # at the right end while the servers fell idle, and the pool refused what it could have served.
+            self.bit_ms = now
+            self.level = min(self.level, self.base or 0.0)
         self.util = utils
         self.tally[f"right by {why}" if step > 0 else "left"] += 1
         self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -271,6 +271,31 @@
     assert bed.brain.cursor == 2  # nothing in flight: no load
 
 
+def test_calls_sent_before_the_table_bit_do_not_hold_the_cursor_right():
+    """Guard: their latencies came in seconds later, and an idle pool went on refusing on their account."""
+    bed = Bed()
+    for _ in range(20):
+        bed.serve(latency=50.0)
+    bed.period()
+    old = [(name, sent(acts)[0].server) for name, acts in (bed.ask() for _ in range(8)) if sent(acts)]
+    assert len(old) == 8
+    while bed.brain.cursor < 5:
+        bed.brain.ended, bed.brain.full = 10.0, 9.0
+        bed.period()
+    for name, server in old:
+        bed.end(name, server, api.Result.OK, 950.0)
+        bed.period()
+    assert bed.brain.cursor == 0
+    # Calls sent since are heard as ever.
+    while bed.brain.cursor < 5:
+        bed.brain.ended, bed.brain.full = 10.0, 9.0
+        bed.period()
+    for _ in range(8):
+        bed.serve(latency=950.0)
+    bed.period()
+    assert bed.brain.cursor == 6
+
+
 def test_a_threshold_of_less_than_one_call_admits_some():
     """Guard: one call from each of hundreds of balancers kept jammed servers jammed."""
     admitted = 0
