--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -13,6 +14,8 @@
 from orchidledge.net.http import ClientConnection, Response
 from orchidledge.net.upstream import Address
 
+log = logging.getLogger("orchidledge")
+
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
 LATE_S = 1.2
 CONNECT_S = 1.0
@@ -106,6 +109,7 @@
         self._limit_s = wait_ms / 1000.0 + LATE_S
         self._endless = endless
         self._on_news = on_news
+        self._failing = False
         self._task: asyncio.Task[None] | None = None
         self._connection: ClientConnection | None = None
 
@@ -135,7 +139,11 @@
             try:
                 async with asyncio.timeout(self._limit_s):
                     listing = await self._ask()
-            except (OSError, TimeoutError, ValueError):
+            except (OSError, TimeoutError, ValueError) as error:
+                if not self._failing:  # once for each stretch of failures
+                    said = f"{type(error).__name__}: {error}"[:200]
+                    log.warning("discovery at %s:%d failed, the old list holds: %s", *self._address, said)
+                self._failing = True
                 self._drop()
                 if not self._endless:
                     self._task = None
@@ -144,6 +152,7 @@
                     return
                 await asyncio.sleep(PUSH_PAUSE_S)
                 continue
+            self._failing = False
             self._revision = listing.revision
             self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -51,6 +51,7 @@
         self._whole = False
         self._spoilt = False
         self._written = True
+        self.unreadable = False  # what came is no answer as HTTP has it, or too long to be one
         self.idle_since = 0.0
 
     # -------------------------------------------------------------- for the owner
@@ -107,7 +108,7 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._spoilt = True
+            self._spoilt = self.unreadable = True
         if self._whole:
             exchange, self._exchange = self._exchange, None
             # A server that answers before it has the whole request leaves the rest on the connection.
@@ -168,4 +169,4 @@
     def _grow(self, size: int, limit: int) -> None:
         self._size += size
         if self._size > limit:
-            self._spoilt = True
+            self._spoilt = self.unreadable = True
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -369,6 +369,9 @@
         if self.server.expired:
             self.counts["no request in time"] += self.server.expired
             self.server.expired = 0
+        if self.pool.unreadable:
+            self.counts["unreadable answers"] += self.pool.unreadable
+            self.pool.unreadable = 0
         figures = ", ".join(f"{name} {count}" for name, count in sorted(self.counts.items()))
         log.info(
             "%s: %s; open %d, callers %d, upstream %d, loop late %.0f ms; module: %s",
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -68,6 +68,8 @@
         self._finish(result_of(response), response)
 
     def lost(self, written: bool) -> None:
+        if self._connection is not None and self._connection.unreadable:
+            self._pool.unreadable += 1
         self._connection = None
         self._finish(Result.RESET if written else Result.CONNECT_FAILED)
 
@@ -131,6 +133,7 @@
     def __init__(self, limit: int, server_idle_s: float, connect_timeout_s: float) -> None:
         self.limit = limit
         self.connect_timeout_s = connect_timeout_s
+        self.unreadable = 0  # answers that were lost as they could not be read
         self._idle_s = server_idle_s * IDLE_SHARE
         self._servers: dict[str, _Server] = {}
         self._open: set[ClientConnection] = set()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -486,7 +486,7 @@
         None,
     ],
 )
-def test_any_bad_discovery_call_is_a_failure_and_keeps_the_list(news):
+def test_any_bad_discovery_call_is_a_failure_and_keeps_the_list(news, caplog):
     async def main():
         async with running(Peer(), discovery=Discovery(news)) as node:
             node.balancer = scripted = Scripted()
@@ -494,6 +494,7 @@
             assert [event.form for event in scripted.of(api.Membership)] == [api.ListForm.FAILED]
             assert (set(node.pool._servers), node.server.ready) == ({"s0"}, True)
             assert node.watcher._task is None  # it is for the module to ask again
+            assert "the old list holds" in caplog.text
 
     asyncio.run(main())
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -64,6 +64,29 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("answer", "unreadable"),
+    [
+        (None, 0),
+        (b"ICY 200 OK\r\nContent-Length: 0\r\n\r\n", 1),
+        (b"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", 1),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 1),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n", 1),
+        (b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppppppp\r\n" * 2000, 1),
+    ],
+)
+def test_answers_that_cannot_be_read_may_have_run_and_are_counted(answer, unreadable):
+    async def main():
+        server, servers = await against(answer).start(), pool()
+        servers.add("s", ("127.0.0.1", server.port))
+        assert await result(servers) is Result.RESET
+        assert servers.unreadable == unreadable
+        server.stop()
+        servers.close()
+
+    asyncio.run(main())
+
+
 def test_a_200_cut_short_is_a_reset():
     async def main():
         async def serve(reader, writer):
