Let servers that report room hold six calls over quiet, others three as before

Under 0.75 a server may now hold six calls beyond its quiet count; at or over it, or with no report, three as before.

Ruled out: a higher floor and a scaled quiet count.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -25,6 +25,8 @@
 LEAST = 0.1  # no entry is less, so that some calls are let through to find out
 RETRY_WORTH = 0.5  # a marked retry counts as this share of its class's worth
 HOLD = 3.0  # T1 holds what completes in the quiet latency plus this for each ready server, over all siblings
+ROOMY = 0.75  # under this median reported utilisation
+HOLD_ROOMY = 6.0  # it is this instead
 ROOTS = 0.5  # and this many of its square roots, for chance (small pools vary more)
 START = 7.0  # but no less than this for each ready server, over all siblings, until rates are known
 START_MS = 3000.0  # which takes this long
@@ -227,9 +229,11 @@
         halvings = -math.log2(max(worth, 1e-6))
         below = min(1.0, max(0.0, halvings / OCTAVES))  # 0: the top row, 1: the lowest
         base = 0.5 if self.base is None else self.base
+        # Guard: every fifth call was refused while the servers reported half their cores idle.
+        hold = HOLD if self.util is None or self.util >= ROOMY else HOLD_ROOMY
         # Guard: slack as a share of the aim grew with the rate until servers held more than their cores bear,
         # turned slow and stayed so; what a server may hold beyond its quiet count is a matter of its cores.
-        first = self.peak * self.mean_aim * base + HOLD * ready / self.cfg.siblings
+        first = self.peak * self.mean_aim * base + hold * ready / self.cfg.siblings
         # Guard: all siblings share the floor; one for each balancer summed to a T1 that never bound at size.
         floor = START if self.periods * self.period_ms < START_MS else FLOOR
         first = max(first, ready * floor / self.cfg.siblings)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -101,6 +101,19 @@
         assert 2.0 < over < 5.0  # calls that a server holds beyond its quiet count, over all siblings
 
 
+def test_servers_that_report_room_are_given_more_and_unheard_ones_are_not():
+    thresholds = []
+    for util in (0.5, 0.9, None):
+        bed = Bed(count=4)
+        bed.brain.periods = 10**6  # past the start
+        for _ in range(12):
+            bed.serve(report=None if util is None else {"util": util})
+        bed.period()
+        thresholds.append(bed.brain.threshold(1.0, 4))
+    assert thresholds[0] > thresholds[1] + 3.0
+    assert abs(thresholds[1] - thresholds[2]) < 0.01
+
+
 def test_calls_spread_by_queue_and_prefer_the_faster_server():
     bed = Bed(count=2)
     first = {sent(bed.ask()[1])[0].server for _ in range(2)}
