Let no server hold more from a balancer than its share of the threshold

At fault: _pick, which bounded nothing for each server; the rank's own calls in flight say little where each of many nodes has one or none there.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -53,6 +53,7 @@
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
 WATCH_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
 WATCH_MAX_MS = 4000.0  # the longest such wait
+SPREAD = 1.25  # of its share of T1: what a server may hold from here, as calls and servers differ
 COLD_SHARE = 0.4  # of the overload factor: what a cold server may get of its present capacity
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
 
@@ -69,6 +70,7 @@
     queue: float = 0.0  # reported waiting requests
     told_ms: float = -math.inf
     util: float | None = None
+    part: float = 0.0  # drawn once: rounds this balancer's share, so that all siblings' sum to the whole
     out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts out, oldest first
 
 
@@ -204,7 +206,7 @@
                 continue
             known = self.peers.get(server.address)
             if known is None or known.info.launched_ms != server.launched_ms:  # new, or restarted
-                self.peers[server.address] = _Peer(server)
+                self.peers[server.address] = _Peer(server, part=self.rng.random())
             else:
                 known.info = server
         self.ready = [peer for peer in self.peers.values() if peer.info.state is api.ServerState.UP]
@@ -224,10 +226,8 @@
             bucket.tokens -= 1.0
         return worth
 
-    def threshold(self, worth: float, ready: int) -> float:
-        """The table's entry at the cursor, in the row of this worth (1: the most)."""
-        halvings = -math.log2(max(worth, 1e-6))
-        below = min(1.0, max(0.0, halvings / OCTAVES))  # 0: the top row, 1: the lowest
+    def _first(self, ready: int) -> float:
+        """T1 for the highest worth, less what it has for chance."""
         base = 0.5 if self.base is None else self.base
         # Guard: every fifth call was refused while the servers reported half their cores idle.
         hold = HOLD if self.util is None or self.util >= ROOMY else HOLD_ROOMY
@@ -236,7 +236,13 @@
         first = self.peak * self.mean_aim * base + hold * ready / self.cfg.siblings
         # Guard: all siblings share the floor; one for each balancer summed to a T1 that never bound at size.
         floor = START if self.periods * self.period_ms < START_MS else FLOOR
-        first = max(first, ready * floor / self.cfg.siblings)
+        return max(first, ready * floor / self.cfg.siblings)
+
+    def threshold(self, worth: float, ready: int) -> float:
+        """The table's entry at the cursor, in the row of this worth (1: the most)."""
+        halvings = -math.log2(max(worth, 1e-6))
+        below = min(1.0, max(0.0, halvings / OCTAVES))  # 0: the top row, 1: the lowest
+        first = self._first(ready)
         first += ROOTS * math.sqrt(first)
         first *= 1.0 - ROW_GAP * below
         return max(LEAST, first * math.pow(self.shape[self.cursor], TOP_BEND + (1.0 - TOP_BEND) * below))
@@ -265,10 +271,20 @@
             return None
         bound = _group(job.kind, ran[0].peer) if ran and effect is api.Effect.KEYED else None
         tried = [item.peer for item in job.tries]
+        open_to = [
+            peer
+            for peer in self.ready
+            if peer not in tried and (bound is None or bound == _group(job.kind, peer))
+        ]
+        # Guard: many balancers that each put a second or third call on the server ranked best held more there
+        # together than it bears. One that has nothing out may always find out, each at another server.
+        share = SPREAD * self._first(len(self.ready)) / max(1, len(self.ready))
+        within = [peer for peer in open_to if peer.load + 1.0 <= share + peer.part]
+        if not within and not any([peer.load for peer in self.ready]):
+            by_part = sorted(open_to, key=lambda peer: -peer.part)
+            return next((peer for peer in by_part if self._paced(now, peer, len(self.ready))), None)
         best, best_rank = None, math.inf
-        for peer in self.ready:
-            if peer in tried or (bound is not None and bound != _group(job.kind, peer)):
-                continue
+        for peer in within:
             rank = self._rank(now, peer)
             if rank < best_rank and self._paced(now, peer, len(self.ready)):
                 best, best_rank = peer, rank
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -126,6 +126,29 @@
     assert took.count("s1") == 10
 
 
+def test_no_server_holds_more_than_its_share_of_all_balancers_thresholds():
+    siblings, ready = 24, 10
+    beds = [Bed(count=ready, seed=seed, siblings=siblings) for seed in range(siblings)]
+    for bed in beds:
+        bed.brain.periods = 10**6  # past the start
+        best = bed.brain.peers["s0"]
+        best.slow, best.heard_ms = 0.1, bed.now  # ranked far before the others
+        for _ in range(20):
+            bed.ask()
+    held = [sum(bed.brain.peers[f"s{at}"].load for bed in beds) for at in range(ready)]
+    share = sum(bed.brain.threshold(1.0, ready) for bed in beds) / ready
+    assert held[0] == max(held)
+    assert held[0] < 2.0 * share
+
+
+def test_a_balancer_whose_share_of_every_server_is_nothing_still_finds_out():
+    bed = Bed(count=2, siblings=400)
+    bed.brain.periods = 10**6  # past the start
+    for peer in bed.brain.peers.values():
+        peer.part = 0.0
+    assert any(sent(bed.ask()[1]) for _ in range(100))
+
+
 def judged(bed: Bed, server: str, latency: float):
     from orchidledge.brain import _Job, _Try
 
