Count T1's quiet count for each ready server, so that it shrinks with the pool

At fault: _first, which took the whole pool's peak rate; and _judge, which counted what leaving servers completed.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -140,7 +140,7 @@
         self.level = 0.0  # smoothed latency as a share of the aim
         self.completed = self.ended = self.full = 0.0
         self.bit_ms = -math.inf  # when the table last began to bite
-        self.rate = self.peak = 0.0  # completed units per ms
+        self.rate = self.peak = 0.0  # completed units per ms and ready server
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
         self.class_ms: dict[str, float] = {}
@@ -233,7 +233,8 @@
         hold = HOLD if self.util is None or self.util >= ROOMY else HOLD_ROOMY
         # Guard: slack as a share of the aim grew with the rate until servers held more than their cores bear,
         # turned slow and stayed so; what a server may hold beyond its quiet count is a matter of its cores.
-        first = self.peak * self.mean_aim * base + hold * ready / self.cfg.siblings
+        # Guard: the quiet count of servers that had gone was let in to those that were left.
+        first = ready * (self.peak * self.mean_aim * base + hold / self.cfg.siblings)
         # Guard: all siblings share the floor; one for each balancer summed to a T1 that never bound at size.
         floor = START if self.periods * self.period_ms < START_MS else FLOOR
         return max(first, ready * floor / self.cfg.siblings)
@@ -406,7 +407,8 @@
             peer.slow = ratio if peer.slow is None else peer.slow + GAIN * (ratio - peer.slow)
             peer.heard_ms = now
         if result is api.Result.OK:
-            self.completed += job.units
+            if item.peer in self.ready:  # what those that leave complete says nothing of those that stay
+                self.completed += job.units / len(self.ready)
             self.mean_aim += CLASS_GAIN * (job.kind.aim_ms - self.mean_aim)
 
     # ------------------------------------------------------------- pool load
