Pace a cold server by a server's ordinary calls, not by the calls sent at the time

At fault: _paced, whose divisor was the number of ready servers: the chance was of the calls sent at the time, and fell with them when most were refused.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -141,6 +141,8 @@
         self.completed = self.ended = self.full = 0.0
         self.bit_ms = -math.inf  # when the table last began to bite
         self.rate = self.peak = 0.0  # completed units per ms and ready server
+        self.sent = 0.0  # units sent in this period,
+        self.sends = 0.0  # and their smoothed rate per ms
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
         self.class_ms: dict[str, float] = {}
@@ -283,11 +285,11 @@
         within = [peer for peer in open_to if peer.load + 1.0 <= share + peer.part]
         if not within and not any([peer.load for peer in self.ready]):
             by_part = sorted(open_to, key=lambda peer: -peer.part)
-            return next((peer for peer in by_part if self._paced(now, peer, len(self.ready))), None)
+            return next((peer for peer in by_part if self._paced(now, peer)), None)
         best, best_rank = None, math.inf
         for peer in within:
             rank = self._rank(now, peer)
-            if rank < best_rank and self._paced(now, peer, len(self.ready)):
+            if rank < best_rank and self._paced(now, peer):
                 best, best_rank = peer, rank
         return best
 
@@ -306,16 +308,19 @@
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
         return slow * (peer.load + queue + 1.0 + far) / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
 
-    def _paced(self, now: float, peer: _Peer, ready: int) -> bool:
+    def _paced(self, now: float, peer: _Peer) -> bool:
         """Guard: all balancers together must not push a cold server over. A call may go to it with the chance
-        of its present share (from `cold_from`, even over `cold_ms`) of an average server's calls: a draw for
+        of its present share (from `cold_from`, even over `cold_ms`) of a server's ordinary calls: a draw for
         each call, not a count, so that the sum keeps to the share however many balancers there are."""
         launched = peer.info.launched_ms
         age = math.inf if launched is None else max(0.0, now - launched)
         if age >= self.cfg.cold_ms:
             return True
         warmth = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age / self.cfg.cold_ms
-        return self.rng.random() * ready < COLD_SHARE * self.cfg.overload_factor * warmth
+        # Guard: of the calls sent at the time, the share fell with them: where most servers were jammed, cold
+        # or gone, the few calls let in went to the jammed ones while the cold ones idled.
+        servers = max(1.0, self.sends / self.peak) if self.peak > 0.0 else len(self.ready)
+        return self.rng.random() * servers < COLD_SHARE * self.cfg.overload_factor * warmth
 
     # -------------------------------------------------------------- attempts
 
@@ -332,6 +337,7 @@
         peer.out[(job.request.id, len(job.tries))] = now
         job.tries.append(_Try(peer, now))
         peer.load += job.units
+        self.sent += job.units
         acts.append(api.Send(job.request.id, peer.info.address, left))
         return True
 
@@ -455,5 +461,7 @@
         self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
         gain = min(1.0, self.period_ms / RATE_MS)
         self.rate += gain * (self.completed / self.period_ms - self.rate)
+        self.sends += gain * (self.sent / self.period_ms - self.sends)
+        self.sent = 0.0
         self.peak = max(self.rate, self.peak * (1.0 - min(1.0, self.period_ms / PEAK_MS)))
         self.ratios, self.completed, self.ended, self.full = [], 0.0, 0.0, 0.0
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -380,6 +380,21 @@
     assert 0 < took.count("cold") <= 2.5 * 0.2 * mean
 
 
+@pytest.mark.parametrize("calls", [2, 4, 40])
+def test_a_cold_server_is_paced_by_a_servers_ordinary_calls_whatever_is_sent_at_the_time(calls):
+    """Guard: cold servers idled beside jammed ones, as their share was one of the few calls let in."""
+    beds = [Bed(count=4, seed=seed, overload_factor=5.0) for seed in range(40)]
+    took = 0
+    for bed in beds:
+        bed.give(api.Membership(api.ListForm.DELTA, (api.Server("cold", "a", launched_ms=bed.now),)))
+        bed.brain.peak = 1.0 / bed.brain.period_ms  # one call a period is a server's ordinary pace
+        bed.brain.sends = calls * bed.brain.peak
+        cold = bed.brain.peers["cold"]
+        took += sum(bed.brain._paced(bed.now, cold) for _ in range(calls))
+    share = 0.4 * 5.0 * 0.2  # of an ordinary pace, at the server's start
+    assert 0.6 * share < took / len(beds) < 1.5 * share
+
+
 def test_a_cold_pool_still_serves_but_not_all():
     bed = Bed(count=0)
     bed.give(api.Membership(api.ListForm.FULL, servers(20, launched_ms=bed.now)))
