Spread the nodes' next calls for the list over half the pause after a failure

At fault: _follow, whose pause was the same for every node. It is now drawn, from half of it to the whole, so no news comes later than before. Where discovery is asked, the module's wait was drawn already.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import orjson
@@ -19,7 +20,7 @@
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
 LATE_S = 1.2
 CONNECT_S = 1.0
-PUSH_PAUSE_S = 0.5  # before a local agent is asked again after a failure
+PUSH_PAUSE_S = 0.5  # at the most, before a local agent is asked again after a failure
 MAX_LIST = 16 * 1024 * 1024
 
 STATES = {
@@ -102,6 +103,7 @@
         wait_ms: float,
         endless: bool,
         on_news: Callable[[ListForm, Listing | None], None],
+        rng: Random,
     ) -> None:
         self._address = address
         self._revision = revision
@@ -109,6 +111,7 @@
         self._limit_s = wait_ms / 1000.0 + LATE_S
         self._endless = endless
         self._on_news = on_news
+        self._rng = rng
         self._failing = False
         self._task: asyncio.Task[None] | None = None
         self._connection: ClientConnection | None = None
@@ -134,6 +137,11 @@
             self._task = None
         self._drop()
 
+    def pause(self) -> float:
+        """Seconds before discovery is asked again after a failure."""
+        # Guard: what fails for a whole fleet fails in the same moment, and all nodes asked again in step.
+        return PUSH_PAUSE_S * self._rng.uniform(0.5, 1.0)
+
     async def _follow(self) -> None:
         while True:
             try:
@@ -150,7 +158,7 @@
                 self._on_news(ListForm.FAILED, None)
                 if not self._endless:
                     return
-                await asyncio.sleep(PUSH_PAUSE_S)
+                await asyncio.sleep(self.pause())
                 continue
             self._failing = False
             self._revision = listing.revision
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from random import Random
 from urllib.parse import unquote_to_bytes
 
 from orchidledge import interface as api
@@ -96,6 +97,7 @@
             min(LONGEST_WATCH_MS, config.ask_within_ms * WATCH_SHARE),
             not self.settings.ask_discovery,
             self._on_list,
+            Random(config.seed),
         )
         self.up: set[str] = set()
         self.counts: Counter[str] = Counter()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import time
+from random import Random
 
 import pytest
 from loopback import (
@@ -28,7 +29,7 @@
 
 from orchidledge import interface as api
 from orchidledge.net import node as node_module
-from orchidledge.net.discovery import Listing
+from orchidledge.net.discovery import Listing, Watcher
 from orchidledge.net.node import Clock
 from orchidledge.net.server import COMING_S, SWEEP_S
 
@@ -524,6 +525,17 @@
     asyncio.run(main())
 
 
+def test_nodes_whose_discovery_failed_in_the_same_moment_ask_again_spread_out():
+    """Guard: the first watches of a whole fleet fell silent, and all of it asked again within some 10 ms."""
+    pauses = sorted(
+        Watcher(("127.0.0.1", 1), 0, 1000.0, True, lambda form, listing: None, Random(seed)).pause()
+        for seed in range(40)
+    )
+    assert 0.25 <= pauses[0] < 0.3
+    assert 0.45 < pauses[-1] <= 0.5
+    assert max(later - earlier for earlier, later in itertools.pairwise(pauses)) < 0.05
+
+
 def test_a_drain_moves_what_waits_to_connect_to_another_server():
     async def main():
         server = Peer()
