Keep the newer server list when discovery answers with an older version

Now a failure like any other: one log line for the stretch, the list kept, asked again. Believed anew: the first answer of an address, as after SIGHUP.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -107,6 +107,7 @@
     ) -> None:
         self._address = address
         self._revision = revision
+        self._oldest = 0  # an answer of a version before this is stale; none is until one has come from there
         self._wait_ms = int(wait_ms)
         self._limit_s = wait_ms / 1000.0 + LATE_S
         self._endless = endless
@@ -126,6 +127,7 @@
         if address == self._address:
             return
         self._address = address
+        self._oldest = 0  # where versions may count from elsewhere
         watching = self._task is not None
         self.close()
         if watching:
@@ -161,7 +163,7 @@
                 await asyncio.sleep(self.pause())
                 continue
             self._failing = False
-            self._revision = listing.revision
+            self._revision = self._oldest = listing.revision
             self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
     async def _ask(self) -> Listing:
@@ -180,7 +182,11 @@
         response = await call.done
         if response.status != 200:
             raise ValueError(f"discovery answered {response.status}")
-        return parse_listing(orjson.loads(response.body))
+        listing = parse_listing(orjson.loads(response.body))
+        if listing.revision < self._oldest:
+            # Guard: it would bring servers back that have gone, and take away those that have come.
+            raise ValueError(f"stale list, version {listing.revision} after {self._oldest}")
+        return listing
 
     def _drop(self) -> None:
         if self._connection is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -29,7 +29,7 @@
 
 from orchidledge import interface as api
 from orchidledge.net import node as node_module
-from orchidledge.net.discovery import Listing, Watcher
+from orchidledge.net.discovery import Listing, Watcher, parse_address
 from orchidledge.net.node import Clock
 from orchidledge.net.server import COMING_S, SWEEP_S
 
@@ -525,6 +525,39 @@
     asyncio.run(main())
 
 
+def test_a_stale_list_is_a_failure_and_the_newer_one_holds(monkeypatch, caplog):
+    async def main():
+        monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+        discovery = Discovery(
+            listing(5, True, s5=("127.0.0.1:5", "Ready")),
+            listing(3, True, s3=("127.0.0.1:3", "Ready")),
+            listing(4, False, s5=("127.0.0.1:5", "Gone")),
+            listing(6, False, s6=("127.0.0.1:6", "Ready")),
+        )
+        async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
+            await until(lambda: "s6" in node.pool._servers)
+            assert set(node.pool._servers) == set(node.balancer.peers) == {"s5", "s6"}
+            assert node.counts["list failed"] == 2
+            assert caplog.text.count("stale list, version 3 after 5") == 1
+            assert caplog.text.count("the old list holds") == 1  # once for the stretch
+
+    asyncio.run(main())
+
+
+def test_a_discovery_moved_to_may_count_its_versions_from_elsewhere():
+    async def main():
+        elsewhere = Discovery(listing(1, True, s1=("127.0.0.1:1", "Ready")))
+        await elsewhere.start()
+        discovery = Discovery(listing(5, True, s5=("127.0.0.1:5", "Ready")))
+        async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
+            await until(lambda: "s5" in node.pool._servers)
+            node.watcher.move(parse_address(elsewhere.endpoint))
+            await until(lambda: set(node.pool._servers) == {"s1"})
+        elsewhere.stop()
+
+    asyncio.run(main())
+
+
 def test_nodes_whose_discovery_failed_in_the_same_moment_ask_again_spread_out():
     """Guard: the first watches of a whole fleet fell silent, and all of it asked again within some 10 ms."""
     pauses = sorted(
