Open a door for operators: status, standby and active

Ruled out: the answers of GET /up themselves, which follow what the node knows.

net/operator.py parses one call to a connection and answers it from a table of the node's methods. SIGTERM and standby share `Server.drain`, which took over the loop of `Node.stop`; its times are the old ones. In standby a connection so new that its first request may be on its way is left open for half a second.

--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
 
 import orjson
@@ -11,6 +12,8 @@
 from orchidledge.net.upstream import Address
 from orchidledge.settings import Row, settings_from
 
+log = logging.getLogger("orchidledge")
+
 
 @dataclass(slots=True, frozen=True)
 class Config:
@@ -20,6 +23,7 @@
     seed: int
     known: Listing
     settings: Settings
+    operator: Address | None = None  # the operators' door
     sockets: int = 1024  # descriptors for everything
     max_open: int = 20_000  # requests open at once
     conn_idle_ms: float = 15_000.0  # after which a server closes an idle connection
@@ -27,8 +31,18 @@
     ask_within_ms: float = 10_000.0  # a node that has not asked for so long counts as told
 
 
-def parse_config(data: bytes) -> Config:
-    """The configuration; ValueError says in one line what is wrong with it."""
+def _operator(text: object) -> Address | None:
+    """The door's address. A bad one leaves the node without a door: clients must not go unserved for it."""
+    try:
+        return parse_address(text) if text else None
+    except ValueError as error:
+        log.error("no operators' door: %s", error)
+        return None
+
+
+def parse_config(data: bytes, operator: str | None = None) -> Config:
+    """The configuration; ValueError says in one line what is wrong with it. An operators' address given
+    beside it comes first, as the second process of an upgrade may share the file with the first."""
     try:
         row: Row = orjson.loads(data)
         bounds: Row = row["settings"].get("bounds") or {}
@@ -49,6 +63,7 @@
             seed=int(row["seed"], 16),
             known=parse_listing(row["known"]),
             settings=settings_from(row["settings"]),
+            operator=_operator(operator or row.get("operator")),
             **{key: value for key, value in given.items() if value is not None},
         )
     except KeyError as error:
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -16,6 +16,7 @@
 from orchidledge.net.config import Config
 from orchidledge.net.discovery import Listing, Watcher
 from orchidledge.net.http import Response
+from orchidledge.net.operator import Answer, Door
 from orchidledge.net.server import Call, Server
 from orchidledge.net.upstream import Attempt, Pool
 from orchidledge.settings import report_from
@@ -30,10 +31,10 @@
 LONGEST_WATCH_MS = 20_000.0
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
-STOP_OPEN_S = 0.5  # after SIGTERM connections still come for up to 0.4 s
 STOP_LEAST_S = 0.6
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 LONGEST_DEADLINE_S = 3.0
+YOUNG_S = 0.5  # in standby a connection so new is left open for its first request
 STATS_S = 5.0
 BEAT_S = 0.1
 
@@ -84,6 +85,7 @@
         self.classes = {kind.name: kind for kind in self.settings.classes}
         self.balancer = Balancer(self.settings, config.seed, self.clock.ms())
         self.jobs: dict[str, _Job] = {}
+        self.stopping = False
         self.open = 0  # requests without a final answer
         usable = max(16, config.sockets - SPARE_SOCKETS)
         self.server = Server(int(usable * INBOUND_SHARE), self._on_call)
@@ -105,6 +107,13 @@
         self._events: deque[api.Event] = deque()
         self._deciding = False
         self._timers: dict[str, asyncio.TimerHandle] = {}
+        self.door = Door(
+            {
+                (b"GET", b"/status"): lambda _: _yes_or_no(self.server.takes_clients),
+                (b"PUT", b"/standby"): lambda _: _yes_or_no(self.standby()),
+                (b"PUT", b"/active"): lambda _: _yes_or_no(self.active()),
+            }
+        )
 
     async def start(self) -> None:
         """Tell the module what is known and begin to serve."""
@@ -112,19 +121,20 @@
         await self.server.listen(*self.config.listen)
         if not self.settings.ask_discovery:
             self.watcher.start()
+        if self.config.operator is not None:
+            await self.door.open(self.config.operator)
         self._beat(self.loop.time())
         self._stats()
 
     async def stop(self) -> None:
         """Leave service: take what still comes, finish what is held, and end in time."""
         began = self.loop.time()
-        self.server.stopping = True
-        self._set_ready()
+        self.stopping = True
+        self.server.resume()  # a standby before it has other times
+        self.server.drain()
         longest = max(kind.give_up_ms for kind in self.settings.classes) / 1000.0
         latest = began + min(longest, LONGEST_DEADLINE_S) + STOP_SLACK_S
-        await asyncio.sleep(STOP_OPEN_S)
         while self.loop.time() < latest:
-            self.server.close_idle()
             if not self.server.connections and self.loop.time() - began >= STOP_LEAST_S:
                 break
             await asyncio.sleep(0.01)
@@ -133,7 +143,20 @@
         await asyncio.sleep(0)
         self.close()
 
+    def standby(self) -> bool:
+        """The operators' drain: what is held is finished, callers go elsewhere, the process runs on."""
+        if not self.stopping:
+            self.server.drain(YOUNG_S)
+        return True
+
+    def active(self) -> bool:
+        """End of the drain; too late once the process leaves service."""
+        if not self.stopping:
+            self.server.resume()
+        return not self.stopping
+
     def close(self) -> None:
+        self.door.close()
         self.server.close()
         self.watcher.close()
         self.pool.close()
@@ -353,11 +376,7 @@
         for name in gone:
             self.pool.remove(name)
         self.up = (self.up | up) - gone
-        self._set_ready()
-
-    def _set_ready(self) -> None:
-        """Ready once there is a server to send to, until the node leaves service."""
-        self.server.ready = not self.server.stopping and (self.server.ready or bool(self.up))
+        self.server.ready = self.server.ready or bool(self.up)  # once there is a server to send to
 
     # -------------------------------------------------------------------- figures
 
@@ -390,6 +409,10 @@
         self._timers["stats"] = self.loop.call_later(STATS_S, self._stats)
 
 
+def _yes_or_no(yes: bool) -> Answer:
+    return Answer(200 if yes else 503)
+
+
 def _number(headers: dict[bytes, bytes], name: bytes) -> float | None:
     """A header's figure, None without one."""
     text = headers.get(name)
--- /dev/null
+++ b/orchidledge/net/operator.py
@@ -0,0 +1,175 @@
+"""The operators' door: one call to a connection, parsed here and answered by a method of the node."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httptools
+
+from orchidledge.net.upstream import Address
+
+log = logging.getLogger("orchidledge")
+
+MAX_CALL = 16 * 1024  # bytes of one call, head and body
+VISITS = 16  # calls under way at once; of more, the oldest goes
+PATIENCE_S = 5.0  # how long a call may take to come in
+LINGER_S = 1.0  # how long what a visitor still sends after its answer is read and dropped
+BIND_PAUSE_S = 1.0  # before an address that could not be bound is tried again
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    status: int
+    text: bytes = b""
+
+
+Calls = Mapping[tuple[bytes, bytes], Callable[[bytes], Answer]]  # by method and path, each given the body
+
+
+class _Visit(asyncio.Protocol):
+    """One connection to the door, and the one call on it."""
+
+    def __init__(self, door: Door) -> None:
+        self._door = door
+        self._transport: asyncio.Transport
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = bytearray()
+        self._body = bytearray()
+        self._size = 0
+        self._whole = False
+        self._over = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._timer = self._door.loop.call_later(PATIENCE_S, self._answer, Answer(408))
+        self._door.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._over:
+            return  # read and dropped, so that the answer is not lost to a reset
+        self._size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self._whole:
+                self._answer(Answer(400))
+                return
+        if self._size > MAX_CALL:
+            self._answer(Answer(413))
+        elif self._whole:
+            self._answer(self._door.call(self._parser.get_method(), bytes(self._target), bytes(self._body)))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._over = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._door.closed(self)
+
+    def abort(self) -> None:
+        self._transport.abort()
+
+    def _answer(self, answer: Answer) -> None:
+        self._over = True
+        head = (
+            f"HTTP/1.1 {answer.status} {HTTPStatus(answer.status).phrase}\r\n"
+            f"Content-Type: text/plain; charset=utf-8\r\nContent-Length: {len(answer.text)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        self._transport.write(head.encode() + answer.text)
+        if self._transport.can_write_eof() and not self._transport.is_closing():
+            self._transport.write_eof()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._door.loop.call_later(LINGER_S, self._transport.abort)
+
+    # --------------------------------------------------------- httptools callbacks
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"expect" and value.lower() == b"100-continue":
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        if not self._whole:
+            self._body += body
+
+    def on_message_complete(self) -> None:
+        self._whole = True
+
+
+class Door:
+    """Listens at the operators' address."""
+
+    def __init__(self, calls: Calls) -> None:
+        self.loop = asyncio.get_running_loop()
+        self._calls = calls
+        self._visits: dict[_Visit, None] = {}  # in the order of their opening
+        self._listener: asyncio.Server | None = None
+        self._binding: asyncio.Task[None] | None = None
+
+    @property
+    def address(self) -> Address:
+        assert self._listener is not None
+        host, port = self._listener.sockets[0].getsockname()[:2]
+        return host, port
+
+    async def open(self, address: Address) -> None:
+        """Listen, and if that fails go on trying: clients are served with or without the door."""
+        if not await self._bind(address):
+            self._binding = asyncio.create_task(self._bind_later(address))
+
+    def close(self) -> None:
+        if self._binding is not None:
+            self._binding.cancel()
+        if self._listener is not None:
+            self._listener.close()
+        for visit in list(self._visits):
+            visit.abort()
+
+    async def _bind(self, address: Address) -> bool:
+        try:
+            self._listener = await self.loop.create_server(lambda: _Visit(self), *address)
+        except OSError as error:
+            log.error("no operators' door at %s:%d: %s", *address, " ".join(str(error).split()))
+            return False
+        return True
+
+    async def _bind_later(self, address: Address) -> None:
+        await asyncio.sleep(BIND_PAUSE_S)
+        while not await self._bind(address):
+            await asyncio.sleep(BIND_PAUSE_S)
+
+    # ---------------------------------------------------------------- for visits
+
+    def opened(self, visit: _Visit) -> None:
+        self._visits[visit] = None
+        if len(self._visits) > VISITS:  # Guard: callers that finish no call must not keep others out
+            next(iter(self._visits)).abort()
+
+    def closed(self, visit: _Visit) -> None:
+        self._visits.pop(visit, None)
+
+    def call(self, method: bytes, target: bytes, body: bytes) -> Answer:
+        """What the node says to a call; only calls that change something are worth a line in the log."""
+        path = target.partition(b"?")[0]
+        method_of = self._calls.get((method, path))
+        if method_of is None:
+            return Answer(405 if any(path == known for _, known in self._calls) else 404)
+        try:
+            answer = method_of(body)
+        except Exception:
+            # Guard: a fault behind one call is a no to its caller, and no end of the others.
+            log.exception("operators' call %s failed", path.decode("latin-1"))
+            answer = Answer(500)
+        if method != b"GET":
+            said = body[:80].decode("utf-8", "replace").strip()
+            log.info("operators: %s %r: %d", path.decode("latin-1"), said, answer.status)
+        return answer
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -17,6 +17,8 @@
 LINGER_S = 1.0  # how long what a caller still sends after a fatal answer is read and dropped
 BACKLOG = 1024
 COMING_S = 2.0  # how long a request may take to come in, the first one from its connection's start:
+DRAIN_OPEN_S = 0.5  # connections still come for up to 0.4 s after a drain began
+DRAIN_STEP_S = 0.01
 SWEEP_S = 0.25  # looked at so often, as a peer that sends no request is owed an error or a close within 3 s
 
 
@@ -64,6 +66,7 @@
         self._head = 0  # bytes that have come of a head that is not whole
         self._fault = 0  # the status that ends this connection, once something was wrong on it
         self._closing = False  # the last answer has been written, or will be with what is in hand
+        self.opened_at = 0.0  # by the loop's clock
         self.since = 0.0  # the loop's time of the last byte either way
         self._fresh = True  # no whole request has come yet
         self._began = 0.0  # the loop's time of the connection's start, then of the first byte of a request
@@ -94,7 +97,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self.since = self._began = self._server.loop.time()
+        self.opened_at = self.since = self._began = self._server.loop.time()
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -188,14 +191,14 @@
         if call.on_gone is None and not call.answered:
             call.on_gone = _nothing
             if call.target.partition(b"?")[0] == READY_PATH:
-                call.answer(200 if self._server.ready else 503)
+                call.answer(200 if self._server.takes_clients else 503)
             else:
                 self._server.on_call(call)
 
     def answer(self, call: Call, status: int, body: bytes, retry_after_ms: float) -> None:
         if self._transport.is_closing() or not self._calls or self._calls[0] is not call:
             return
-        close = not call.keep_alive or self._server.stopping or self._server.crowded
+        close = not call.keep_alive or self._server.draining or self._server.crowded
         close = close and len(self._calls) == 1
         self._transport.write(_head(status, len(body), close, retry_after_ms) + body)
         self._calls.popleft()
@@ -240,11 +243,17 @@
         self.limit = limit
         self.on_call = on_call
         self.ready = False
-        self.stopping = False
+        self.draining = False  # answers end their connections
         self.expired = 0  # connections ended for want of a request
         self.connections: dict[ServerConnection, None] = {}  # in the order of their opening
         self._listener: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._drain_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def takes_clients(self) -> bool:
+        """What the front is told: whether new connections are welcome."""
+        return self.ready and not self.draining
 
     @property
     def crowded(self) -> bool:
@@ -277,14 +286,32 @@
     def closed(self, connection: ServerConnection) -> None:
         self.connections.pop(connection, None)
 
-    def close_idle(self) -> None:
-        """Close what carries nothing."""
+    def drain(self, young_s: float = 0.0) -> None:
+        """Let go of the callers: the idle ones too, once the front has had time to look, but none of them
+        so soon after its start that its first request may still be on its way."""
+        if not self.draining:
+            self.draining = True
+            self._drain_timer = self.loop.call_later(DRAIN_OPEN_S, self._close_idle, young_s)
+
+    def resume(self) -> None:
+        """End the drain."""
+        self.draining = False
+        if self._drain_timer is not None:
+            self._drain_timer.cancel()
+            self._drain_timer = None
+
+    def _close_idle(self, young_s: float) -> None:
+        before = self.loop.time() - young_s
         for connection in list(self.connections):
-            connection.close_if_idle()
+            if connection.opened_at <= before:
+                connection.close_if_idle()
+        self._drain_timer = self.loop.call_later(DRAIN_STEP_S, self._close_idle, young_s)
 
     def close(self) -> None:
         if self._listener is not None:
             self._listener.close()
+        if self._drain_timer is not None:
+            self._drain_timer.cancel()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
 
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,182 @@
+"""The operators' door, and what can be asked for at it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+import pytest
+from loopback import Caller, Held, Message, Peer, ask, config_row, read_message, request, running, until
+
+from orchidledge.net import operator as door_module
+from orchidledge.net.config import parse_config
+from orchidledge.net.node import Node
+from orchidledge.net.operator import VISITS, Answer, Door
+
+UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+DOOR = {"operator": "127.0.0.1:0"}
+
+
+def call(method: str, path: str, body: bytes = b"") -> bytes:
+    return f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def say(node: Node, data: bytes) -> Message:
+    reader, writer = await asyncio.open_connection(*node.door.address)
+    writer.write(data)
+    try:
+        return await read_message(reader)
+    finally:
+        writer.close()
+
+
+async def status(node: Node, method: str, path: str, body: bytes = b"") -> int:
+    return (await say(node, call(method, path, body))).status
+
+
+def test_status_is_yes_once_there_is_a_server_to_send_to():
+    async def main():
+        async with running(**DOOR) as node:
+            assert await status(node, "GET", "/status") == 503
+        async with running(Peer(), **DOOR) as node:
+            assert await status(node, "GET", "/status") == 200
+
+    asyncio.run(main())
+
+
+def test_without_an_operators_address_there_is_no_door():
+    async def main():
+        async with running(Peer()) as node:
+            with pytest.raises(AssertionError):
+                _ = node.door.address
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (call("GET", "/nothing"), 404),
+        (call("POST", "/standby"), 405),
+        (call("GET", "/status?verbose=1"), 200),
+        (b"NOT HTTP\r\n\r\n", 400),
+        (call("PUT", "/standby", b"x" * 40_000), 413),
+        (b"PUT /active HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200),
+        (b"GET /status HTTP/1.1\r\nHost: x\r\n\r\ntrailing nonsense", 200),
+    ],
+)
+def test_calls_get_a_yes_or_a_no(data, expected):
+    async def main():
+        async with running(Peer(), **DOOR) as node:
+            assert (await say(node, data)).status == expected
+
+    asyncio.run(main())
+
+
+def test_a_fault_behind_a_call_is_a_no_and_the_door_stays_open(caplog):
+    async def main():
+        def broken(_: bytes) -> Answer:
+            raise KeyError("x")
+
+        door = Door({(b"PUT", b"/broken"): broken, (b"GET", b"/fine"): lambda _: Answer(200)})
+        await door.open(("127.0.0.1", 0))
+        assert door.call(b"PUT", b"/broken", b"").status == 500
+        assert door.call(b"GET", b"/fine", b"").status == 200
+        door.close()
+
+    asyncio.run(main())
+    assert "failed" in caplog.text
+
+
+def test_callers_that_finish_no_call_keep_nobody_out_and_are_closed(monkeypatch):
+    async def main():
+        async with running(Peer(), **DOOR) as node:
+            held = [await asyncio.open_connection(*node.door.address) for _ in range(VISITS + 4)]
+            assert await status(node, "GET", "/status") == 200
+            assert await held[0][0].read() == b""  # the oldest went
+            monkeypatch.setattr(door_module, "PATIENCE_S", 0.0)
+            reader, _ = await asyncio.open_connection(*node.door.address)
+            assert (await read_message(reader)).status == 408
+            for _, writer in held:
+                writer.close()
+
+    asyncio.run(main())
+
+
+def test_an_address_in_use_is_tried_again_while_clients_are_served(monkeypatch, caplog):
+    async def main():
+        monkeypatch.setattr(door_module, "BIND_PAUSE_S", 0.0)
+        other = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = other.sockets[0].getsockname()[1]
+        async with running(Peer(), operator=f"127.0.0.1:{port}") as node:
+            assert (await ask(node, request())).status == 200
+            other.close()
+            await other.wait_closed()
+            await until(lambda: node.door._listener)
+            assert await status(node, "GET", "/status") == 200
+
+    asyncio.run(main())
+    assert "no operators' door" in caplog.text
+
+
+def test_the_environments_address_comes_before_the_files_and_a_bad_one_leaves_no_door(caplog):
+    row = orjson.dumps(config_row("127.0.0.1:1", operator="127.0.0.1:7"))
+    assert parse_config(row).operator == ("127.0.0.1", 7)
+    assert parse_config(row, "127.0.0.1:8").operator == ("127.0.0.1", 8)
+    assert parse_config(row, "nowhere").operator is None
+    assert "nowhere" in caplog.text
+
+
+def test_standby_says_no_lets_idle_callers_go_and_finishes_what_is_held():
+    async def main():
+        server = Held()
+        async with running(server, **DOOR) as node:
+            idle, busy = await Caller.to(node), await Caller.to(node)
+            assert (await idle.ask(UP)).status == 200
+            busy.writer.write(request())
+            await until(lambda: server.seen)
+            assert await status(node, "PUT", "/standby") == 200
+            assert await status(node, "PUT", "/standby") == 200  # said twice is said once
+            assert await status(node, "GET", "/status") == 503
+            assert await idle.reader.read() == b""
+            late = await Caller.to(node)
+            answer = await late.ask(UP)
+            assert (answer.status, answer.headers["connection"]) == (503, "close")
+            server.release.set()
+            answer = await busy.answer()
+            assert (answer.status, answer.headers["connection"]) == (200, "close")
+            await until(lambda: not node.server.connections)
+
+    asyncio.run(main())
+
+
+def test_active_ends_the_drain_and_connections_are_kept_again():
+    async def main():
+        async with running(Peer(), **DOOR) as node:
+            await status(node, "PUT", "/standby")
+            assert await status(node, "PUT", "/active") == 200
+            assert await status(node, "GET", "/status") == 200
+            caller = await Caller.to(node)
+            assert (await caller.ask(UP)).status == 200
+            assert node.server._drain_timer is None  # which would have closed it
+            assert (await caller.ask(request())).status == 200
+
+    asyncio.run(main())
+
+
+def test_a_node_that_leaves_service_does_not_become_active_again():
+    async def main():
+        server = Held()
+        async with running(server, **DOOR) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request())
+            await until(lambda: server.seen)
+            stopping = asyncio.create_task(node.stop())
+            await until(lambda: node.stopping)
+            assert await status(node, "PUT", "/active") == 503
+            assert await status(node, "GET", "/status") == 503
+            server.release.set()
+            assert (await caller.answer()).status == 200
+            await stopping
+
+    asyncio.run(main())
