Accept clients from the socket the platform holds, and hand it over on SIGTERM

Server.listen takes the descriptor of $PROXY_ACCEPT_FD after a look at what it is. On SIGTERM a node that shares its socket closes its copy at once and lets idle callers bring one more request for 1.5 s before it closes them.

--- a/orchidledge/__main__.py
+++ b/orchidledge/__main__.py
@@ -18,7 +18,7 @@
     path = os.environ.get("PROXY_CONFIG")
     if not path:
         raise ValueError("PROXY_CONFIG is not set")
-    return parse_config(Path(path).read_bytes(), os.environ.get("PROXY_OPERATOR"))
+    return parse_config(Path(path).read_bytes(), os.environ)
 
 
 def reload(node: Node) -> None:
--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import orjson
@@ -24,6 +25,7 @@
     known: Listing
     settings: Settings
     operator: Address | None = None  # the operators' door
+    accept_fd: str | None = None  # descriptor of the clients' listening socket, where the platform holds it
     sockets: int = 1024  # descriptors for everything
     max_open: int = 20_000  # requests open at once
     conn_idle_ms: float = 15_000.0  # after which a server closes an idle connection
@@ -40,9 +42,10 @@
         return None
 
 
-def parse_config(data: bytes, operator: str | None = None) -> Config:
-    """The configuration; ValueError says in one line what is wrong with it. An operators' address given
-    beside it comes first, as the second process of an upgrade may share the file with the first."""
+def parse_config(data: bytes, environment: Mapping[str, str] | None = None) -> Config:
+    """The configuration; ValueError says in one line what is wrong with it. What the environment tells
+    comes first, as the second process of an upgrade may share the file with the first."""
+    told = environment or {}
     try:
         row: Row = orjson.loads(data)
         bounds: Row = row["settings"].get("bounds") or {}
@@ -63,7 +66,8 @@
             seed=int(row["seed"], 16),
             known=parse_listing(row["known"]),
             settings=settings_from(row["settings"]),
-            operator=_operator(operator or row.get("operator")),
+            operator=_operator(told.get("PROXY_OPERATOR") or row.get("operator")),
+            accept_fd=told.get("PROXY_ACCEPT_FD") or None,
             **{key: value for key, value in given.items() if value is not None},
         )
     except KeyError as error:
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -34,6 +34,7 @@
 STOP_LEAST_S = 0.6
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 LONGEST_DEADLINE_S = 3.0
+HANDOVER_S = 1.5  # idle callers may send one more request, as one that crosses a close is turned back unheard
 YOUNG_S = 0.5  # in standby a connection so new is left open for its first request
 STATS_S = 5.0
 BEAT_S = 0.1
@@ -118,7 +119,7 @@
     async def start(self) -> None:
         """Tell the module what is known and begin to serve."""
         self._on_list(api.ListForm.CACHED, self.config.known)
-        await self.server.listen(*self.config.listen)
+        await self.server.listen(*self.config.listen, self.config.accept_fd)
         if not self.settings.ask_discovery:
             self.watcher.start()
         if self.config.operator is not None:
@@ -131,7 +132,11 @@
         began = self.loop.time()
         self.stopping = True
         self.server.resume()  # a standby before it has other times
-        self.server.drain()
+        if self.server.shares_socket:
+            self.server.stop_accepting()
+            self.server.drain(open_s=HANDOVER_S)
+        else:
+            self.server.drain()
         longest = max(kind.give_up_ms for kind in self.settings.classes) / 1000.0
         latest = began + min(longest, LONGEST_DEADLINE_S) + STOP_SLACK_S
         while self.loop.time() < latest:
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -13,6 +14,8 @@
 
 from orchidledge.net.http import MAX_BODY, MAX_HEAD, readable
 
+log = logging.getLogger("orchidledge")
+
 READY_PATH = b"/up"
 LINGER_S = 1.0  # how long what a caller still sends after a fatal answer is read and dropped
 BACKLOG = 1024
@@ -235,6 +238,24 @@
     """Stands for the interest of nobody in a caller's going away."""
 
 
+def inherited(text: str) -> socket.socket | None:
+    """The listening socket of this descriptor; None, with a line in the log, if it is nothing of the kind."""
+    try:
+        found = socket.socket(fileno=int(text))
+    except (OSError, ValueError, OverflowError) as error:
+        log.error("descriptor %r is no socket, the own address is bound: %s", text, error)
+        return None
+    try:
+        listening = found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    except OSError:
+        listening = 0
+    if listening and (found.family, found.type) == (socket.AF_INET, socket.SOCK_STREAM):
+        return found
+    log.error("descriptor %r is no listening TCP socket, the own address is bound", text)
+    found.detach()  # whatever it is, it is not the node's to close
+    return None
+
+
 class Server:
     """Listens, and keeps the callers' connections within their share of the descriptors."""
 
@@ -243,6 +264,7 @@
         self.limit = limit
         self.on_call = on_call
         self.ready = False
+        self.shares_socket = False  # another process may accept from the listening socket too
         self.draining = False  # answers end their connections
         self.expired = 0  # connections ended for want of a request
         self.connections: dict[ServerConnection, None] = {}  # in the order of their opening
@@ -265,8 +287,11 @@
         host, port = self._listener.sockets[0].getsockname()[:2]
         return host, port
 
-    async def listen(self, host: str, port: int) -> None:
-        raw = socket.create_server((host, port))
+    async def listen(self, host: str, port: int, accept_fd: str | None = None) -> None:
+        """Accept at this address, or from the listening socket that the platform holds for it."""
+        raw = None if accept_fd is None else inherited(accept_fd)
+        self.shares_socket = raw is not None
+        raw = raw or socket.create_server((host, port))
         # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
         # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
         self._listener = await self.loop.create_server(
@@ -286,12 +311,12 @@
     def closed(self, connection: ServerConnection) -> None:
         self.connections.pop(connection, None)
 
-    def drain(self, young_s: float = 0.0) -> None:
+    def drain(self, young_s: float = 0.0, open_s: float = DRAIN_OPEN_S) -> None:
         """Let go of the callers: the idle ones too, once the front has had time to look, but none of them
         so soon after its start that its first request may still be on its way."""
         if not self.draining:
             self.draining = True
-            self._drain_timer = self.loop.call_later(DRAIN_OPEN_S, self._close_idle, young_s)
+            self._drain_timer = self.loop.call_later(open_s, self._close_idle, young_s)
 
     def resume(self) -> None:
         """End the drain."""
@@ -307,6 +332,11 @@
                 connection.close_if_idle()
         self._drain_timer = self.loop.call_later(DRAIN_STEP_S, self._close_idle, young_s)
 
+    def stop_accepting(self) -> None:
+        """Leave what still comes to the process that accepts from the same socket."""
+        if self._listener is not None:
+            self._listener.close()
+
     def close(self) -> None:
         if self._listener is not None:
             self._listener.close()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -155,7 +155,8 @@
 
 
 def config(discovery: str, **more: Any) -> Config:
-    return parse_config(orjson.dumps(config_row(discovery, **more)))
+    environment = {"PROXY_ACCEPT_FD": more.pop("accept_fd")} if "accept_fd" in more else {}
+    return parse_config(orjson.dumps(config_row(discovery, **more)), environment)
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -122,8 +122,8 @@
 def test_the_environments_address_comes_before_the_files_and_a_bad_one_leaves_no_door(caplog):
     row = orjson.dumps(config_row("127.0.0.1:1", operator="127.0.0.1:7"))
     assert parse_config(row).operator == ("127.0.0.1", 7)
-    assert parse_config(row, "127.0.0.1:8").operator == ("127.0.0.1", 8)
-    assert parse_config(row, "nowhere").operator is None
+    assert parse_config(row, {"PROXY_OPERATOR": "127.0.0.1:8"}).operator == ("127.0.0.1", 8)
+    assert parse_config(row, {"PROXY_OPERATOR": "nowhere"}).operator is None
     assert "nowhere" in caplog.text
 
 
