Let operators take servers out by hand, for both processes of an upgrade

Ruled out: the list, which goes on to call such a server up.

TakenOut and BroughtBack tell the module; `Balancer._choose_ready` leaves those out, `_paced` treats one that is back as started then unless the list tells of a start during its stay, and its first call goes before others, as 3 of 5 stayed unused by nodes with few calls. net/maintenance.py keeps the bans in $TMPDIR, looked at on every beat if there is a door.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -74,6 +74,15 @@
     out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts out, oldest first
 
 
+@dataclass(slots=True)
+class _Return:
+    """A server that operators have brought back."""
+
+    out_ms: float
+    back_ms: float
+    tried: bool = False
+
+
 @dataclass(slots=True)
 class _Bucket:
     """A tenant's share at this balancer, in requests a second."""
@@ -130,6 +139,8 @@
         self.cursor = 0
         self.peers: dict[str, _Peer] = {}
         self.ready: list[_Peer] = []  # the servers in use
+        self.out_by_hand: set[str] = set()
+        self.returns: dict[str, _Return] = {}
         self.jobs: dict[str, _Job] = {}
         self.started = False
         self.watch_failures = 0
@@ -176,6 +187,14 @@
             self._cancel_others(self.jobs[event.id], event.attempt, acts)
         elif isinstance(event, api.Probed):
             self._hear(now, event.server, event.report)
+        elif isinstance(event, api.TakenOut):
+            self.out_by_hand.add(event.server)
+            self.returns.pop(event.server, None)
+            self._choose_ready()
+        elif isinstance(event, api.BroughtBack):
+            self.out_by_hand.discard(event.server)
+            self.returns[event.server] = _Return(event.out_ms, event.back_ms)
+            self._choose_ready()
         return acts
 
     def figures(self) -> str:
@@ -211,7 +230,15 @@
                 self.peers[server.address] = _Peer(server, part=self.rng.random())
             else:
                 known.info = server
-        self.ready = [peer for peer in self.peers.values() if peer.info.state is api.ServerState.UP]
+        self._choose_ready()
+
+    def _choose_ready(self) -> None:
+        """The servers in use: those that the list calls up, less those that are out by hand."""
+        self.ready = [
+            peer
+            for address, peer in self.peers.items()
+            if peer.info.state is api.ServerState.UP and address not in self.out_by_hand
+        ]
 
     # ------------------------------------------------------------- admission
 
@@ -288,7 +315,10 @@
             return next((peer for peer in by_part if self._paced(now, peer)), None)
         best, best_rank = None, math.inf
         for peer in within:
-            rank = self._rank(now, peer)
+            back = self.returns.get(peer.info.address)
+            # Guard: a node with few calls sends them to the few servers ranked best, and one brought back
+            # stayed unused. Its first call goes before all others, paced as any to a cold server.
+            rank = 0.0 if back is not None and not back.tried else self._rank(now, peer)
             if rank < best_rank and self._paced(now, peer):
                 best, best_rank = peer, rank
         return best
@@ -313,6 +343,10 @@
         of its present share (from `cold_from`, even over `cold_ms`) of a server's ordinary calls: a draw for
         each call, not a count, so that the sum keeps to the share however many balancers there are."""
         launched = peer.info.launched_ms
+        back = self.returns.get(peer.info.address)
+        if back is not None and (launched is None or launched < back.out_ms):
+            # Guard: it was restarted while out, and the list that tells of it comes seconds late.
+            launched = back.back_ms
         age = math.inf if launched is None else max(0.0, now - launched)
         if age >= self.cfg.cold_ms:
             return True
@@ -337,6 +371,8 @@
         peer.out[(job.request.id, len(job.tries))] = now
         job.tries.append(_Try(peer, now))
         peer.load += job.units
+        if peer.info.address in self.returns:
+            self.returns[peer.info.address].tried = True
         self.sent += job.units
         acts.append(api.Send(job.request.id, peer.info.address, left))
         return True
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -208,7 +208,23 @@
     report: dict[str, float] | None = None
 
 
-Event = Membership | Request | Started | Outcome | Lapsed | Alarm | Probed
+@dataclass(slots=True)
+class TakenOut:
+    """Operators have put a server out by hand: nothing new may go there, whatever the list says."""
+
+    server: str
+
+
+@dataclass(slots=True)
+class BroughtBack:
+    """It may serve again. It was restarted while it was out, which the list may tell late."""
+
+    server: str
+    out_ms: float  # when it was taken out
+    back_ms: float
+
+
+Event = Membership | Request | Started | Outcome | Lapsed | Alarm | Probed | TakenOut | BroughtBack
 
 
 # ------------------------------------------------------------------- actions
--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -5,11 +5,13 @@
 import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
+from pathlib import Path
 
 import orjson
 
 from orchidledge.interface import Settings
 from orchidledge.net.discovery import Listing, parse_address, parse_listing
+from orchidledge.net.maintenance import folder_in
 from orchidledge.net.upstream import Address
 from orchidledge.settings import Row, settings_from
 
@@ -26,6 +28,7 @@
     settings: Settings
     operator: Address | None = None  # the operators' door
     accept_fd: str | None = None  # descriptor of the clients' listening socket, where the platform holds it
+    maintenance: Path | None = None  # the folder of the bans that two processes of a node share
     sockets: int = 1024  # descriptors for everything
     max_open: int = 20_000  # requests open at once
     conn_idle_ms: float = 15_000.0  # after which a server closes an idle connection
@@ -67,6 +70,7 @@
             known=parse_listing(row["known"]),
             settings=settings_from(row["settings"]),
             operator=_operator(told.get("PROXY_OPERATOR") or row.get("operator")),
+            maintenance=folder_in(told.get("TMPDIR")),
             accept_fd=told.get("PROXY_ACCEPT_FD") or None,
             **{key: value for key, value in given.items() if value is not None},
         )
--- /dev/null
+++ b/orchidledge/net/maintenance.py
@@ -0,0 +1,135 @@
+"""Servers out by hand: one small file for each in a folder that two processes of a node share."""
+
+from __future__ import annotations
+
+import logging
+import os
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from urllib.parse import quote, unquote
+
+import orjson
+
+log = logging.getLogger("orchidledge")
+
+FOLDER = "orchidledge-maintenance"
+PREFIX = "server-"  # of a ban's file; what else lies in the folder is not ours
+KEEP_MS = 600_000.0  # how long a server's return is remembered: far longer than any server is cold
+MAX_FILE = 1024
+
+
+@dataclass(slots=True, frozen=True)
+class Ban:
+    """A server's time out, by the Unix clock in ms; `back_ms` is None while it lasts."""
+
+    out_ms: float
+    back_ms: float | None = None
+
+
+def folder_in(tmpdir: str | None) -> Path | None:
+    return Path(tmpdir) / FOLDER if tmpdir else None
+
+
+class Bans:
+    """The bans of this node: those said here, and those that another process of it has written."""
+
+    def __init__(self, folder: Path | None) -> None:
+        self._folder = folder
+        self._bans: dict[str, Ban] = {}
+        self._seen: dict[str, tuple[int, int]] = {}  # file names, and inode and time as last read
+        self._failing = False
+
+    def get(self, name: str) -> Ban | None:
+        return self._bans.get(name)
+
+    def out(self, name: str) -> bool:
+        ban = self._bans.get(name)
+        return ban is not None and ban.back_ms is None
+
+    def take_out(self, name: str, now_ms: float) -> bool:
+        """Put a server out, in this process at once; whether that is written for the others."""
+        ban = self._bans[name] if self.out(name) else Ban(now_ms)
+        self._bans[name] = ban
+        return self._write(name, ban)
+
+    def bring_back(self, name: str, now_ms: float) -> bool:
+        """End a server's ban, however often it was put out; it lasts if that can't be written."""
+        if not self.out(name):
+            return True
+        ban = Ban(self._bans[name].out_ms, now_ms)
+        if not self._write(name, ban):
+            return False
+        self._bans[name] = ban
+        return True
+
+    def read(self, now_ms: float) -> list[str]:
+        """The servers whose ban another process has changed since last looked at."""
+        if self._folder is None:
+            return []
+        try:
+            with os.scandir(self._folder) as entries:
+                found = {entry.name: entry.stat() for entry in entries if entry.name.startswith(PREFIX)}
+        except FileNotFoundError:
+            return []  # nothing was ever out
+        except OSError as error:
+            self._complain("bans not read, those known hold: %s", error)
+            return []
+        self._failing = False
+        changed = []
+        for file, stat in found.items():
+            if self._seen.get(file) == (stat.st_ino, stat.st_mtime_ns):
+                continue
+            self._seen[file] = stat.st_ino, stat.st_mtime_ns
+            name, ban = unquote(file.removeprefix(PREFIX)), self._ban_in(file, stat.st_mtime * 1000.0)
+            if ban is not None and ban != self._bans.get(name):
+                self._bans[name] = ban
+                changed.append(name)
+        self._forget(now_ms)
+        return changed
+
+    # -------------------------------------------------------------------- inside
+
+    def _write(self, name: str, ban: Ban) -> bool:
+        if self._folder is None:
+            return True  # nothing outlives this process, and no other shares its bans
+        file = PREFIX + quote(name, safe="")
+        draft = self._folder / f"draft-{os.getpid()}"
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            draft.write_bytes(orjson.dumps(asdict(ban)))
+            os.replace(draft, self._folder / file)  # whole or not at all, as the other process may look now
+        except OSError as error:
+            self._complain(f"ban of {name} not written: %s", error)
+            return False
+        return True
+
+    def _ban_in(self, file: str, written_ms: float) -> Ban | None:
+        """The ban in a file, None if it has just been replaced or removed."""
+        assert self._folder is not None
+        try:
+            with (self._folder / file).open("rb") as opened:
+                row = orjson.loads(opened.read(MAX_FILE))
+            out, back = float(row["out_ms"]), row["back_ms"]
+            return Ban(out, None if back is None else float(back))
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            # Guard: somebody wanted this server out; used against that it could break a drain.
+            said = " ".join(str(error).split())
+            log.error("ban %s can't be read, its server is out until brought back: %s", file, said)
+            return Ban(written_ms)
+
+    def _forget(self, now_ms: float) -> None:
+        """Leave out returns from long ago; their files go too."""
+        assert self._folder is not None
+        for name, ban in list(self._bans.items()):
+            if ban.back_ms is not None and ban.back_ms < now_ms - KEEP_MS:
+                del self._bans[name]
+                file = PREFIX + quote(name, safe="")
+                self._seen.pop(file, None)
+                (self._folder / file).unlink(missing_ok=True)
+
+    def _complain(self, text: str, error: OSError) -> None:
+        if not self._failing:  # once for each stretch of failures
+            log.error(text, error)
+        self._failing = True
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -7,6 +7,7 @@
 import math
 import time
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from urllib.parse import unquote_to_bytes
@@ -16,9 +17,10 @@
 from orchidledge.net.config import Config
 from orchidledge.net.discovery import Listing, Watcher
 from orchidledge.net.http import Response
+from orchidledge.net.maintenance import Bans
 from orchidledge.net.operator import Answer, Door
 from orchidledge.net.server import Call, Server
-from orchidledge.net.upstream import Attempt, Pool
+from orchidledge.net.upstream import Address, Attempt, Pool
 from orchidledge.settings import report_from
 
 log = logging.getLogger("orchidledge")
@@ -102,7 +104,9 @@
             self._on_list,
             Random(config.seed),
         )
-        self.up: set[str] = set()
+        self.listed: dict[str, tuple[api.Server, Address]] = {}
+        self.up: set[str] = set()  # those that the pool may reach
+        self.bans = Bans(config.maintenance)
         self.counts: Counter[str] = Counter()
         self.lag = 0.0  # the longest that the loop was late in this stretch
         self._events: deque[api.Event] = deque()
@@ -111,6 +115,12 @@
         self.door = Door(
             {
                 (b"GET", b"/status"): lambda _: _yes_or_no(self.server.takes_clients),
+                (b"PUT", b"/maintenance/enter"): lambda body: self._on_maintenance(
+                    body, self.enter_maintenance
+                ),
+                (b"PUT", b"/maintenance/exit"): lambda body: self._on_maintenance(
+                    body, self.exit_maintenance
+                ),
                 (b"PUT", b"/standby"): lambda _: _yes_or_no(self.standby()),
                 (b"PUT", b"/active"): lambda _: _yes_or_no(self.active()),
             }
@@ -118,6 +128,7 @@
 
     async def start(self) -> None:
         """Tell the module what is known and begin to serve."""
+        self._read_bans()  # first, so that a server that is out is never sent anything
         self._on_list(api.ListForm.CACHED, self.config.known)
         await self.server.listen(*self.config.listen, self.config.accept_fd)
         if not self.settings.ask_discovery:
@@ -371,23 +382,82 @@
         if listing is None:
             self.tell(api.Membership(form))
             return
-        ready = [server for server in listing.servers if server.state is api.ServerState.UP]
-        for server in ready:
-            self.pool.add(server.address, listing.endpoints[server.address], server.launched_ms)
-        up = {server.address for server in ready}
-        self.tell(api.Membership(form, listing.servers))
+        if form is not api.ListForm.DELTA:
+            self.listed = {}
+        for server in listing.servers:
+            if server.state is api.ServerState.REMOVED:
+                self.listed.pop(server.address, None)
+            else:
+                self.listed[server.address] = server, listing.endpoints[server.address]
+        self._tell_servers(api.Membership(form, listing.servers))
+
+    def _tell_servers(self, event: api.Event) -> None:
+        """Tell the module of a change of the servers, and let the pool reach those that it may."""
+        up = {
+            name
+            for name, (server, _) in self.listed.items()
+            if server.state is api.ServerState.UP and not self.bans.out(name)
+        }
+        for name in up:
+            server, endpoint = self.listed[name]
+            self.pool.add(name, endpoint, server.launched_ms)
+        self.tell(event)
         # The module hears of it first, so that what is withdrawn here is sent on by the new list.
-        gone = set(listing.endpoints) - up if form is api.ListForm.DELTA else self.up - up
-        for name in gone:
+        for name in self.up - up:
             self.pool.remove(name)
-        self.up = (self.up | up) - gone
+        self.up = up
         self.server.ready = self.server.ready or bool(self.up)  # once there is a server to send to
 
+    # ---------------------------------------------------------------- maintenance
+
+    def enter_maintenance(self, name: str) -> bool | None:
+        """Take a server out by hand; None if nobody knows it, false if an upgrade would forget it."""
+        self._read_bans()  # the other process may have been told something a moment ago
+        if name not in self.listed and not self.bans.out(name):
+            return None
+        new = not self.bans.out(name)
+        kept = self.bans.take_out(name, self.clock.ms())
+        if new:
+            self._on_ban(name)
+        return kept
+
+    def exit_maintenance(self, name: str) -> bool | None:
+        """Let it serve again; None as above, false if it stays out as the end could not be written."""
+        self._read_bans()
+        if name not in self.listed and not self.bans.out(name):
+            return None
+        was_out = self.bans.out(name)
+        kept = self.bans.bring_back(name, self.clock.ms())
+        if was_out and kept:
+            self._on_ban(name)
+        return kept
+
+    def _on_maintenance(self, body: bytes, change: Callable[[str], bool | None]) -> Answer:
+        try:
+            done = change(body.decode().strip())
+        except UnicodeDecodeError:
+            return Answer(400)
+        return Answer(404) if done is None else _yes_or_no(done)
+
+    def _read_bans(self) -> None:
+        for name in self.bans.read(self.clock.ms()):
+            self._on_ban(name)
+
+    def _on_ban(self, name: str) -> None:
+        ban = self.bans.get(name)
+        assert ban is not None
+        if ban.back_ms is None:
+            self._tell_servers(api.TakenOut(name))
+        else:
+            self._tell_servers(api.BroughtBack(name, ban.out_ms, ban.back_ms))
+
     # -------------------------------------------------------------------- figures
 
     def _beat(self, due: float) -> None:
         now = self.loop.time()
         self.lag = max(self.lag, now - due)
+        if self.config.operator is not None:  # another process of this node may have changed them
+            self._read_bans()
         self._timers["beat"] = self.loop.call_at(now + BEAT_S, self._beat, now + BEAT_S)
 
     def _stats(self) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -155,7 +155,8 @@
 
 
 def config(discovery: str, **more: Any) -> Config:
-    environment = {"PROXY_ACCEPT_FD": more.pop("accept_fd")} if "accept_fd" in more else {}
+    told = {"accept_fd": "PROXY_ACCEPT_FD", "tmpdir": "TMPDIR"}
+    environment = {variable: more.pop(key) for key, variable in told.items() if key in more}
     return parse_config(orjson.dumps(config_row(discovery, **more)), environment)
 
 
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,267 @@
+"""Servers out by hand: the bans' files, the calls at the door and what the module makes of them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from pathlib import Path
+
+import pytest
+from helpers import Bed, sent, servers
+from loopback import Caller, Discovery, Held, Peer, ask, listing, request, running, until
+from test_operator import DOOR, status
+
+from orchidledge import interface as api
+from orchidledge.net.maintenance import FOLDER, KEEP_MS, PREFIX, Ban, Bans, folder_in
+from orchidledge.net.node import Node
+
+ENTER, EXIT = "/maintenance/enter", "/maintenance/exit"
+
+# ------------------------------------------------------------------------ files
+
+
+def test_a_ban_said_to_one_process_is_read_by_the_other_and_by_a_later_one(tmp_path):
+    one, two = Bans(tmp_path / "x"), Bans(tmp_path / "x")
+    assert two.read(0.0) == []  # nothing was ever out
+    assert one.take_out("s/1 ü", 1000.0)
+    assert two.read(2000.0) == ["s/1 ü"]
+    assert two.get("s/1 ü") == Ban(1000.0)
+    assert two.read(2100.0) == []  # told once
+    assert two.bring_back("s/1 ü", 5000.0)
+    assert one.read(5100.0) == ["s/1 ü"]
+    assert one.get("s/1 ü") == Ban(1000.0, 5000.0)
+    later = Bans(tmp_path / "x")
+    later.read(6000.0)
+    assert later.get("s/1 ü") == Ban(1000.0, 5000.0)
+    assert not later.out("s/1 ü")
+
+
+def test_putting_a_server_out_twice_is_undone_by_one_call_back(tmp_path):
+    bans = Bans(tmp_path)
+    bans.take_out("s", 1000.0)
+    bans.take_out("s", 2000.0)
+    assert bans.get("s") == Ban(1000.0)
+    bans.bring_back("s", 3000.0)
+    assert not bans.out("s")
+
+
+def test_a_return_from_long_ago_is_forgotten_with_its_file(tmp_path):
+    bans = Bans(tmp_path)
+    bans.take_out("s", 0.0)
+    bans.bring_back("s", 1.0)
+    bans.read(KEEP_MS)
+    assert list(tmp_path.iterdir())
+    bans.read(KEEP_MS + 2.0)
+    assert not list(tmp_path.iterdir())
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"out_ms": "x", "back_ms": null}', "\0" * 4096])
+def test_a_file_that_cannot_be_read_keeps_its_server_out_and_is_logged(tmp_path, caplog, text):
+    (tmp_path / (PREFIX + "s")).write_text(text)
+    (tmp_path / "something else").write_text(text)
+    bans = Bans(tmp_path)
+    assert bans.read(0.0) == ["s"]
+    assert bans.out("s")
+    assert len(caplog.records) == 1
+    bans.bring_back("s", 10.0)
+    assert not bans.out("s")
+
+
+def test_a_folder_that_takes_no_file_is_a_no_and_the_ban_holds_in_this_process(tmp_path, caplog):
+    (tmp_path / "file").write_text("")
+    bans = Bans(tmp_path / "file")
+    assert bans.read(0.0) == []
+    assert not bans.take_out("s", 0.0)
+    assert bans.out("s")
+    assert not bans.bring_back("s", 1.0)
+    assert bans.out("s")
+    assert len(caplog.records) == 1  # once for the stretch
+
+
+def test_without_a_folder_bans_are_kept_in_memory():
+    bans = Bans(folder_in(None))
+    assert bans.take_out("s", 0.0)
+    assert bans.read(1.0) == []
+    assert bans.out("s")
+
+
+# --------------------------------------------------------------------- the calls
+
+
+def test_a_server_out_by_hand_gets_nothing_new_and_finishes_what_it_has():
+    async def main():
+        first, second = Held(), Held()
+        async with running(first, second, **DOOR) as node:
+            callers = [await Caller.to(node) for _ in range(2)]
+            for at, caller in enumerate(callers):
+                caller.writer.write(request(name=f"q{at}"))
+            await until(lambda: first.seen and second.seen)
+            assert await status(node, "PUT", ENTER, b"s0\n") == 200
+            assert await status(node, "PUT", ENTER, b"s0") == 200
+            first.release.set()
+            second.release.set()
+            assert [(await caller.answer()).status for caller in callers] == [200, 200]
+            for at in range(20):
+                assert (await ask(node, request(name=f"r{at}"))).status == 200
+            assert len(first.seen) == 1
+            assert await status(node, "PUT", EXIT, b"s0") == 200
+            for at in range(20):
+                await ask(node, request(name=f"t{at}"))
+            assert len(first.seen) > 1
+
+    asyncio.run(main())
+
+
+def test_an_attempt_that_waits_to_connect_to_it_goes_elsewhere():
+    async def main():
+        # A listener whose queue is full: connections to it never come up.
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as silent, socket.socket() as filler:
+            filler.connect(silent.getsockname())
+            server = Peer()
+            async with running(server, bounds={"connectTimeoutMs": 10_000.0}, **DOOR) as node:
+                known = node.listed["s0"][0]
+                silent_server = api.Server("quiet", zone=known.zone)
+                node.listed["quiet"] = silent_server, silent.getsockname()[:2]
+                assert await status(node, "PUT", ENTER, b"s0") == 200
+                node._tell_servers(api.Membership(api.ListForm.DELTA, (silent_server,)))
+                caller = await Caller.to(node)
+                caller.writer.write(request())
+                await until(lambda: node.pool.size)
+                assert await status(node, "PUT", EXIT, b"s0") == 200
+                assert await status(node, "PUT", ENTER, b"quiet") == 200
+                assert (await caller.answer()).status == 200
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("path", [ENTER, EXIT])
+@pytest.mark.parametrize(("body", "expected"), [(b"s9", 404), (b"", 404), (b"\xff\xfe", 400)])
+def test_an_unknown_id_is_told_no(path, body, expected):
+    async def main():
+        async with running(Peer(), **DOOR) as node:
+            assert await status(node, "PUT", path, body) == expected
+
+    asyncio.run(main())
+
+
+def test_the_ban_holds_whatever_the_list_says():
+    async def main():
+        server, other = Peer(), Peer()
+        await server.start()
+        await other.start()
+        news = listing(2, True, s0=(server.endpoint, "Ready"), s1=(other.endpoint, "Ready"))
+        discovery = Discovery()
+        async with running(server, discovery=discovery, **DOOR) as node:
+            assert await status(node, "PUT", ENTER, b"s0") == 200
+            discovery.news.append(news)
+            node.watcher.close()
+            node.watcher.start()
+            await until(lambda: "s1" in node.listed)
+            for at in range(10):
+                assert (await ask(node, request(name=f"q{at}"))).status == 200
+            assert not server.seen
+        other.stop()
+
+    asyncio.run(main())
+
+
+def test_the_ban_binds_a_second_process_and_one_started_later(tmp_path):
+    async def main():
+        server = Peer()
+        async with running(server, tmpdir=str(tmp_path), **DOOR) as old:
+            new = Node(old.config)
+            new.server.listen = _nowhere  # type: ignore[method-assign]
+            await new.start()
+            assert await status(old, "PUT", ENTER, b"s0") == 200
+            await until(lambda: not new.up)  # by its own look at the folder
+            later = Node(old.config)
+            later.server.listen = _nowhere  # type: ignore[method-assign]
+            await later.start()
+            assert not later.up
+            assert await status(later, "PUT", EXIT, b"s0") == 200
+            await until(lambda: old.up and new.up)
+            new.close()
+            later.close()
+
+    asyncio.run(main())
+
+
+async def _nowhere(*_: object) -> None:
+    """Stands for the clients' address, which the first node has."""
+
+
+def test_a_call_back_right_after_the_other_process_was_told_is_not_lost(tmp_path):
+    async def main():
+        async with running(Peer(), tmpdir=str(tmp_path), **DOOR) as node:
+            Bans(tmp_path / FOLDER).take_out("s0", 1.0)
+            assert node.exit_maintenance("s0")
+            assert not Bans(tmp_path / FOLDER).out("s0")
+            assert node.up == {"s0"}
+
+    asyncio.run(main())
+
+
+def test_without_a_door_the_folder_is_not_looked_at_again(tmp_path):
+    async def main():
+        async with running(Peer(), tmpdir=str(tmp_path)) as node:
+            Bans(tmp_path / FOLDER).take_out("s0", 1.0)
+            node._beat(node.loop.time())
+            assert node.up == {"s0"}
+
+    asyncio.run(main())
+    assert os.listdir(Path(tmp_path)) == [FOLDER]
+
+
+# -------------------------------------------------------------------- the module
+
+
+def test_the_module_sends_nothing_to_a_server_out_by_hand_even_when_it_is_listed_anew():
+    bed = Bed(2)
+    bed.give(api.TakenOut("s0"))
+    assert {bed.serve() for _ in range(20)} == {"s1"}
+    bed.give(api.Membership(api.ListForm.FULL, servers(2, launched_ms=bed.now - 60_000.0)))
+    assert {bed.serve() for _ in range(20)} == {"s1"}
+    assert [peer.info.address for peer in bed.brain.ready] == ["s1"]
+
+
+def test_a_server_brought_back_gets_the_next_call_that_a_cold_one_may_have():
+    bed = Bed(3, cold_ms=0.0)
+    bed.brain.peers["s0"].slow = 5.0  # ranked last
+    bed.brain.peers["s0"].heard_ms = bed.now
+    bed.give(api.TakenOut("s0"))
+    assert "s0" not in {bed.serve() for _ in range(20)}
+    bed.give(api.BroughtBack("s0", bed.now - 3000.0, bed.now))
+    assert bed.serve() == "s0"
+    assert bed.serve() != "s0"  # from then on by its rank
+
+
+@pytest.mark.parametrize(
+    ("launched", "cold"),
+    [
+        (None, True),
+        (-50_000.0, True),
+        (-9_900.0, False),
+    ],  # ms before its return
+)
+def test_a_server_brought_back_is_paced_as_cold_from_its_return_unless_the_list_tells(launched, cold):
+    bed = Bed(1)
+    at = None if launched is None else bed.now + launched
+    bed.give(api.Membership(api.ListForm.FULL, servers(1, launched_ms=at)))
+    bed.give(api.TakenOut("s0"))
+    out_ms = bed.now - (5_000.0 if cold else 20_000.0)
+    bed.give(api.BroughtBack("s0", out_ms, bed.now))
+    bed.now += 200.0  # 10.1 s after the launch that the last case lists: warm
+    peer = bed.brain.peers["s0"]
+    bed.brain.peak, bed.brain.sends = 1.0, 100.0  # as many as 100 servers' ordinary calls
+    passed = sum(bed.brain._paced(bed.now, peer) for _ in range(200))
+    assert (passed < 50) is cold
+
+
+def test_a_second_stay_out_starts_anew():
+    bed = Bed(2)
+    bed.give(api.TakenOut("s0"))
+    bed.give(api.BroughtBack("s0", bed.now, bed.now))
+    bed.give(api.TakenOut("s0"))
+    assert "s0" not in bed.brain.returns
+    assert {act.server for _ in range(8) for act in sent(bed.ask()[1])} == {"s1"}
