--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -197,6 +197,11 @@
             self._choose_ready()
         return acts
 
+    @property
+    def avoided(self) -> int:
+        """Listed servers that get nothing new, by hand or by choice."""
+        return sum(1 for address in self.peers if address in self.out_by_hand)
+
     def figures(self) -> str:
         """What moved the cursor and turned calls away since this was last asked, and where both stand."""
         said = ", ".join(f"{name} {count}" for name, count in sorted(self.tally.items())) or "idle"
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -84,6 +84,9 @@
     def __init__(self) -> None:
         self.done: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
 
+    def sent(self) -> None:
+        pass
+
     def answered(self, response: Response) -> None:
         if not self.done.done():
             self.done.set_result(response)
--- /dev/null
+++ b/orchidledge/net/figures.py
@@ -0,0 +1,34 @@
+"""Counters that run from the start of the process, and their text form."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+OVERLOAD = (429, 503)
+
+
+class Figures:
+    """What the node reports of itself."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        self._replies = {name: {"success": 0, "overload": 0, "error": 0} for name in classes}
+        self.dispatches = 0  # attempts written whole to servers
+
+    def reply(self, name: str, status: int) -> None:
+        """Count a final answer to a request of this class."""
+        kind = "success" if status == 200 else "overload" if status in OVERLOAD else "error"
+        self._replies[name][kind] += 1
+
+    def text(self, concurrent: int, targets: int, disabled: int) -> bytes:
+        lines = [
+            f"proxy.replies.{name}.{kind}={count}"
+            for name, replies in self._replies.items()
+            for kind, count in replies.items()
+        ]
+        lines += [
+            f"proxy.dispatches={self.dispatches}",
+            f"proxy.concurrent={concurrent}",
+            f"proxy.targets={targets}",
+            f"proxy.targets_disabled={disabled}",
+        ]
+        return ("\n".join(lines) + "\n").encode()
--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -22,7 +22,10 @@
 
 
 class Exchange(Protocol):
-    """What a connection tells of the one request that it carries: either of these, once."""
+    """What a connection tells of the one request that it carries: `sent` at most once, then its end once."""
+
+    def sent(self) -> None:
+        """Its last byte has left."""
 
     def answered(self, response: Response) -> None: ...
 
@@ -81,7 +84,9 @@
         self._response, self._size, self._whole = Response(), 0, False
         self._transport.write(data)
         # Guard: a write that fails at once empties the buffer and closes; nothing of it has left.
-        self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+        self._written = False
+        if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
+            self.resume_writing()
 
     def abort(self) -> None:
         """Close at once, unsent bytes included. The exchange, if any, hears nothing."""
@@ -100,6 +105,8 @@
 
     def resume_writing(self) -> None:
         self._written = True
+        if self._exchange is not None:
+            self._exchange.sent()
 
     def data_received(self, data: bytes) -> None:
         if self._exchange is None:  # nothing was asked: what follows would not belong to the next request
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -16,6 +16,7 @@
 from orchidledge.brain import Balancer
 from orchidledge.net.config import Config
 from orchidledge.net.discovery import Listing, Watcher
+from orchidledge.net.figures import Figures
 from orchidledge.net.http import Response
 from orchidledge.net.maintenance import Bans
 from orchidledge.net.operator import Answer, Door
@@ -62,6 +63,7 @@
     """A request that the module knows of, until it is over and all its attempts have ended."""
 
     id: str
+    service: str  # its class's name
     call: Call
     give_up_at: float  # by the loop's clock
     backstop: asyncio.TimerHandle | None = None
@@ -93,7 +95,10 @@
         usable = max(16, config.sockets - SPARE_SOCKETS)
         self.server = Server(int(usable * INBOUND_SHARE), self._on_call)
         self.pool = Pool(
-            int(usable * UPSTREAM_SHARE), config.conn_idle_ms / 1000.0, config.connect_timeout_ms / 1000.0
+            int(usable * UPSTREAM_SHARE),
+            config.conn_idle_ms / 1000.0,
+            config.connect_timeout_ms / 1000.0,
+            self._on_sent,
         )
         self.watcher = Watcher(
             config.discovery,
@@ -108,6 +113,7 @@
         self.up: set[str] = set()  # those that the pool may reach
         self.bans = Bans(config.maintenance)
         self.counts: Counter[str] = Counter()
+        self.figures = Figures(self.classes)
         self.lag = 0.0  # the longest that the loop was late in this stretch
         self._events: deque[api.Event] = deque()
         self._deciding = False
@@ -115,6 +121,7 @@
         self.door = Door(
             {
                 (b"GET", b"/status"): lambda _: _yes_or_no(self.server.takes_clients),
+                (b"GET", b"/status/metrics"): lambda _: Answer(200, self.metrics()),
                 (b"PUT", b"/maintenance/enter"): lambda body: self._on_maintenance(
                     body, self.enter_maintenance
                 ),
@@ -252,9 +259,10 @@
         if self.open >= self.config.max_open or self.server.crowded:
             # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
             self.counts["over the limit"] += 1
+            self.figures.reply(request.service, 503)
             call.answer(503)
             return
-        job = self.jobs[request.id] = _Job(request.id, call, give_up_at)
+        job = self.jobs[request.id] = _Job(request.id, request.service, call, give_up_at)
         self.open += 1
         call.on_gone = lambda: self._on_gone(job)
         job.backstop = self.loop.call_at(give_up_at + BACKSTOP_S, self._on_backstop, job)
@@ -297,6 +305,7 @@
     def _answer(self, job: _Job, status: int, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         if not job.done:
             self.counts[f"answered {status}"] += 1
+            self.figures.reply(job.service, status)
             self._end(job)
             job.call.answer(status, body, retry_after_ms)
 
@@ -453,6 +462,12 @@
 
     # -------------------------------------------------------------------- figures
 
+    def metrics(self) -> bytes:
+        return self.figures.text(self.open, len(self.listed), self.balancer.avoided)
+
+    def _on_sent(self) -> None:
+        self.figures.dispatches += 1
+
     def _beat(self, due: float) -> None:
         now = self.loop.time()
         self.lag = max(self.lag, now - due)
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -61,6 +61,9 @@
 
     # ----------------------------------------------------------- for the connection
 
+    def sent(self) -> None:
+        self._pool.on_sent()
+
     def answered(self, response: Response) -> None:
         connection, self._connection = self._connection, None
         if connection is not None and self._server is not None:
@@ -130,9 +133,16 @@
 class Pool:
     """Connections to all servers, at most `limit` of them, the newest idle one used first."""
 
-    def __init__(self, limit: int, server_idle_s: float, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        limit: int,
+        server_idle_s: float,
+        connect_timeout_s: float,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> None:
         self.limit = limit
         self.connect_timeout_s = connect_timeout_s
+        self.on_sent = on_sent  # told of each attempt written whole
         self.unreadable = 0  # answers that were lost as they could not be read
         self._idle_s = server_idle_s * IDLE_SHARE
         self._servers: dict[str, _Server] = {}
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -188,6 +188,8 @@
         self.events.append(event)
         return self.act(event)
 
+    avoided = 0
+
     def figures(self) -> str:
         return "scripted"
 
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,111 @@
+"""What the node reports of itself at the operators' door."""
+
+from __future__ import annotations
+
+import asyncio
+
+from loopback import Caller, Held, Peer, Scripted, ask, reply, request, running, until
+from test_operator import DOOR, call, say, status
+
+from orchidledge import interface as api
+from orchidledge.net.figures import Figures
+from orchidledge.net.node import Node
+
+
+async def figures(node: Node) -> dict[str, int]:
+    answer = await say(node, call("GET", "/status/metrics"))
+    assert answer.status == 200
+    pairs = (line.split("=") for line in answer.body.decode().splitlines())
+    return {name.removeprefix("proxy."): int(value) for name, value in pairs}
+
+
+def test_the_text_names_every_class_from_the_start():
+    found = Figures(["read", "post"])
+    found.reply("read", 200)
+    for code in (429, 503):
+        found.reply("post", code)
+    found.reply("post", 504)
+    assert found.text(3, 12, 1).decode().splitlines() == [
+        "proxy.replies.read.success=1",
+        "proxy.replies.read.overload=0",
+        "proxy.replies.read.error=0",
+        "proxy.replies.post.success=0",
+        "proxy.replies.post.overload=2",
+        "proxy.replies.post.error=1",
+        "proxy.dispatches=0",
+        "proxy.concurrent=3",
+        "proxy.targets=12",
+        "proxy.targets_disabled=1",
+    ]
+
+
+def test_answers_are_counted_by_class_and_kind_whoever_worded_them():
+    async def main():
+        async def script(message):
+            return reply(200 if message.headers["req-id"].startswith("q") else 500)
+
+        async with running(Peer(script), settings={"tier": 1}, **DOOR) as node:
+            for at in range(3):
+                assert (await ask(node, request(name=f"q{at}"))).status == 200
+            assert (await ask(node, request("post", name="x"))).status == 502
+            assert (await ask(node, b"GET /nothing HTTP/1.1\r\nReq-Id: z\r\n\r\n")).status == 404
+            found = await figures(node)
+            assert found["replies.read.success"] == 3
+            assert found["replies.post.error"] == 1
+            assert sum(value for name, value in found.items() if name.startswith("replies")) == 4
+            assert found["dispatches"] == 4
+
+    asyncio.run(main())
+
+
+def test_refusals_of_the_module_and_over_the_limit_are_overload():
+    async def main():
+        server = Held()
+        async with running(server, bounds={"maxOpen": 1}, **DOOR) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request(name="held"))
+            await until(lambda: server.seen)
+            assert (await ask(node, request("post", name="more"))).status == 503
+            assert (await figures(node))["replies.post.overload"] == 1
+            server.release.set()
+            await caller.answer()
+            node.balancer = Scripted(
+                lambda event: [api.Refuse("no")] if isinstance(event, api.Request) else []
+            )
+            assert (await ask(node, request(name="no"))).status == 503
+            assert (await figures(node))["replies.read.overload"] == 1
+
+    asyncio.run(main())
+
+
+def test_concurrent_and_targets_are_those_of_the_moment():
+    async def main():
+        server = Held()
+        async with running(server, Peer(), **DOOR) as node:
+            assert await status(node, "PUT", "/maintenance/enter", b"s1") == 200
+            callers = [await Caller.to(node) for _ in range(3)]
+            for at, caller in enumerate(callers):
+                caller.writer.write(request(name=f"q{at}"))
+            await until(lambda: len(server.seen) == 3)
+            found = await figures(node)
+            assert (found["concurrent"], found["targets"], found["targets_disabled"]) == (3, 2, 1)
+            server.release.set()
+            for caller in callers:
+                await caller.answer()
+            assert await status(node, "PUT", "/maintenance/exit", b"s1") == 200
+            found = await figures(node)
+            assert (found["concurrent"], found["targets"], found["targets_disabled"]) == (0, 2, 0)
+
+    asyncio.run(main())
+
+
+def test_an_attempt_that_never_connects_is_no_dispatch():
+    async def main():
+        gone = Peer()
+        async with running(gone, **DOOR) as node:
+            gone._server.close()
+            await gone._server.wait_closed()
+            assert (await ask(node, request(name="q"))).status == 503
+            assert (await figures(node))["dispatches"] == 0
+
+    asyncio.run(main())
