Pass long answers on as they come, held by what the caller reads

net/body.py passes pieces on; ClientConnection begins an answer once more than 64 KiB of it is due, which is the outcome for the module, and ServerConnection writes it by its length, in chunks, or to the close for HTTP/1.0. A caller that does not read holds the server's connection; one that leaves gives it up; an answer that breaks off resets the caller's.

Requests are still held to 64 KiB and to 2 s.

--- /dev/null
+++ b/orchidledge/net/body.py
@@ -0,0 +1,121 @@
+"""A body on its way from the connection that reads it to the one that writes it, with backpressure."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+HIGH_WATER = 64 * 1024  # kept while nobody takes it; the reading then stops
+
+
+class Source(Protocol):
+    """The end that reads."""
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+    def abandoned(self) -> None:
+        """Nobody will take the rest."""
+
+
+class Sink(Protocol):
+    """The end that writes."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def end(self) -> None: ...
+
+    def broken(self) -> None:
+        """The rest will not come."""
+
+
+class Body:
+    """Passed on as it comes. As long as all that has come fits under the high-water mark it is kept, and may
+    be taken by one sink after another; past that by none but the one that has it."""
+
+    def __init__(self, source: Source) -> None:
+        self._source = source
+        self._sink: Sink | None = None
+        self._first: bytearray | None = bytearray()
+        self.size = 0  # of what has come
+        self.ended = False
+        self.failed = False
+        self.held = False  # by a sink that can't write any more for now
+
+    @property
+    def whole(self) -> bytes | None:
+        """All of it, if it has come and is kept."""
+        return bytes(self._first) if self.ended and self._first is not None else None
+
+    @property
+    def open_to_another(self) -> bool:
+        return self._first is not None and self._sink is None and not self.failed
+
+    # ------------------------------------------------------------- for the source
+
+    def put(self, data: bytes) -> None:
+        self.size += len(data)
+        if self._first is not None:
+            if self._sink is not None and self.size > HIGH_WATER:
+                self._first = None
+            else:
+                self._first += data
+        if self._sink is not None:
+            self._sink.write(data)
+        elif self._first is not None and self.size >= HIGH_WATER:
+            self._source.pause()
+
+    def end(self) -> None:
+        if not self.failed and not self.ended:
+            self.ended = True
+            if self._sink is not None:
+                self._sink.end()
+
+    def fail(self) -> None:
+        if not self.failed and not self.ended:
+            self.failed = True
+            if self._sink is not None:
+                self._sink.broken()
+
+    # --------------------------------------------------------------- for the sink
+
+    def attach(self, sink: Sink) -> None:
+        """Take what has come and all that will."""
+        assert self.open_to_another
+        self._sink = sink
+        if self._first:
+            sink.write(bytes(self._first))
+        if self.ended:
+            sink.end()
+        elif not self.held:
+            self._source.resume()
+
+    def hold(self) -> None:
+        if not self.held:
+            self.held = True
+            self._source.pause()
+
+    def release(self) -> None:
+        if self.held:
+            self.held = False
+            self._source.resume()
+
+    def leave(self, sink: Sink) -> None:
+        """This sink takes no more of it."""
+        if self._sink is not sink:
+            return
+        self._sink = None
+        self.release()
+        if self.ended or self.failed:
+            return
+        if self._first is None:
+            self._source.abandoned()
+        elif self.size >= HIGH_WATER:
+            self._source.pause()
+
+    def abandon(self) -> None:
+        """Nobody takes it at all."""
+        self._first = None
+        self._sink = None
+        if not self.ended and not self.failed:
+            self._source.abandoned()
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -87,6 +87,9 @@
     def sent(self) -> None:
         pass
 
+    def begun(self, response: Response) -> None:
+        """Lists are held whole."""
+
     def answered(self, response: Response) -> None:
         if not self.done.done():
             self.done.set_result(response)
--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -10,7 +10,9 @@
 
 import httptools
 
-MAX_BODY = 64 * 1024
+from orchidledge.net.body import HIGH_WATER, Body
+
+MAX_BODY = HIGH_WATER  # of a body that is held whole
 MAX_HEAD = 16 * 1024
 
 
@@ -19,6 +21,8 @@
     status: int = 0
     headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
     body: bytearray = field(default_factory=bytearray)
+    length: int | None = None  # as declared
+    rest: Body | None = None  # of an answer too long to be held whole: it, as it comes
 
 
 class Exchange(Protocol):
@@ -27,6 +31,9 @@
     def sent(self) -> None:
         """Its last byte has left."""
 
+    def begun(self, response: Response) -> None:
+        """An answer too long to be held whole has begun; its end is told by one of the others."""
+
     def answered(self, response: Response) -> None: ...
 
     def lost(self, written: bool) -> None:
@@ -43,9 +50,12 @@
 class ClientConnection(asyncio.Protocol):
     """The calling end of a connection. `on_closed` is told when it is gone."""
 
-    def __init__(self, on_closed: Callable[[ClientConnection], None], max_body: int = MAX_BODY) -> None:
+    def __init__(
+        self, on_closed: Callable[[ClientConnection], None], max_body: int = MAX_BODY, streams: bool = False
+    ) -> None:
         self._on_closed = on_closed
         self._max_body = max_body
+        self._streams = streams  # a longer 200 is passed on as it comes
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -56,6 +66,7 @@
         self._written = True
         self.unreadable = False  # what came is no answer as HTTP has it, or too long to be one
         self.idle_since = 0.0
+        self.heard_at = 0.0  # the loop's time of the last bytes
 
     # -------------------------------------------------------------- for the owner
 
@@ -88,6 +99,16 @@
         if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
             self.resume_writing()
 
+    @property
+    def held(self) -> bool:
+        """Whether what still comes of the answer must wait for the one who takes it."""
+        return self._response.rest is not None and self._response.rest.held
+
+    def fail_rest(self) -> None:
+        """What still was to come of the answer won't."""
+        if self._response.rest is not None:
+            self._response.rest.fail()
+
     def abort(self) -> None:
         """Close at once, unsent bytes included. The exchange, if any, hears nothing."""
         self._exchange = None
@@ -112,10 +133,14 @@
         if self._exchange is None:  # nothing was asked: what follows would not belong to the next request
             self.abort()
             return
+        self.heard_at = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._spoilt = self.unreadable = True
+        self._pass_on()
+        if self._exchange is None:
+            return
         if self._whole:
             exchange, self._exchange = self._exchange, None
             # A server that answers before it has the whole request leaves the rest on the connection.
@@ -123,10 +148,41 @@
                 self._spoilt = True
             if self._spoilt:
                 self.abort()
+            if self._response.rest is not None:
+                self._response.rest.end()
             exchange.answered(self._response)
         elif self._spoilt:
             self._lose(self._written)
 
+    def _pass_on(self) -> None:
+        """Begin an answer that is too long to be held whole, and pass on what has come of it."""
+        response = self._response
+        if response.rest is None:
+            long = max(response.length or 0, len(response.body)) > self._max_body
+            if not (self._streams and long and response.body) or self._whole:
+                return
+            response.rest = Body(self)
+            assert self._exchange is not None
+            self._exchange.begun(response)
+        piece = bytes(response.body)
+        response.body.clear()
+        if piece:
+            response.rest.put(piece)
+
+    # --------------------------------------------------- as the source of an answer
+
+    def pause(self) -> None:
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        self.heard_at = asyncio.get_running_loop().time()  # it could not be heard before
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def abandoned(self) -> None:
+        self._lose(self._written)
+
     def eof_received(self) -> bool:
         self._spoilt = True
         return False
@@ -155,12 +211,26 @@
 
     def on_headers_complete(self) -> None:
         self._size = 0
+        if not self._whole:
+            self._response.status = self._parser.get_status_code()
+            length = self._response.headers.get(b"content-length", b"")
+            self._response.length = int(length) if length.isdigit() else None
 
     def on_body(self, body: bytes) -> None:
-        self._grow(len(body), self._max_body)
+        if not self._streams:
+            self._grow(len(body), self._max_body)
+        elif self._response.status != 200:
+            self._skip(len(body))
+            return
         if not self._spoilt:
             self._response.body += body
 
+    def _skip(self, size: int) -> None:
+        """The text of an answer that is no 200 goes nowhere; of a long one the rest is not waited for."""
+        self._size += size
+        if self._size > MAX_BODY:
+            self._whole = self._spoilt = True
+
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
         if self._whole or self._spoilt:
@@ -168,7 +238,6 @@
         if status < 200:  # an interim answer: the real one follows
             self._response, self._size = Response(), 0
             return
-        self._response.status = status
         self._whole = True
         if not self._parser.should_keep_alive():
             self._spoilt = True
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -14,6 +14,7 @@
 
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
+from orchidledge.net.body import Body
 from orchidledge.net.config import Config
 from orchidledge.net.discovery import Listing, Watcher
 from orchidledge.net.figures import Figures
@@ -92,6 +93,7 @@
         self.jobs: dict[str, _Job] = {}
         self.stopping = False
         self.open = 0  # requests without a final answer
+        self.passing_on = 0  # long answers under way
         usable = max(16, config.sockets - SPARE_SOCKETS)
         self.server = Server(int(usable * INBOUND_SHARE), self._on_call)
         self.pool = Pool(
@@ -256,7 +258,7 @@
             self.counts[f"bad {error.status}"] += 1
             call.answer(error.status)
             return
-        if self.open >= self.config.max_open or self.server.crowded:
+        if self.open + self.passing_on >= self.config.max_open or self.server.crowded:
             # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
             self.counts["over the limit"] += 1
             self.figures.reply(request.service, 503)
@@ -309,6 +311,23 @@
             self._end(job)
             job.call.answer(status, body, retry_after_ms)
 
+    def _begin(self, job: _Job, length: int | None, rest: Body) -> None:
+        """A long answer: for the module and the clock its first bytes are the whole of it."""
+        if job.done:
+            rest.abandon()
+            return
+        self.counts["answered 200"] += 1
+        self._end(job)
+        self.passing_on += 1
+
+        def on_end(whole: bool) -> None:
+            self.passing_on -= 1
+            if not whole:
+                self.counts["broken off"] += 1
+            self.figures.reply(job.service, 200 if whole else 502)
+
+        job.call.begin(length, rest, on_end)
+
     def _end(self, job: _Job) -> None:
         job.done = True
         self.open -= 1
@@ -378,7 +397,10 @@
         if job is not None:
             job.last = result
             if result is api.Result.OK and response is not None:
-                self._answer(job, 200, bytes(response.body))
+                if response.rest is None:
+                    self._answer(job, 200, bytes(response.body))
+                else:
+                    self._begin(job, response.length, response.rest)
             self._forget(job)
         done = job is None or job.done
         latency = (self.loop.time() - began) * 1000.0
@@ -463,7 +485,7 @@
     # -------------------------------------------------------------------- figures
 
     def metrics(self) -> bytes:
-        return self.figures.text(self.open, len(self.listed), self.balancer.avoided)
+        return self.figures.text(self.open + self.passing_on, len(self.listed), self.balancer.avoided)
 
     def _on_sent(self) -> None:
         self.figures.dispatches += 1
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from orchidledge.net.body import Body
 from orchidledge.net.http import MAX_BODY, MAX_HEAD, readable
 
 log = logging.getLogger("orchidledge")
@@ -35,6 +36,7 @@
     target: bytes = b""
     headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
     body: bytearray = field(default_factory=bytearray)
+    version: str = "1.1"
     keep_alive: bool = True
     answered: bool = False
     on_gone: Callable[[], None] | None = None
@@ -45,9 +47,67 @@
             self.answered = True
             self.connection.answer(self, status, body, retry_after_ms)
 
-
-def _head(status: int, length: int, close: bool, retry_after_ms: float) -> bytes:
-    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", f"Content-Length: {length}"]
+    def begin(self, length: int | None, rest: Body, on_end: Callable[[bool], None]) -> None:
+        """The final answer, a 200 that is passed on as it comes; `on_end` is told whether all of it was."""
+        if self.answered:
+            rest.abandon()
+            on_end(False)
+        else:
+            self.answered = True
+            self.connection.begin(self, length, rest, on_end)
+
+
+class _Answer:
+    """A long answer on its way to a caller."""
+
+    def __init__(
+        self,
+        connection: ServerConnection,
+        call: Call,
+        rest: Body,
+        chunked: bool,
+        close: bool,
+        on_end: Callable[[bool], None],
+    ) -> None:
+        self.call = call
+        self.rest = rest
+        self._connection = connection
+        self._chunked = chunked
+        self._close = close
+        self._on_end = on_end
+        self._over = False
+
+    def write(self, data: bytes) -> None:
+        self._connection.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+
+    def end(self) -> None:
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self._connection.finish(self._close)
+        self._tell(True)
+
+    def broken(self) -> None:
+        self._connection.break_off()
+        self._tell(False)
+
+    def lost(self) -> None:
+        """The caller has gone."""
+        self.rest.leave(self)
+        self._tell(False)
+
+    def _tell(self, whole: bool) -> None:
+        if not self._over:
+            self._over = True
+            self._on_end(whole)
+
+
+def _head(status: int, length: int | None, close: bool, retry_after_ms: float) -> bytes:
+    """An answer's head; one with no length goes in chunks."""
+    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    else:
+        lines.append("Transfer-Encoding: chunked")
     if retry_after_ms > 0.0:
         lines.append(f"Retry-After: {retry_after_ms / 1000.0:.3f}")
     if close:
@@ -67,6 +127,7 @@
         self._size = 0
         self._in_head = False
         self._head = 0  # bytes that have come of a head that is not whole
+        self._answer: _Answer | None = None  # a long one under way
         self._fault = 0  # the status that ends this connection, once something was wrong on it
         self._closing = False  # the last answer has been written, or will be with what is in hand
         self.opened_at = 0.0  # by the loop's clock
@@ -130,6 +191,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._closing = True
         self._server.closed(self)
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer.lost()
         calls, self._calls = self._calls, deque()
         for call in calls:
             call.answered = True
@@ -178,6 +242,7 @@
         self._fresh = False
         call.arrived = self._server.loop.time()
         call.method = self._parser.get_method()
+        call.version = self._parser.get_http_version()
         call.keep_alive = self._parser.should_keep_alive()
         self._calls.append(call)
 
@@ -201,9 +266,17 @@
     def answer(self, call: Call, status: int, body: bytes, retry_after_ms: float) -> None:
         if self._transport.is_closing() or not self._calls or self._calls[0] is not call:
             return
-        close = not call.keep_alive or self._server.draining or self._server.crowded
-        close = close and len(self._calls) == 1
+        close = self._last(call)
         self._transport.write(_head(status, len(body), close, retry_after_ms) + body)
+        self._go_on(close)
+
+    def _last(self, call: Call) -> bool:
+        """Whether the connection ends with the answer to this call."""
+        close = not call.keep_alive or self._server.draining or self._server.crowded
+        return close and len(self._calls) == 1
+
+    def _go_on(self, close: bool) -> None:
+        """The first call has its answer: turn to the next, or end the connection."""
         self._calls.popleft()
         self.since = self._began = self._server.loop.time()  # what waited its turn to be read is due from now
         if close:
@@ -215,6 +288,44 @@
         else:
             self._transport.resume_reading()
 
+    def begin(self, call: Call, length: int | None, rest: Body, on_end: Callable[[bool], None]) -> None:
+        if self._transport.is_closing() or not self._calls or self._calls[0] is not call:
+            rest.abandon()
+            on_end(False)
+            return
+        close = self._last(call)
+        # Guard: a caller of HTTP/1.0 knows no chunks; a length that is not known ends with its connection.
+        chunked = length is None and call.version != "1.0"
+        if length is None and not chunked:
+            close = True
+            self._transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+        else:
+            self._transport.write(_head(200, length, close, 0.0))
+        self._answer = _Answer(self, call, rest, chunked, close, on_end)
+        rest.attach(self._answer)
+
+    def finish(self, close: bool) -> None:
+        """The long answer has been written."""
+        self._answer = None
+        if not self._transport.is_closing() and self._calls:
+            self._go_on(close)
+
+    def break_off(self) -> None:
+        """It can't be: the caller has to see that it is not whole."""
+        self._answer = None
+        self._transport.abort()
+
+    def write(self, data: bytes) -> None:
+        self._transport.write(data)
+
+    def pause_writing(self) -> None:
+        if self._answer is not None:
+            self._answer.rest.hold()
+
+    def resume_writing(self) -> None:
+        if self._answer is not None:
+            self._answer.rest.release()
+
     def _next(self) -> None:
         if self._calls and not self._closing:
             self._serve()
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -11,6 +11,7 @@
 
 Address = tuple[str, int]
 
+SILENT_S = 10.0  # a long answer of which nothing has come for so long will not be finished
 IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
 
 
@@ -68,12 +69,25 @@
         connection, self._connection = self._connection, None
         if connection is not None and self._server is not None:
             self._pool.give_back(self._server, connection)
-        self._finish(result_of(response), response)
+        if self._over:  # it had begun before, and that was its result
+            self._timer.cancel()
+        else:
+            self._finish(result_of(response), response)
+
+    def begun(self, response: Response) -> None:
+        # The first bytes of a long answer are what counts; from here on the connection alone is at stake.
+        self._over = True
+        self._timer.cancel()
+        self._watch()
+        self._on_result(result_of(response), response)
 
     def lost(self, written: bool) -> None:
-        if self._connection is not None and self._connection.unreadable:
+        connection, self._connection = self._connection, None
+        if connection is not None and connection.unreadable:
             self._pool.unreadable += 1
-        self._connection = None
+        if self._over and connection is not None:
+            self._timer.cancel()
+            connection.fail_rest()
         self._finish(Result.RESET if written else Result.CONNECT_FAILED)
 
     # -------------------------------------------------------------------- inside
@@ -111,6 +125,18 @@
         left = self._end_at - asyncio.get_running_loop().time()
         connection.start(self._request(left), self)
 
+    def _watch(self) -> None:
+        """Give a long answer up once its server has sent nothing for too long, though it might have."""
+        connection = self._connection
+        if connection is None:
+            return
+        loop = asyncio.get_running_loop()
+        due = (loop.time() if connection.held else connection.heard_at) + SILENT_S
+        if due <= loop.time():
+            connection.abandoned()
+        else:
+            self._timer = loop.call_at(due, self._watch)
+
     def _time_out(self) -> None:
         # Guard: what has not been written whole has never run, and a refusal may then say so.
         sent = self._connection is not None and self._connection.written
@@ -237,7 +263,9 @@
 
     async def open(self, endpoint: Address) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(lambda: ClientConnection(self._open.discard), *endpoint)
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(self._open.discard, streams=True), *endpoint
+        )
         self._open.add(connection)
         return connection
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -166,7 +166,9 @@
     found = await (discovery or Discovery()).start()
     for server in servers:
         await server.start()
-    known = targets(**{f"s{at}": (server.endpoint, "Ready") for at, server in enumerate(servers)})
+    known = more.pop("known", None) or targets(
+        **{f"s{at}": (server.endpoint, "Ready") for at, server in enumerate(servers)}
+    )
     node = Node(config(found.endpoint, known=known, **more))
     await node.start()
     try:
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,328 @@
+"""Bodies and answers too long to be held whole."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+from loopback import Caller, Scripted, request, running, targets, until
+
+from orchidledge import interface as api
+from orchidledge.net import upstream as upstream_module
+from orchidledge.net.body import HIGH_WATER, Body
+from orchidledge.net.node import Node
+
+MIB = 1024 * 1024
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+# ---------------------------------------------------------------------- the body
+
+
+class Ends:
+    """A source and a sink that note what is asked of them."""
+
+    def __init__(self) -> None:
+        self.said: list[str] = []
+        self.data = b""
+
+    def pause(self) -> None:
+        self.said.append("pause")
+
+    def resume(self) -> None:
+        self.said.append("resume")
+
+    def abandoned(self) -> None:
+        self.said.append("abandoned")
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+    def end(self) -> None:
+        self.said.append("end")
+
+    def broken(self) -> None:
+        self.said.append("broken")
+
+
+def test_reading_stops_at_the_high_water_mark_until_somebody_takes_it():
+    source, sink = Ends(), Ends()
+    body = Body(source)
+    body.put(b"x" * (HIGH_WATER - 1))
+    assert source.said == []
+    body.put(b"yz")
+    assert source.said == ["pause"]
+    body.attach(sink)
+    assert source.said == ["pause", "resume"]
+    body.put(b"!")
+    body.end()
+    assert sink.data == b"x" * (HIGH_WATER - 1) + b"yz!"
+    assert sink.said == ["end"]
+
+
+def test_what_fits_under_the_mark_may_be_taken_again_and_what_does_not_may_not():
+    source = Ends()
+    body = Body(source)
+    body.put(b"abc")
+    first, second = Ends(), Ends()
+    body.attach(first)
+    body.put(b"def")
+    body.leave(first)
+    assert body.open_to_another
+    body.attach(second)
+    assert second.data == b"abcdef"
+    body.put(b"x" * HIGH_WATER)
+    body.leave(second)
+    assert not body.open_to_another
+    assert source.said[-1] == "abandoned"
+
+
+def test_a_sink_that_is_full_holds_the_source():
+    source, sink = Ends(), Ends()
+    body = Body(source)
+    body.attach(sink)
+    body.hold()
+    body.hold()
+    assert source.said == ["resume", "pause"]
+    body.release()
+    assert source.said[-1] == "resume"
+
+
+def test_a_body_that_breaks_says_so_once():
+    sink = Ends()
+    body = Body(Ends())
+    body.attach(sink)
+    body.fail()
+    body.end()
+    body.fail()
+    assert sink.said == ["broken"]
+
+
+# ----------------------------------------------------------------------- answers
+
+
+@contextlib.asynccontextmanager
+async def behind(serve: Serve, **more: object) -> AsyncIterator[Node]:
+    """A node before one server, given as what it does with each connection."""
+
+    async def guarded(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await serve(reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(guarded, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with running(known=targets(s0=(f"127.0.0.1:{port}", "Ready")), **more) as node:
+        yield node
+    server.close()
+
+
+def answering(head: bytes, *pieces: bytes) -> Serve:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            for piece in (head, *pieces):
+                writer.write(piece)
+                await writer.drain()
+
+    return serve
+
+
+LONG = bytes(range(256)) * 4096 * 3  # 3 MiB
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG)
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+async def body_of(reader: asyncio.StreamReader) -> bytes:
+    """The next answer's body, by either framing."""
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    assert head.startswith(b"http/1.1 200 ")
+    if b"content-length: " in head:
+        return await reader.readexactly(int(head.split(b"content-length: ")[1].split(b"\r\n")[0]))
+    assert b"transfer-encoding: chunked" in head
+    body = b""
+    while size := int((await reader.readline()), 16):
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    return body
+
+
+@pytest.mark.parametrize(
+    "serve",
+    [
+        answering(HEAD, LONG),
+        answering(HEAD, LONG[:10], LONG[10:70_000], LONG[70_000:]),
+        answering(
+            CHUNKED, b"%x\r\n%b\r\n" % (MIB, LONG[:MIB]), b"%x\r\n%b\r\n0\r\n\r\n" % (2 * MIB, LONG[MIB:])
+        ),
+    ],
+)
+def test_a_long_answer_is_passed_on_whole_and_the_connections_are_kept(serve):
+    async def main():
+        async with behind(serve) as node:
+            caller = await Caller.to(node)
+            for at in range(2):
+                caller.writer.write(request(name=f"q{at}"))
+                assert await body_of(caller.reader) == LONG
+            await until(lambda: not node.passing_on)
+            assert node.pool.size == 1
+            assert not node.jobs
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_the_first_bytes_are_passed_on_before_the_last_have_come_and_are_the_outcome():
+    async def main():
+        more = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + LONG[:1000])
+            await more.wait()
+            writer.write(LONG[1000:])
+            await writer.drain()
+            await reader.read()
+
+        async with behind(serve) as node:
+            node.balancer = scripted = Scripted(
+                lambda event: [api.Send(event.id, "s0")] if isinstance(event, api.Request) else []
+            )
+            caller = await Caller.to(node)
+            caller.writer.write(request(Req_Deadline_Ms="20000"))
+            await caller.reader.readuntil(b"\r\n\r\n")
+            assert await caller.reader.readexactly(1000) == LONG[:1000]
+            (outcome,) = scripted.of(api.Outcome)
+            assert (outcome.result, outcome.done) == (api.Result.OK, True)
+            assert node.figures.text(node.open + node.passing_on, 0, 0).count(b"concurrent=1") == 1
+            more.set()
+            assert await caller.reader.readexactly(len(LONG) - 1000) == LONG[1000:]
+            await until(lambda: not node.passing_on)
+            assert b"proxy.replies.read.success=1" in node.metrics()
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_caller_that_reads_slowly_holds_the_server_and_costs_little_memory():
+    async def main():
+        total = 64 * MIB
+        written = 0
+
+        async def serve(reader, writer):
+            nonlocal written
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % total)
+            while written < total:
+                writer.write(bytes(MIB))
+                written += MIB
+                await writer.drain()
+
+        async with behind(serve) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request())
+            await caller.reader.readuntil(b"\r\n\r\n")
+            (connection,) = node.server.connections
+            await until(lambda: connection._answer is not None and connection._answer.rest.held)
+            assert connection._transport.get_write_buffer_size() < MIB
+            assert written < total
+            left = total
+            while left:
+                left -= len(await caller.reader.read(MIB))
+            await until(lambda: not node.passing_on)
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("head", [HEAD, CHUNKED + b"300000\r\n"])
+def test_a_long_answer_that_breaks_off_is_seen_to_be_cut_short(head):
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head + LONG[:100_000])
+            await writer.drain()
+
+        async with behind(serve) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request())
+            with contextlib.suppress(ConnectionError):
+                answer = await caller.reader.read()
+                assert not answer.endswith(b"0\r\n\r\n")
+                assert len(answer) < len(LONG)
+            await until(lambda: not node.passing_on)
+            assert b"proxy.replies.read.error=1" in node.metrics()
+
+    asyncio.run(main())
+
+
+def test_a_caller_that_leaves_gives_the_servers_connection_up():
+    async def main():
+        left = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + LONG[:100_000])
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            left.set()
+
+        async with behind(serve) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request())
+            await caller.reader.readexactly(1000)
+            caller.writer.transport.abort()
+            async with asyncio.timeout(20):
+                await left.wait()
+            await until(lambda: not node.passing_on and not node.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_server_that_falls_silent_within_a_long_answer_is_given_up(monkeypatch):
+    async def main():
+        monkeypatch.setattr(upstream_module, "SILENT_S", 0.05)
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + LONG[:100_000])
+            await reader.read()
+
+        async with behind(serve) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request())
+            with contextlib.suppress(ConnectionError):
+                assert len(await caller.reader.read()) < len(LONG)
+            await until(lambda: not node.passing_on)
+
+    asyncio.run(main())
+
+
+def test_a_caller_of_http_1_0_gets_a_long_answer_of_no_length_to_the_close():
+    async def main():
+        async with behind(answering(CHUNKED, b"%x\r\n%b\r\n0\r\n\r\n" % (len(LONG), LONG))) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            head, _, body = (await caller.reader.read()).partition(b"\r\n\r\n")
+            assert b"Transfer-Encoding" not in head
+            assert body == LONG
+
+    asyncio.run(main())
+
+
+def test_the_long_text_of_an_error_is_not_waited_for():
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 500 Word\r\nContent-Length: 9999999\r\n\r\n" + LONG[: 2 * HIGH_WATER])
+            await reader.read()
+
+        async with behind(serve, settings={"tier": 1}) as node:
+            caller = await Caller.to(node)
+            assert (await caller.ask(request("post"))).status == 502
+            assert node.counts["error"] == 1
+            caller.writer.close()
+
+    asyncio.run(main())
