Give a slow head and a slow body each their time

`ServerConnection.expire` judges a head by its connection's start or first byte, and a body by its pace from the head on. A peer that sends no whole request is still answered within 2.9 s.

--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -20,10 +20,14 @@
 READY_PATH = b"/up"
 LINGER_S = 1.0  # how long what a caller still sends after a fatal answer is read and dropped
 BACKLOG = 1024
-COMING_S = 2.0  # how long a request may take to come in, the first one from its connection's start:
+HEAD_S = (
+    2.3  # how long a request's head may take, the first one from its connection's start (a slow one: 2 s),
+)
+PACE = 48_000.0  # how many bytes a second its body must bring from then on (a slow one: 64 kB/s),
+BODY_S = 0.5  # after this long:
 DRAIN_OPEN_S = 0.5  # connections still come for up to 0.4 s after a drain began
 DRAIN_STEP_S = 0.01
-SWEEP_S = 0.25  # looked at so often, as a peer that sends no request is owed an error or a close within 3 s
+SWEEP_S = 0.1  # looked at so often, as a peer that sends no request is owed an error or a close within 3 s
 
 
 @dataclass(slots=True, eq=False)
@@ -133,6 +137,7 @@
         self.opened_at = 0.0  # by the loop's clock
         self.since = 0.0  # the loop's time of the last byte either way
         self._fresh = True  # no whole request has come yet
+        self._head_at = 0.0  # the loop's time when a request's head was whole
         self._began = 0.0  # the loop's time of the connection's start, then of the first byte of a request
 
     @property
@@ -146,9 +151,9 @@
         self._transport.abort()
         return True
 
-    def expire(self, before: float) -> bool:
-        """End a connection on which a request has been due since before this; whether that was so."""
-        if self._closing or self._calls or self._began >= before:
+    def expire(self, now: float) -> bool:
+        """End a connection on which a request is overdue by now; whether that was so."""
+        if self._closing or self._calls or now < self._due():
             return False
         if self._partial is not None:
             self._fail(408)
@@ -156,6 +161,14 @@
         # Guard: judged by the connection's start, as line ends before a request look like traffic for ever.
         return self._fresh and self.close_if_idle()
 
+    def _due(self) -> float:
+        """When what has come of a request is too little."""
+        due = self._began + HEAD_S
+        if self._partial is None or self._in_head:
+            return due
+        # Guard: a limit on the whole request cut off callers that kept to their pace.
+        return max(due, self._head_at + BODY_S + self._size / PACE)
+
     # ---------------------------------------------------------- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -221,6 +234,7 @@
 
     def on_headers_complete(self) -> None:
         self._in_head = False
+        self._head_at = self._server.loop.time()
         if self._partial is None or self._fault:
             return
         self._size = 0
@@ -278,7 +292,8 @@
     def _go_on(self, close: bool) -> None:
         """The first call has its answer: turn to the next, or end the connection."""
         self._calls.popleft()
-        self.since = self._began = self._server.loop.time()  # what waited its turn to be read is due from now
+        # What waited its turn to be read is due from now.
+        self.since = self._began = self._head_at = self._server.loop.time()
         if close:
             self._end()
         elif self._calls:
@@ -457,10 +472,10 @@
             self._sweep_timer.cancel()
 
     def _sweep(self) -> None:
-        self.expire(self.loop.time() - COMING_S)
+        self.expire(self.loop.time())
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
 
-    def expire(self, before: float) -> None:
-        """End the connections on which a request has been due since before this."""
+    def expire(self, now: float) -> None:
+        """End the connections on which a request is overdue by now."""
         for connection in list(self.connections):
-            self.expired += connection.expire(before)
+            self.expired += connection.expire(now)
