Hand long requests on as they come, and count them from their last byte

A request over 64 KiB is handed on when so much of it has come; the attempt writes it as the caller sends it, either end holding the other. `Arrived` starts its time; until then it is no load on a server and its latency has not begun. What fits under the mark is kept, so an attempt that can't connect goes elsewhere from the start; past it one that is turned away is refused. A caller that leaves, stalls or breaks its framing ends the attempt unsent. Memory bounds how many may be coming in at once, and an answer given early is followed by reading on for as long as the caller sends.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -96,6 +96,7 @@
 class _Try:
     peer: _Peer
     sent_ms: float
+    units: float = 0.0  # its weight in the queue by now
     result: api.Result | None = None  # None: still out
 
 
@@ -173,6 +174,8 @@
             self._on_request(now, event, acts)
         elif isinstance(event, api.Outcome):
             self._on_outcome(now, event, acts)
+        elif isinstance(event, api.Arrived):
+            self._on_arrived(now, event)
         elif isinstance(event, api.Alarm) and event.name == "period":
             acts.append(api.Wake(self.period_ms, "period"))
             self._on_period(now, self.ready)
@@ -297,6 +300,28 @@
             self.tally["refused at threshold" if full else "refused unsent"] += 1
             self._answer(job, acts)
 
+    def _on_arrived(self, now: float, event: api.Arrived) -> None:
+        job = self.jobs.get(event.id)
+        if job is None or job.done:
+            return
+        job.taken_ms = now
+        job.request.coming = False
+        job.request.give_up_at_ms = event.give_up_at_ms
+        for at, item in enumerate(job.tries):
+            if item.result is None:
+                item.sent_ms = now
+                self._load(job, at)
+
+    def _load(self, job: _Job, attempt: int) -> None:
+        """Count an attempt in flight. One whose request is still coming in is no load on its server yet."""
+        item = job.tries[attempt]
+        # Guard: calls held the threshold for as long as their callers took to send them.
+        item.units = 0.0 if job.request.coming else job.units
+        item.peer.load += item.units
+        self.sent += item.units
+        if item.units:
+            item.peer.out[(job.request.id, attempt)] = item.sent_ms
+
     # --------------------------------------------------------------- ranking
 
     def _pick(self, now: float, job: _Job) -> _Peer | None:
@@ -373,12 +398,10 @@
         peer = self._pick(now, job)
         if peer is None:
             return False
-        peer.out[(job.request.id, len(job.tries))] = now
         job.tries.append(_Try(peer, now))
-        peer.load += job.units
+        self._load(job, len(job.tries) - 1)
         if peer.info.address in self.returns:
             self.returns[peer.info.address].tried = True
-        self.sent += job.units
         acts.append(api.Send(job.request.id, peer.info.address, left))
         return True
 
@@ -389,7 +412,7 @@
             return
         item = job.tries[event.attempt]
         item.result = event.result
-        item.peer.load = max(0.0, item.peer.load - job.units)
+        item.peer.load = max(0.0, item.peer.load - item.units)
         item.peer.out.pop((event.id, event.attempt), None)
         self._judge(now, job, item, event)
         if event.done:
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -167,6 +167,15 @@
     tenant: str | None = None
     cost_hint_ms: float | None = None
     is_retry: bool = False
+    coming: bool = False  # its last byte has yet to come, which Arrived tells
+
+
+@dataclass(slots=True)
+class Arrived:
+    """The last byte of a request that was still coming: its time runs from now."""
+
+    id: str
+    give_up_at_ms: float
 
 
 @dataclass(slots=True)
@@ -224,7 +233,7 @@
     back_ms: float
 
 
-Event = Membership | Request | Started | Outcome | Lapsed | Alarm | Probed | TakenOut | BroughtBack
+Event = Membership | Request | Arrived | Started | Outcome | Lapsed | Alarm | Probed | TakenOut | BroughtBack
 
 
 # ------------------------------------------------------------------- actions
--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -29,6 +29,7 @@
     operator: Address | None = None  # the operators' door
     accept_fd: str | None = None  # descriptor of the clients' listening socket, where the platform holds it
     maintenance: Path | None = None  # the folder of the bans that two processes of a node share
+    memory_mb: float = 2048.0
     sockets: int = 1024  # descriptors for everything
     max_open: int = 20_000  # requests open at once
     conn_idle_ms: float = 15_000.0  # after which a server closes an idle connection
@@ -53,6 +54,7 @@
         row: Row = orjson.loads(data)
         bounds: Row = row["settings"].get("bounds") or {}
         given: Row = {
+            "memory_mb": (row.get("limits") or {}).get("memory_mb"),
             "sockets": (row.get("limits") or {}).get("sockets"),
             "max_open": bounds.get("maxOpen"),
             "conn_idle_ms": bounds.get("connIdleMs"),
--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -14,6 +14,7 @@
 
 MAX_BODY = HIGH_WATER  # of a body that is held whole
 MAX_HEAD = 16 * 1024
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 @dataclass(slots=True)
@@ -40,6 +41,10 @@
         """The connection ended with no whole answer; `written`: its request's last byte had left."""
 
 
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def readable(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes, an end or an error wait in the kernel that the event loop has not delivered yet."""
     poll = select.poll()
@@ -47,6 +52,26 @@
     return bool(poll.poll(0))
 
 
+class _Upload:
+    """A request's body on its way to a server."""
+
+    def __init__(self, connection: ClientConnection, body: Body, chunked: bool) -> None:
+        self.body = body
+        self._connection = connection
+        self._chunked = chunked
+
+    def write(self, data: bytes) -> None:
+        self._connection.write(chunk(data) if self._chunked else data)
+
+    def end(self) -> None:
+        if self._chunked:
+            self._connection.write(LAST_CHUNK)
+        self._connection.written_whole()
+
+    def broken(self) -> None:
+        self._connection.abandoned()
+
+
 class ClientConnection(asyncio.Protocol):
     """The calling end of a connection. `on_closed` is told when it is gone."""
 
@@ -64,8 +89,10 @@
         self._whole = False
         self._spoilt = False
         self._written = True
+        self._upload: _Upload | None = None  # a long request under way
         self.unreadable = False  # what came is no answer as HTTP has it, or too long to be one
         self.idle_since = 0.0
+        self.taken_at = 0.0  # and of the last that the server took of a long request
         self.heard_at = 0.0  # the loop's time of the last bytes
 
     # -------------------------------------------------------------- for the owner
@@ -88,14 +115,29 @@
         """Whether the last byte of the current request has left."""
         return self._written
 
-    def start(self, data: bytes, exchange: Exchange) -> None:
+    def start(self, data: bytes, exchange: Exchange, body: Body | None = None, chunked: bool = False) -> None:
+        """Send a request: these bytes, and a body that may still be coming."""
         assert self._transport is not None
         assert self._exchange is None
         self._exchange = exchange
         self._response, self._size, self._whole = Response(), 0, False
         self._transport.write(data)
-        # Guard: a write that fails at once empties the buffer and closes; nothing of it has left.
         self._written = False
+        if body is not None:
+            self._upload = _Upload(self, body, chunked)
+            body.attach(self._upload)
+        else:
+            self.written_whole()
+
+    def write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def written_whole(self) -> None:
+        """All of the request has been given; it has left unless some of it is still in the buffer."""
+        assert self._transport is not None
+        self._upload = None
+        # Guard: a write that fails at once empties the buffer and closes; nothing of it has left.
         if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
             self.resume_writing()
 
@@ -113,8 +155,11 @@
         """Close at once, unsent bytes included. The exchange, if any, hears nothing."""
         self._exchange = None
         self._spoilt = True
+        upload, self._upload = self._upload, None
         if self._transport is not None:
             self._transport.abort()
+        if upload is not None:
+            upload.body.leave(upload)
 
     # ---------------------------------------------------------- asyncio.Protocol
 
@@ -124,7 +169,15 @@
         # Guard: asyncio drops its buffer before connection_lost; with limits of 0 it tells when all has left.
         transport.set_write_buffer_limits(high=0)
 
+    def pause_writing(self) -> None:
+        if self._upload is not None:
+            self._upload.body.hold()
+
     def resume_writing(self) -> None:
+        if self._upload is not None:
+            self.taken_at = asyncio.get_running_loop().time()
+            self._upload.body.release()
+            return
         self._written = True
         if self._exchange is not None:
             self._exchange.sent()
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -40,6 +40,8 @@
 LONGEST_DEADLINE_S = 3.0
 HANDOVER_S = 1.5  # idle callers may send one more request, as one that crosses a close is turned back unheard
 YOUNG_S = 0.5  # in standby a connection so new is left open for its first request
+BODIES_SHARE = 0.25  # of the memory: requests still coming in,
+BODY_COST = 256 * 1024  # each of which may have so much on its way
 STATS_S = 5.0
 BEAT_S = 0.1
 
@@ -68,6 +70,8 @@
     call: Call
     give_up_at: float  # by the loop's clock
     backstop: asyncio.TimerHandle | None = None
+    give_up_s: float = 0.0  # from its last byte on
+    whole_at: float = 0.0  # the loop's time when that came, its start until then
     done: bool = False
     attempts: list[Attempt | None] = field(default_factory=list)
     out: int = 0
@@ -93,6 +97,8 @@
         self.jobs: dict[str, _Job] = {}
         self.stopping = False
         self.open = 0  # requests without a final answer
+        self.coming = 0  # those of them whose last byte has yet to come
+        self.max_coming = max(1, int(config.memory_mb * BODIES_SHARE * 1024 * 1024 / BODY_COST))
         self.passing_on = 0  # long answers under way
         usable = max(16, config.sockets - SPARE_SOCKETS)
         self.server = Server(int(usable * INBOUND_SHARE), self._on_call)
@@ -258,18 +264,37 @@
             self.counts[f"bad {error.status}"] += 1
             call.answer(error.status)
             return
-        if self.open + self.passing_on >= self.config.max_open or self.server.crowded:
+        many = call.coming and self.coming >= self.max_coming
+        if many or self.open + self.passing_on >= self.config.max_open or self.server.crowded:
             # Guard: too many to hold. None of it has gone anywhere, so it is a refusal.
             self.counts["over the limit"] += 1
             self.figures.reply(request.service, 503)
             call.answer(503)
             return
         job = self.jobs[request.id] = _Job(request.id, request.service, call, give_up_at)
+        job.give_up_s, job.whole_at = give_up_at - call.arrived, call.arrived
         self.open += 1
         call.on_gone = lambda: self._on_gone(job)
-        job.backstop = self.loop.call_at(give_up_at + BACKSTOP_S, self._on_backstop, job)
+        if call.coming:
+            self.coming += 1
+            call.on_whole = lambda: self._on_whole(job)
+        else:
+            job.backstop = self.loop.call_at(give_up_at + BACKSTOP_S, self._on_backstop, job)
         self.tell(request)
 
+    def _on_whole(self, job: _Job) -> None:
+        """The last byte has come of a request that was handed on before."""
+        if job.done:
+            return
+        self.coming -= 1
+        job.whole_at = self.loop.time()
+        job.give_up_at = job.whole_at + job.give_up_s
+        job.backstop = self.loop.call_at(job.give_up_at + BACKSTOP_S, self._on_backstop, job)
+        for attempt in job.attempts:
+            if attempt is not None:
+                attempt.run_clock(job.give_up_s)
+        self.tell(api.Arrived(job.id, self.clock.ms(job.give_up_at)))
+
     def _read(self, call: Call) -> tuple[api.Request, float]:
         """The module's view of a request, and when its client gives up."""
         headers = call.headers
@@ -301,6 +326,7 @@
             tenant=owner.decode("latin-1") if owner else None,
             cost_hint_ms=None if cost_us is None else cost_us / 1000.0,
             is_retry=headers.get(b"req-retry") == b"1",
+            coming=call.coming,
         )
         return request, give_up_at
 
@@ -331,6 +357,8 @@
     def _end(self, job: _Job) -> None:
         job.done = True
         self.open -= 1
+        if job.call.coming:
+            self.coming -= 1
         if job.backstop is not None:
             job.backstop.cancel()
         self._forget(job)
@@ -358,13 +386,15 @@
         job = self.jobs.get(action.id)
         number = len(job.attempts) if job is not None else 0
         began = self.loop.time()
-        over = job is None or job.done or job.give_up_at <= began
+        body = job.call.body if job is not None and job.call.body.whole is None else None
+        gone = body is not None and not body.open_to_another
+        over = job is None or job.done or gone or (job.give_up_at <= began and not job.call.coming)
         if job is not None:
             job.attempts.append(None)  # a moot send has a number too
         if job is None or over or number >= self.settings.max_attempts:
             self._outcome(action, number, job, api.Result.MOOT, began)
             return
-        left = job.give_up_at - began
+        left = job.give_up_s if job.call.coming else job.give_up_at - began
         timeout = min(left, action.timeout_ms / 1000.0) if action.timeout_ms > 0.0 else left
         job.out += 1
 
@@ -373,7 +403,14 @@
             job.attempts[number] = None
             self._outcome(action, number, job, result, began, response)
 
-        attempt = self.pool.send(action.server, lambda wait: _forwarded(job.call, wait), timeout, on_result)
+        attempt = self.pool.send(
+            action.server,
+            lambda wait: _forwarded(job.call, wait),
+            timeout,
+            on_result,
+            body,
+            job.call.length is None,
+        )
         if attempt is None:
             on_result(api.Result.CONNECT_FAILED, None)
         else:
@@ -403,7 +440,8 @@
                     self._begin(job, response.length, response.rest)
             self._forget(job)
         done = job is None or job.done
-        latency = (self.loop.time() - began) * 1000.0
+        since = began if job is None else max(began, job.whole_at)
+        latency = (self.loop.time() - since) * 1000.0
         self.tell(api.Outcome(action.id, number, action.server, result, latency, done, report))
 
     # ------------------------------------------------------------------ discovery
@@ -544,6 +582,9 @@
     lines = [call.method + b" " + call.target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in call.headers.items() if name not in HOP_BY_HOP]
     lines.append(b"req-deadline-ms: %d" % max(1, int(wait_s * 1000.0)))
-    if call.body or call.method != b"GET":
-        lines.append(b"content-length: %d" % len(call.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
+    body = call.body.whole
+    if body is None and call.length is None:
+        lines.append(b"transfer-encoding: chunked")
+    elif body or call.method != b"GET":
+        lines.append(b"content-length: %d" % (len(body) if body is not None else call.length or 0))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -12,13 +12,17 @@
 
 import httptools
 
-from orchidledge.net.body import Body
-from orchidledge.net.http import MAX_BODY, MAX_HEAD, readable
+from orchidledge.net.body import HIGH_WATER, Body
+from orchidledge.net.http import LAST_CHUNK, MAX_BODY, MAX_HEAD, chunk, readable
 
 log = logging.getLogger("orchidledge")
 
+MAX_REQUEST = 32 * 1024 * 1024  # of a body
 READY_PATH = b"/up"
-LINGER_S = 1.0  # how long what a caller still sends after a fatal answer is read and dropped
+LINGER_S = (
+    1.0  # how long after a fatal answer, and after the last that a caller still sends, that is dropped,
+)
+LINGER_MOST_S = 5.0  # at the most
 BACKLOG = 1024
 HEAD_S = (
     2.3  # how long a request's head may take, the first one from its connection's start (a slow one: 2 s),
@@ -32,18 +36,21 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """One request as it came, and where its answer goes."""
+    """One request as it comes, and where its answer goes. A long one is handed on before its end."""
 
     connection: ServerConnection
+    body: Body
     arrived: float = 0.0  # the loop's time of its last byte
     method: bytes = b""
     target: bytes = b""
     headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
-    body: bytearray = field(default_factory=bytearray)
+    length: int | None = None  # of the body, as declared
+    coming: bool = True  # its last byte has yet to come
     version: str = "1.1"
     keep_alive: bool = True
     answered: bool = False
     on_gone: Callable[[], None] | None = None
+    on_whole: Callable[[], None] | None = None  # for one that was handed on before
 
     def answer(self, status: int, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         """The final answer; a second one is ignored."""
@@ -82,11 +89,11 @@
         self._over = False
 
     def write(self, data: bytes) -> None:
-        self._connection.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+        self._connection.write(chunk(data) if self._chunked else data)
 
     def end(self) -> None:
         if self._chunked:
-            self._connection.write(b"0\r\n\r\n")
+            self._connection.write(LAST_CHUNK)
         self._connection.finish(self._close)
         self._tell(True)
 
@@ -126,8 +133,9 @@
         self._server = server
         self._transport: asyncio.Transport
         self._parser = httptools.HttpRequestParser(self)
-        self._calls: deque[Call] = deque()  # whole requests, the first of them being answered
-        self._partial: Call | None = None
+        self._calls: deque[Call] = deque()  # those handed on or due to be, the first of them being answered
+        self._partial: Call | None = None  # the one coming in; the only one of the others if its body is long
+        self._paused_at: float | None = None  # the loop's time since when its body has had to wait
         self._size = 0
         self._in_head = False
         self._head = 0  # bytes that have come of a head that is not whole
@@ -153,7 +161,8 @@
 
     def expire(self, now: float) -> bool:
         """End a connection on which a request is overdue by now; whether that was so."""
-        if self._closing or self._calls or now < self._due():
+        waits = self._calls and self._calls[0] is not self._partial
+        if self._closing or waits or self._paused_at is not None or self._answer or now < self._due():
             return False
         if self._partial is not None:
             self._fail(408)
@@ -179,6 +188,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self._closing:
+            self.since = self._server.loop.time()
             return  # read and dropped, so that the answer is not lost to a reset
         if self._partial is None:
             self.since = self._server.loop.time()
@@ -190,11 +200,15 @@
             self._head += len(data)
             if self._head > MAX_HEAD + MAX_BODY:  # a body before it may have come with its first part
                 self._fault = self._fault or 400
-        if self._fault and not self._calls:
+        partial = self._partial
+        if partial is not None and not self._calls and partial.body.size >= HIGH_WATER:
+            partial.arrived = self._server.loop.time()  # for now
+            self._calls.append(partial)  # too long to be held whole
+        if self._fault and (not self._calls or self._calls[0] is partial is not None):
             self._fail(self._fault)
         elif self._calls:
             # A caller sends one request at a time; another is left in the kernel until its turn.
-            if len(self._calls) > 1 or self._partial is not None:
+            if len(self._calls) > 1 or self._partial not in (None, self._calls[0]):
                 self._transport.pause_reading()
             self._serve()
 
@@ -212,11 +226,31 @@
             call.answered = True
             if call.on_gone is not None:
                 call.on_gone()
+        if self._partial is not None:
+            self._partial.body.fail()
+
+    # ------------------------------------------------------ as the source of a body
+
+    def pause(self) -> None:
+        if self._paused_at is None:
+            self._paused_at = self._server.loop.time()
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        if self._paused_at is not None:
+            self._head_at += self._server.loop.time() - self._paused_at  # its pace could not be kept
+            self._paused_at = None
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    def abandoned(self) -> None:
+        """The rest is read and dropped."""
+        self.resume()
 
     # --------------------------------------------------------- httptools callbacks
 
     def on_message_begin(self) -> None:
-        self._partial = Call(self)
+        self._partial = Call(self, Body(self))
         if not self._fresh:
             self._began = self._server.loop.time()
         self._size = self._head = 0
@@ -238,16 +272,21 @@
         if self._partial is None or self._fault:
             return
         self._size = 0
-        length = self._partial.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > MAX_BODY:
+        call = self._partial
+        call.method = self._parser.get_method()
+        call.version = self._parser.get_http_version()
+        call.keep_alive = self._parser.should_keep_alive()
+        length = call.headers.get(b"content-length", b"")
+        call.length = int(length) if length.isdigit() else None
+        if call.length is not None and call.length > MAX_REQUEST:
             self._fault = 413
-        elif self._partial.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
+        elif call.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        self._grow(len(body), MAX_BODY, 413)
+        self._grow(len(body), MAX_REQUEST, 413)
         if self._partial is not None and not self._fault:
-            self._partial.body += body
+            self._partial.body.put(body)
 
     def on_message_complete(self) -> None:
         call, self._partial = self._partial, None
@@ -255,10 +294,13 @@
             return
         self._fresh = False
         call.arrived = self._server.loop.time()
-        call.method = self._parser.get_method()
-        call.version = self._parser.get_http_version()
-        call.keep_alive = self._parser.should_keep_alive()
-        self._calls.append(call)
+        call.coming = False
+        call.body.end()
+        self.resume()  # a body of just the high-water mark has stopped the reading
+        if call not in self._calls:
+            self._calls.append(call)
+        elif call.on_whole is not None:
+            call.on_whole()
 
     def _grow(self, size: int, limit: int, fault: int) -> None:
         self._size += size
@@ -286,7 +328,7 @@
 
     def _last(self, call: Call) -> bool:
         """Whether the connection ends with the answer to this call."""
-        close = not call.keep_alive or self._server.draining or self._server.crowded
+        close = call.coming or not call.keep_alive or self._server.draining or self._server.crowded
         return close and len(self._calls) == 1
 
     def _go_on(self, close: bool) -> None:
@@ -347,6 +389,17 @@
 
     def _fail(self, status: int) -> None:
         """Answer what can't be read as a request, and end the connection."""
+        if self._answer is not None:  # an answer has begun before its request's end
+            self._transport.abort()
+            return
+        partial, self._partial = self._partial, None
+        if partial is not None and self._calls:  # it was handed on
+            self._calls.clear()
+            partial.answered = True
+            if partial.on_gone is not None:
+                partial.on_gone()
+        if partial is not None:
+            partial.body.fail()
         self._transport.write(_head(status, 0, True, 0.0))
         self._end()
 
@@ -357,7 +410,16 @@
             self._transport.resume_reading()
             if self._transport.can_write_eof():
                 self._transport.write_eof()
-            self._server.loop.call_later(LINGER_S, self._transport.abort)
+            self._linger(self._server.loop.time() + LINGER_MOST_S)
+
+    def _linger(self, until: float) -> None:
+        """Read on for as long as a caller is still sending, within limits."""
+        now = self._server.loop.time()
+        due = min(self.since + LINGER_S, until)
+        if due <= now:
+            self._transport.abort()
+        else:
+            self._server.loop.call_at(due, self._linger, until)
 
 
 def _nothing() -> None:
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from orchidledge.interface import Result
+from orchidledge.net.body import Body
 from orchidledge.net.http import ClientConnection, Response
 
 Address = tuple[str, int]
@@ -41,8 +42,13 @@
         request: Callable[[float], bytes],
         timeout_s: float,
         on_result: Callable[[Result, Response | None], None],
+        body: Body | None = None,
+        chunked: bool = False,
     ) -> None:
         self._pool = pool
+        self._chunked = chunked
+        self._body = body  # what follows those bytes, if it is long
+        self._timeout_s = timeout_s
         self._request = request  # the bytes to send, given the seconds left to wait
         self._on_result = on_result
         self._over = False
@@ -51,7 +57,18 @@
         self._connect: asyncio.Task[None] | None = None
         loop = asyncio.get_running_loop()
         self._end_at = loop.time() + timeout_s
-        self._timer = loop.call_at(self._end_at, self._time_out)
+        if body is None or body.ended:
+            self._timer = loop.call_at(self._end_at, self._time_out)
+        else:
+            self._timer = loop.call_later(SILENT_S, self._watch_sending)
+
+    def run_clock(self, limit_s: float) -> None:
+        """The request's last byte has come: its time runs from now."""
+        if not self._over:
+            self._timer.cancel()
+            loop = asyncio.get_running_loop()
+            self._end_at = loop.time() + min(self._timeout_s, limit_s)
+            self._timer = loop.call_at(self._end_at, self._time_out)
 
     def cancel(self) -> None:
         self._finish(Result.CANCELLED)
@@ -122,8 +139,25 @@
 
     def _write(self, connection: ClientConnection) -> None:
         self._connection = connection
-        left = self._end_at - asyncio.get_running_loop().time()
-        connection.start(self._request(left), self)
+        now = asyncio.get_running_loop().time()
+        coming = self._body is not None and not self._body.ended
+        left = self._timeout_s if coming else self._end_at - now
+        connection.taken_at = now
+        if self._body is not None and not self._body.open_to_another:
+            self.withdraw()  # its beginning is no longer held
+        else:
+            connection.start(self._request(left), self, self._body, self._chunked)
+
+    def _watch_sending(self) -> None:
+        """Give up on a server that takes nothing of a long request; its caller is watched elsewhere."""
+        loop = asyncio.get_running_loop()
+        connection, due = self._connection, loop.time() + SILENT_S
+        if connection is not None and self._body is not None and self._body.held:
+            due = connection.taken_at + SILENT_S
+        if due <= loop.time():
+            self._finish(Result.CONNECT_FAILED)
+        else:
+            self._timer = loop.call_at(due, self._watch_sending)
 
     def _watch(self) -> None:
         """Give a long answer up once its server has sent nothing for too long, though it might have."""
@@ -206,12 +240,14 @@
         request: Callable[[float], bytes],
         timeout_s: float,
         on_result: Callable[[Result, Response | None], None],
+        body: Body | None = None,
+        chunked: bool = False,
     ) -> Attempt | None:
         """Start an attempt; None if no such server is named."""
         server = self._servers.get(name)
         if server is None:
             return None
-        attempt = Attempt(self, request, timeout_s, on_result)
+        attempt = Attempt(self, request, timeout_s, on_result, body, chunked)
         attempt.begin(server)
         return attempt
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -7,9 +7,11 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
-from loopback import Caller, Scripted, request, running, targets, until
+from helpers import Bed, sent
+from loopback import Caller, Peer, Scripted, ask, reply, request, running, targets, until
 
 from orchidledge import interface as api
+from orchidledge.net import server as server_module
 from orchidledge.net import upstream as upstream_module
 from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.node import Node
@@ -326,3 +328,254 @@
             caller.writer.close()
 
     asyncio.run(main())
+
+
+# ---------------------------------------------------------------------- requests
+
+
+def chunked(data: bytes, name: str = "q1", size: int = 100_000) -> bytes:
+    head = f"POST /post/1 HTTP/1.1\r\nReq-Id: {name}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+    pieces = [data[at : at + size] for at in range(0, len(data), size)]
+    return head + b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\n\r\n"
+
+
+class Taking:
+    """A server that keeps what it is sent, by either framing."""
+
+    def __init__(self) -> None:
+        self.bodies: list[bytes] = []
+        self.heads: list[bytes] = []
+        self.lost = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            self.heads.append(head)
+            body = b""
+            try:
+                if b"transfer-encoding: chunked" in head:
+                    while size := int(await reader.readline(), 16):
+                        body += await reader.readexactly(size)
+                        await reader.readexactly(2)
+                    await reader.readexactly(2)
+                else:
+                    length = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+                    body = await reader.readexactly(length)
+            except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+                self.lost += 1
+                raise
+            self.bodies.append(body)
+            writer.write(reply())
+
+
+@pytest.mark.parametrize("data", [request("post", "q1", LONG), chunked(LONG)])
+def test_a_long_request_reaches_the_server_whole_and_the_connections_are_kept(data):
+    async def main():
+        server = Taking()
+        async with behind(server.serve) as node:
+            caller = await Caller.to(node)
+            assert (await caller.ask(data)).status == 200
+            assert server.bodies == [LONG]
+            assert (await caller.ask(request("post", "q2", b"short"))).status == 200
+            assert server.bodies[1:] == [b"short"]
+            assert (node.pool.size, node.open, node.coming, node.figures.dispatches) == (1, 0, 0, 2)
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_long_request_is_handed_on_early_and_its_time_runs_from_its_last_byte():
+    async def main():
+        server = Taking()
+        async with behind(server.serve) as node:
+            node.balancer = scripted = Scripted(
+                lambda event: [api.Send(event.id, "s0")] if isinstance(event, api.Request) else []
+            )
+            caller = await Caller.to(node)
+            data = request("post", "q1", LONG, Req_Deadline_Ms="5000")
+            caller.writer.write(data[:MIB])
+            await until(lambda: scripted.of(api.Request) and server.heads)
+            (early,) = scripted.of(api.Request)
+            assert early.coming
+            (job,) = node.jobs.values()
+            assert job.backstop is None
+            assert node.figures.dispatches == 0
+            caller.writer.write(data[MIB:])
+            assert (await caller.answer()).status == 200
+            (arrived,) = scripted.of(api.Arrived)
+            assert arrived.give_up_at_ms > early.give_up_at_ms
+            (outcome,) = scripted.of(api.Outcome)
+            assert outcome.latency_ms <= (node.loop.time() - job.whole_at) * 1000.0
+            assert node.figures.dispatches == 1
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_server_that_reads_slowly_holds_the_caller():
+    async def main():
+        go_on = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await go_on.wait()
+            assert len(await reader.readexactly(16 * MIB)) == 16 * MIB
+            writer.write(reply())
+            await reader.read()
+
+        async with behind(serve) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request("post", "q1", bytes(16 * MIB)))
+            await until(lambda: [c for c in node.server.connections if c._paused_at is not None])
+            (connection,) = node.server.connections
+            assert connection._partial is not None
+            assert connection._partial.body.held
+            node.server.expire(node.loop.time() + 60.0)  # not the caller's fault
+            assert node.server.expired == 0
+            go_on.set()
+            assert (await caller.answer()).status == 200
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ["leaves", "stalls", "breaks its chunks"])
+def test_a_caller_that_does_not_finish_a_long_request_gives_the_attempt_up_unsent(how):
+    async def main():
+        server = Taking()
+        async with behind(server.serve) as node:
+            caller = await Caller.to(node)
+            data = chunked(LONG)
+            caller.writer.write(data[:MIB])
+            await until(lambda: server.heads)
+            if how == "leaves":
+                caller.writer.transport.abort()
+            elif how == "stalls":
+                await until(lambda: not node.server.connections or node.coming)
+                node.server.expire(node.loop.time() + 60.0)
+                assert (await caller.answer()).status == 408
+            else:
+                caller.writer.write(b"\r\nnonsense\r\n" * 100_000)
+                assert (await caller.answer()).status == 400
+            await until(lambda: server.lost and not node.jobs)
+            assert not server.bodies
+            assert len(server.heads) == 1
+            assert (node.open, node.coming, node.figures.dispatches) == (0, 0, 0)
+
+    asyncio.run(main())
+
+
+def test_a_long_request_that_cannot_connect_goes_to_another_server_from_its_start():
+    async def main():
+        server, gone = Taking(), Peer()
+        await gone.start()
+        gone._server.close()
+        await gone._server.wait_closed()
+        async with behind(server.serve) as node:
+            node.pool.add("gone", ("127.0.0.1", gone.port))
+
+            def act(event):
+                if isinstance(event, api.Request):
+                    return [api.Send(event.id, "gone")]
+                never = isinstance(event, api.Outcome) and event.result is api.Result.CONNECT_FAILED
+                return [api.Send(event.id, "s0")] if never else []
+
+            node.balancer = Scripted(act)
+            caller = await Caller.to(node)
+            assert (await caller.ask(request("post", "q1", LONG))).status == 200
+            assert server.bodies == [LONG]
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_long_request_turned_away_once_its_start_is_not_held_is_refused():
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(LONG))
+            writer.write(reply(503, Srv_Declined="1"))
+            await reader.read()
+
+        async with behind(serve) as node:
+            answer = await ask(node, request("post", "q1", LONG))
+            assert answer.status == 503
+            assert not node.jobs
+
+    asyncio.run(main())
+
+
+def test_an_answer_before_the_requests_end_is_passed_on_and_ends_the_connection():
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(reply(503, Srv_Declined="1"))
+            await reader.read()
+
+        async with behind(serve) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request("post", "q1", LONG)[:MIB])
+            answer = await caller.answer()
+            assert (answer.status, answer.headers["connection"]) == (503, "close")
+            assert (node.open, node.coming) == (0, 0)
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_more_long_requests_than_memory_allows_are_refused():
+    async def main():
+        server = Taking()
+        async with behind(server.serve, limits={"memory_mb": 1, "sockets": 1024}) as node:
+            assert node.max_coming == 1
+            first = await Caller.to(node)
+            first.writer.write(request("post", "q1", LONG)[:MIB])
+            await until(lambda: node.coming)
+            second = await Caller.to(node)
+            second.writer.write(request("post", "q2", LONG)[:MIB])
+            assert (await second.answer()).status == 503
+            first.writer.write(request("post", "q1", LONG)[MIB:])
+            assert (await first.answer()).status == 200
+            first.writer.close()
+            second.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_chunked_request_past_the_limit_gets_413(monkeypatch):
+    async def main():
+        monkeypatch.setattr(server_module, "MAX_REQUEST", MIB)
+        server = Taking()
+        async with behind(server.serve) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(chunked(LONG))
+            assert (await caller.answer()).status == 413
+            await until(lambda: not node.jobs)
+            assert not server.bodies
+
+    asyncio.run(main())
+
+
+def test_in_the_module_a_request_still_coming_in_is_no_load_and_its_latency_starts_at_its_end():
+    bed = Bed(2)
+    acts = bed.give(api.Request("r", "post", bed.now + 2000.0, coming=True))
+    (send,) = sent(acts)
+    peer = bed.brain.peers[send.server]
+    assert (peer.load, peer.out) == (0.0, {})
+    bed.now += 60_000.0
+    bed.give(api.Arrived("r", bed.now + 2000.0))
+    assert peer.load == 1.0
+    assert list(peer.out.values()) == [bed.now]
+    bed.now += 100.0
+    bed.end("r", send.server, api.Result.OK, 100.0)
+    assert (peer.load, peer.out, bed.brain.jobs) == (0.0, {}, {})
+
+
+def test_in_the_module_a_request_that_never_arrives_leaves_no_load_behind():
+    bed = Bed(2)
+    (send,) = sent(bed.give(api.Request("r", "post", bed.now + 2000.0, coming=True)))
+    bed.give(api.Lapsed("r"))
+    bed.end("r", send.server, api.Result.CONNECT_FAILED, done=True)
+    bed.give(api.Arrived("r", bed.now + 2000.0))
+    assert bed.brain.peers[send.server].load == 0.0
+    assert not bed.brain.jobs
