Take an answer of no length as whole when its server closes as announced

Ruled out: unreadable answers (none counted), resets (no error on the connection), requests not written (all were).

ClientConnection ends such an answer with its connection, if its head said that it closes; any other end is a break as before.

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -87,6 +87,7 @@
         self._response = Response()
         self._size = 0
         self._whole = False
+        self._to_the_end = False  # the answer's end is the connection's
         self._spoilt = False
         self._written = True
         self._upload: _Upload | None = None  # a long request under way
@@ -120,7 +121,7 @@
         assert self._transport is not None
         assert self._exchange is None
         self._exchange = exchange
-        self._response, self._size, self._whole = Response(), 0, False
+        self._response, self._size, self._whole, self._to_the_end = Response(), 0, False, False
         self._transport.write(data)
         self._written = False
         if body is not None:
@@ -191,6 +192,10 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._spoilt = self.unreadable = True
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Pass on what has come, and end the exchange if that was the end of it."""
         self._pass_on()
         if self._exchange is None:
             return
@@ -238,6 +243,9 @@
 
     def eof_received(self) -> bool:
         self._spoilt = True
+        if self._to_the_end and self._exchange is not None:
+            self._whole = True
+            self._go_on()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -268,6 +276,11 @@
             self._response.status = self._parser.get_status_code()
             length = self._response.headers.get(b"content-length", b"")
             self._response.length = int(length) if length.isdigit() else None
+            framed = self._response.headers.keys() & {b"content-length", b"transfer-encoding"}
+            # Guard: an answer of no length ends with its connection, but only a server that has said it will
+            # close means that by an end; any other end is a break.
+            closes = b"close" in self._response.headers.get(b"connection", b"").lower()
+            self._to_the_end = not framed and closes and self._response.status >= 200
 
     def on_body(self, body: bytes) -> None:
         if not self._streams:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -176,6 +176,22 @@
     asyncio.run(main())
 
 
+def test_a_long_answer_that_ends_with_its_connection_is_whole_for_the_caller():
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + LONG)
+            await writer.drain()
+
+        async with behind(serve) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request())
+            assert await body_of(caller.reader) == LONG
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
 def test_the_first_bytes_are_passed_on_before_the_last_have_come_and_are_the_outcome():
     async def main():
         more = asyncio.Event()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -87,6 +87,38 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("head", "size", "reset", "expected"),
+    [
+        (b"Connection: close", 5, False, Result.OK),
+        (b"connection: Close", 0, False, Result.OK),
+        (b"Connection: close", 5, True, Result.RESET),  # a break, not an end
+        (b"Server: x", 5, False, Result.RESET),  # an end that was not announced
+        (b"Connection: close\r\nContent-Length: 9", 5, False, Result.RESET),
+        (b"Connection: close\r\nTransfer-Encoding: chunked", 0, False, Result.RESET),
+    ],
+)
+def test_an_answer_of_no_length_ends_with_a_connection_that_was_said_to_close(head, size, reset, expected):
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n" + b"x" * size)
+            await writer.drain()
+            if reset:
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        servers = pool()
+        servers.add("s", server.sockets[0].getsockname())
+        assert await result(servers) is expected
+        await until(lambda: not servers.size)
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_a_200_cut_short_is_a_reset():
     async def main():
         async def serve(reader, writer):
