Take absolute targets, trailers and headers named by Connection as HTTP/1.1 has them

An absolute target got 404. A trailer passed for a header, and after a body over 16 KiB for a head too long, on both sides. Headers that Connection names went on to servers. A return's file that can't be removed no longer stops the beat.

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -86,6 +86,8 @@
         self._exchange: Exchange | None = None
         self._response = Response()
         self._size = 0
+        self._in_head = False
+        self._head_size = 0  # of head and trailers
         self._whole = False
         self._to_the_end = False  # the answer's end is the connection's
         self._spoilt = False
@@ -264,15 +266,19 @@
     def on_message_begin(self) -> None:
         if self._whole:
             self._spoilt = True  # more than was asked for
+        self._in_head, self._head_size = not self._whole, 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._grow(len(name) + len(value), MAX_HEAD)
-        if not self._whole:
+        self._head_size += len(name) + len(value)
+        if self._head_size > MAX_HEAD:
+            self._spoilt = self.unreadable = True
+        if self._in_head:  # a trailer must not pass for a header
             self._response.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         self._size = 0
-        if not self._whole:
+        if self._in_head:
+            self._in_head = False
             self._response.status = self._parser.get_status_code()
             length = self._response.headers.get(b"content-length", b"")
             self._response.length = int(length) if length.isdigit() else None
--- a/orchidledge/net/maintenance.py
+++ b/orchidledge/net/maintenance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import os
 from dataclasses import asdict, dataclass
@@ -127,7 +128,8 @@
                 del self._bans[name]
                 file = PREFIX + quote(name, safe="")
                 self._seen.pop(file, None)
-                (self._folder / file).unlink(missing_ok=True)
+                with contextlib.suppress(OSError):  # read again, and forgotten again, if it stays
+                    (self._folder / file).unlink()
 
     def _complain(self, text: str, error: OSError) -> None:
         if not self._failing:  # once for each stretch of failures
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -49,6 +49,8 @@
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect".split()
 ) | {b"content-length", b"req-deadline-ms"}
 
+KEPT = frozenset({b"req-id", b"host"})  # even if a caller names them as hop-by-hop: a server must see them
+
 
 class Clock:
     """Unix time in milliseconds that never goes back: the event loop's clock, anchored to it once."""
@@ -580,7 +582,12 @@
 def _forwarded(call: Call, wait_s: float) -> bytes:
     """The request as it goes to a server that is waited for this long."""
     lines = [call.method + b" " + call.target + b" HTTP/1.1"]
-    lines += [name + b": " + value for name, value in call.headers.items() if name not in HOP_BY_HOP]
+    named = {name.strip() for name in call.headers.get(b"connection", b"").lower().split(b",")}
+    lines += [
+        name + b": " + value
+        for name, value in call.headers.items()
+        if name not in HOP_BY_HOP and (name not in named or name in KEPT)
+    ]
     lines.append(b"req-deadline-ms: %d" % max(1, int(wait_s * 1000.0)))
     body = call.body.whole
     if body is None and call.length is None:
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -136,7 +137,8 @@
         self._calls: deque[Call] = deque()  # those handed on or due to be, the first of them being answered
         self._partial: Call | None = None  # the one coming in; the only one of the others if its body is long
         self._paused_at: float | None = None  # the loop's time since when its body has had to wait
-        self._size = 0
+        self._size = 0  # of a body
+        self._named = 0  # of the target, headers and trailers
         self._in_head = False
         self._head = 0  # bytes that have come of a head that is not whole
         self._answer: _Answer | None = None  # a long one under way
@@ -253,17 +255,17 @@
         self._partial = Call(self, Body(self))
         if not self._fresh:
             self._began = self._server.loop.time()
-        self._size = self._head = 0
+        self._size = self._head = self._named = 0
         self._in_head = True
 
     def on_url(self, url: bytes) -> None:
-        self._grow(len(url), MAX_HEAD, 400)
+        self._grow_head(len(url))
         if self._partial is not None:
             self._partial.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._grow(len(name) + len(value), MAX_HEAD, 400)
-        if self._partial is not None:
+        self._grow_head(len(name) + len(value))
+        if self._partial is not None and self._in_head:  # a trailer must not pass for a header
             self._partial.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
@@ -271,8 +273,8 @@
         self._head_at = self._server.loop.time()
         if self._partial is None or self._fault:
             return
-        self._size = 0
         call = self._partial
+        call.target = origin_form(call.target)
         call.method = self._parser.get_method()
         call.version = self._parser.get_http_version()
         call.keep_alive = self._parser.should_keep_alive()
@@ -284,7 +286,9 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        self._grow(len(body), MAX_REQUEST, 413)
+        self._size += len(body)
+        if self._size > MAX_REQUEST:
+            self._fault = self._fault or 413
         if self._partial is not None and not self._fault:
             self._partial.body.put(body)
 
@@ -302,10 +306,10 @@
         elif call.on_whole is not None:
             call.on_whole()
 
-    def _grow(self, size: int, limit: int, fault: int) -> None:
-        self._size += size
-        if self._size > limit:
-            self._fault = self._fault or fault
+    def _grow_head(self, size: int) -> None:
+        self._named += size
+        if self._named > MAX_HEAD:
+            self._fault = self._fault or 400
 
     # -------------------------------------------------------------------- answers
 
@@ -444,6 +448,15 @@
     return None
 
 
+def origin_form(target: bytes) -> bytes:
+    """A target's path and query: servers are sent these, whichever form the caller chose."""
+    scheme, _, rest = target.partition(b"://")
+    if target.startswith(b"/") or scheme.lower() not in (b"http", b"https"):
+        return target
+    path = rest[len(re.split(rb"[/?]", rest, maxsplit=1)[0]) :]
+    return path if path.startswith(b"/") else b"/" + path
+
+
 class Server:
     """Listens, and keeps the callers' connections within their share of the descriptors."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -297,6 +297,56 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("target", "expected"),
+    [
+        (b"/post/1?x=/a", "/post/1?x=/a"),
+        (b"http://service.internal/post/1?x=1", "/post/1?x=1"),
+        (b"HTTP://service.internal:80/post/1", "/post/1"),
+        (b"http://service.internal", None),
+        (b"http://service.internal?x=1", None),
+    ],
+)
+def test_a_target_may_be_absolute_and_a_server_sees_its_path_and_query(target, expected):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            data = b"POST " + target + b" HTTP/1.1\r\nHost: x\r\nReq-Id: q1\r\nContent-Length: 0\r\n\r\n"
+            answer = await ask(node, data)
+            assert answer.status == (200 if expected else 404)
+            assert [message.first[1] for message in server.seen] == ([expected] if expected else [])
+            assert (await ask(node, b"GET http://x/up HTTP/1.1\r\nHost: x\r\n\r\n")).status == 200
+
+    asyncio.run(main())
+
+
+def test_trailers_and_chunk_extensions_change_nothing():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            head = b"POST /post/1 HTTP/1.1\r\nReq-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            body = b"7530;note=1\r\n" + b"x" * 30_000 + b"\r\n0\r\nReq-Id: other\r\nX-Sum: 1\r\n\r\n"
+            assert (await ask(node, head + body)).status == 200
+            (seen,) = server.seen
+            assert seen.headers["req-id"] == "q1"
+            assert len(seen.body) == 30_000
+
+    asyncio.run(main())
+
+
+def test_headers_named_by_connection_stay_on_this_side_but_for_those_a_server_needs():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            more = {"Connection": "keep-alive, X-Hop, req-id", "X-Hop": "1", "X-End": "2"}
+            assert (await ask(node, request("post", "q1", **more))).status == 200
+            (seen,) = server.seen
+            assert "x-hop" not in seen.headers
+            assert (seen.headers["x-end"], seen.headers["req-id"]) == ("2", "q1")
+
+    asyncio.run(main())
+
+
 def test_the_same_id_twice_at_once_is_not_sent_twice():
     async def main():
         server = Held()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -87,6 +87,22 @@
     asyncio.run(main())
 
 
+def test_an_answers_trailers_are_neither_headers_nor_too_long_for_coming_after_a_body():
+    async def main():
+        trailers = b"0\r\nSrv-Declined: 1\r\nX-Sum: 1\r\n\r\n"
+        body = b"7530\r\n" + b"x" * 30_000 + b"\r\n"
+        server = await against(
+            b"HTTP/1.1 503 Word\r\nTransfer-Encoding: chunked\r\n\r\n" + body + trailers
+        ).start()
+        servers = pool()
+        servers.add("s", ("127.0.0.1", server.port))
+        assert await result(servers) is Result.ERROR  # and not turned away
+        server.stop()
+        servers.close()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("head", "size", "reset", "expected"),
     [
