Let a new process start from what the old one learned, counting its calls in flight

net/handover.py carries api.Learned and the calls in flight in a file for each process, read and written on the beat of nodes that share their listening socket. Beside counts in the queue, in the share of a server and in its rank.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -67,12 +67,17 @@
     errs: float = 0.0  # smoothed share of failed attempts
     heard_ms: float = -math.inf
     load: float = 0.0  # calls in flight from here, by weight
+    beside: float = 0.0  # and from another process of this balancer, during an upgrade
     queue: float = 0.0  # reported waiting requests
     told_ms: float = -math.inf
     util: float | None = None
     part: float = 0.0  # drawn once: rounds this balancer's share, so that all siblings' sum to the whole
     out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts out, oldest first
 
+    @property
+    def held(self) -> float:
+        return self.load + self.beside
+
 
 @dataclass(slots=True)
 class _Return:
@@ -190,6 +195,11 @@
             self._cancel_others(self.jobs[event.id], event.attempt, acts)
         elif isinstance(event, api.Probed):
             self._hear(now, event.server, event.report)
+        elif isinstance(event, api.Beside):
+            for address, peer in self.peers.items():
+                peer.beside = event.held.get(address, 0.0)
+        elif isinstance(event, api.Learned):
+            self._learn(now, event)
         elif isinstance(event, api.TakenOut):
             self.out_by_hand.add(event.server)
             self.returns.pop(event.server, None)
@@ -212,10 +222,45 @@
         util = "-" if self.util is None else f"{self.util:.2f}"
         return (
             f"{said}; cursor {self.cursor}, threshold {self.threshold(1.0, len(self.ready)):.1f}, "
-            f"in flight {sum(peer.load for peer in self.ready):.1f}, ready {len(self.ready)}, "
+            f"in flight {sum(peer.held for peer in self.ready):.1f}, ready {len(self.ready)}, "
             f"latency {self.level:.3f} over base {self.base or 0.0:.3f}, utilisation {util}"
         )
 
+    # --------------------------------------------------------------- upgrades
+
+    def learned(self) -> api.Learned:
+        """What a process that starts beside this one may start from."""
+        slow = {address: peer.slow for address, peer in self.peers.items() if peer.slow is not None}
+        return api.Learned(
+            base=self.base if len(self.first) >= BASE_LEAST else None,
+            level=self.level,
+            cursor=self.cursor,
+            rate=self.rate,
+            peak=self.peak,
+            sends=self.sends,
+            mean_aim=self.mean_aim,
+            class_ms=self.class_ms,
+            slow=slow,
+        )
+
+    def held(self) -> dict[str, float]:
+        """The calls in flight from here, by server."""
+        return {address: peer.load for address, peer in self.peers.items() if peer.load > 0.0}
+
+    def _learn(self, now: float, event: api.Learned) -> None:
+        """Start from what another process has learned."""
+        if event.base is None or event.base <= 0.0 or event.peak <= 0.0 or event.mean_aim <= 0.0:
+            return  # it has only begun to learn
+        # Guard: a new process knew of no rate and stood at cursor 0; the servers jammed under what it let in.
+        self.base, self.level, self.first = event.base, event.level, [event.base] * BASE_LEAST
+        self.cursor = max(0, min(len(self.shape) - 1, event.cursor))
+        self.rate, self.peak, self.sends, self.mean_aim = event.rate, event.peak, event.sends, event.mean_aim
+        self.periods = math.ceil(START_MS / self.period_ms)
+        self.class_ms = {name: ms for name, ms in event.class_ms.items() if name in self.kinds and ms > 0.0}
+        for address, slow in event.slow.items():
+            if address in self.peers:
+                self.peers[address].slow, self.peers[address].heard_ms = slow, now
+
     # ------------------------------------------------------------ membership
 
     def _on_membership(self, event: api.Membership, acts: list[api.Action]) -> None:
@@ -292,7 +337,7 @@
             self.mean_hint += (hint - self.mean_hint) * (CLASS_GAIN if self.mean_hint else 1.0)
             units = min(4.0, max(0.25, hint / self.mean_hint))
         job = self.jobs[request.id] = _Job(request, kind, now, units)
-        queue = sum([peer.load for peer in self.ready])
+        queue = sum([peer.held for peer in self.ready])
         room = self.threshold(self._worth(now, request, kind), len(self.ready)) - queue
         # Guard: one call from each of hundreds of balancers kept a jam alive, so a fraction of one is drawn.
         full = room < 1.0 and self.rng.random() >= room
@@ -339,8 +384,8 @@
         # Guard: many balancers that each put a second or third call on the server ranked best held more there
         # together than it bears. One that has nothing out may always find out, each at another server.
         share = SPREAD * self._first(len(self.ready)) / max(1, len(self.ready))
-        within = [peer for peer in open_to if peer.load + 1.0 <= share + peer.part]
-        if not within and not any([peer.load for peer in self.ready]):
+        within = [peer for peer in open_to if peer.held + 1.0 <= share + peer.part]
+        if not within and not any([peer.held for peer in self.ready]):
             by_part = sorted(open_to, key=lambda peer: -peer.part)
             return next((peer for peer in by_part if self._paced(now, peer)), None)
         best, best_rank = None, math.inf
@@ -366,7 +411,7 @@
         failing = 1.0 - min(0.9, peer.errs)
         queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS) if peer.queue else 0.0
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
-        return slow * (peer.load + queue + 1.0 + far) / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
+        return slow * (peer.held + queue + 1.0 + far) / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
 
     def _paced(self, now: float, peer: _Peer) -> bool:
         """Guard: all balancers together must not push a cold server over. A call may go to it with the chance
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -233,7 +233,42 @@
     back_ms: float
 
 
-Event = Membership | Request | Arrived | Started | Outcome | Lapsed | Alarm | Probed | TakenOut | BroughtBack
+@dataclass(slots=True)
+class Learned:
+    """What another process of this balancer has learned, for one that starts beside it."""
+
+    base: float | None  # quiet latency and
+    level: float  # smoothed latency, as shares of the aim
+    cursor: int
+    rate: float  # completions, now
+    peak: float  # and at most
+    sends: float
+    mean_aim: float
+    class_ms: dict[str, float]  # each class's latency
+    slow: dict[str, float]  # each server's latency over its class's
+
+
+@dataclass(slots=True)
+class Beside:
+    """What another process of this balancer has in flight at each server: it counts as this one's."""
+
+    held: dict[str, float]
+
+
+Event = (
+    Membership
+    | Request
+    | Arrived
+    | Started
+    | Outcome
+    | Lapsed
+    | Alarm
+    | Probed
+    | TakenOut
+    | BroughtBack
+    | Learned
+    | Beside
+)
 
 
 # ------------------------------------------------------------------- actions
--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -10,8 +10,8 @@
 import orjson
 
 from orchidledge.interface import Settings
+from orchidledge.net import handover, maintenance
 from orchidledge.net.discovery import Listing, parse_address, parse_listing
-from orchidledge.net.maintenance import folder_in
 from orchidledge.net.upstream import Address
 from orchidledge.settings import Row, settings_from
 
@@ -29,6 +29,7 @@
     operator: Address | None = None  # the operators' door
     accept_fd: str | None = None  # descriptor of the clients' listening socket, where the platform holds it
     maintenance: Path | None = None  # the folder of the bans that two processes of a node share
+    handover: Path | None = None  # and of what they tell each other
     memory_mb: float = 2048.0
     sockets: int = 1024  # descriptors for everything
     max_open: int = 20_000  # requests open at once
@@ -37,6 +38,10 @@
     ask_within_ms: float = 10_000.0  # a node that has not asked for so long counts as told
 
 
+def _folder(tmpdir: str | None, name: str) -> Path | None:
+    return Path(tmpdir) / name if tmpdir else None
+
+
 def _operator(text: object) -> Address | None:
     """The door's address. A bad one leaves the node without a door: clients must not go unserved for it."""
     try:
@@ -72,7 +77,8 @@
             known=parse_listing(row["known"]),
             settings=settings_from(row["settings"]),
             operator=_operator(told.get("PROXY_OPERATOR") or row.get("operator")),
-            maintenance=folder_in(told.get("TMPDIR")),
+            maintenance=_folder(told.get("TMPDIR"), maintenance.FOLDER),
+            handover=_folder(told.get("TMPDIR"), handover.FOLDER),
             accept_fd=told.get("PROXY_ACCEPT_FD") or None,
             **{key: value for key, value in given.items() if value is not None},
         )
--- a/orchidledge/net/maintenance.py
+++ b/orchidledge/net/maintenance.py
@@ -27,10 +27,6 @@
     back_ms: float | None = None
 
 
-def folder_in(tmpdir: str | None) -> Path | None:
-    return Path(tmpdir) / FOLDER if tmpdir else None
-
-
 class Bans:
     """The bans of this node: those said here, and those that another process of it has written."""
 
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import os
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from orchidledge.net.config import Config
 from orchidledge.net.discovery import Listing, Watcher
 from orchidledge.net.figures import Figures
+from orchidledge.net.handover import Handover
 from orchidledge.net.http import Response
 from orchidledge.net.maintenance import Bans
 from orchidledge.net.operator import Answer, Door
@@ -122,6 +124,9 @@
         self.listed: dict[str, tuple[api.Server, Address]] = {}
         self.up: set[str] = set()  # those that the pool may reach
         self.bans = Bans(config.maintenance)
+        shared = config.accept_fd is not None and config.handover is not None
+        self.handover = Handover(config.handover, os.getpid()) if shared and config.handover else None
+        self._beside = False  # another process of this node holds calls
         self.counts: Counter[str] = Counter()
         self.figures = Figures(self.classes)
         self.lag = 0.0  # the longest that the loop was late in this stretch
@@ -147,6 +152,7 @@
         """Tell the module what is known and begin to serve."""
         self._read_bans()  # first, so that a server that is out is never sent anything
         self._on_list(api.ListForm.CACHED, self.config.known)
+        self._share(starts=True)
         await self.server.listen(*self.config.listen, self.config.accept_fd)
         if not self.settings.ask_discovery:
             self.watcher.start()
@@ -190,6 +196,8 @@
 
     def close(self) -> None:
         self.door.close()
+        if self.handover is not None:
+            self.handover.close()
         self.server.close()
         self.watcher.close()
         self.pool.close()
@@ -522,6 +530,20 @@
         else:
             self._tell_servers(api.BroughtBack(name, ban.out_ms, ban.back_ms))
 
+    # ------------------------------------------------------------------- upgrades
+
+    def _share(self, starts: bool = False) -> None:
+        """Tell another process of this node what is held and known here, and the module what is there."""
+        if self.handover is None:
+            return
+        learned, held = self.handover.read(self.clock.ms())
+        if starts and learned is not None:
+            self.tell(learned)
+        if held or self._beside:
+            self.tell(api.Beside(held))
+        self._beside = bool(held)
+        self.handover.write(self.clock.ms(), self.balancer.learned(), self.balancer.held())
+
     # -------------------------------------------------------------------- figures
 
     def metrics(self) -> bytes:
@@ -535,6 +557,7 @@
         self.lag = max(self.lag, now - due)
         if self.config.operator is not None:  # another process of this node may have changed them
             self._read_bans()
+        self._share()
         self._timers["beat"] = self.loop.call_at(now + BEAT_S, self._beat, now + BEAT_S)
 
     def _stats(self) -> None:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,187 @@
+"""What an old process hands over to a new one, and how both count each other's calls."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+
+import orjson
+import pytest
+from helpers import Bed, sent
+from loopback import Caller, Held, request, running, until
+from test_upgrade import listening
+
+from orchidledge import interface as api
+from orchidledge.net.handover import FOLDER, FRESH_MS, KEEP_MS, PREFIX, Handover
+from orchidledge.net.node import Node
+
+
+def learned(**changes: object) -> api.Learned:
+    given = {
+        "base": 0.2,
+        "level": 0.25,
+        "cursor": 5,
+        "rate": 0.002,
+        "peak": 0.003,
+        "sends": 0.01,
+        "mean_aim": 1000.0,
+        "class_ms": {"read": 100.0},
+        "slow": {"s0": 2.0},
+    }
+    return api.Learned(**given | changes)  # type: ignore[arg-type]
+
+
+# ------------------------------------------------------------------------ files
+
+
+def test_a_process_reads_what_the_others_wrote_and_not_its_own(tmp_path):
+    one, two, three = (Handover(tmp_path / "x", number) for number in (1, 2, 3))
+    assert three.read(0.0) == (None, {})  # the first process
+    one.write(1000.0, learned(cursor=1), {"s0": 2.0, "s1": 1.0})
+    two.write(1100.0, learned(cursor=2), {"s0": 3.0})
+    three.write(1200.0, learned(cursor=3), {"s0": 9.0})
+    assert three.read(1200.0) == (learned(cursor=2), {"s0": 5.0, "s1": 1.0})
+    two.close()
+    assert three.read(1200.0) == (learned(cursor=1), {"s0": 2.0, "s1": 1.0})
+
+
+def test_a_process_that_has_stopped_writing_says_nothing_and_its_file_goes(tmp_path):
+    one, two = Handover(tmp_path, 1), Handover(tmp_path, 2)
+    one.write(0.0, learned(), {"s0": 2.0})
+    assert two.read(FRESH_MS)[1] == {"s0": 2.0}
+    assert two.read(FRESH_MS + 1.0) == (None, {})
+    assert list(tmp_path.iterdir())
+    two.read(KEEP_MS + 1.0)
+    assert not list(tmp_path.iterdir())
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda row: row.clear(),
+        lambda row: row.update(at_ms="now"),
+        lambda row: row.update(held=[1]),
+        lambda row: row.update(held={"s0": None}),
+        lambda row: row["learned"].pop("peak"),
+        lambda row: row["learned"].update(class_ms={"read": "slow"}),
+    ],
+)
+def test_a_malformed_file_is_passed_over_and_logged_once(tmp_path, caplog, change):
+    one, two = Handover(tmp_path, 1), Handover(tmp_path, 2)
+    one.write(0.0, learned(), {"s0": 2.0})
+    path = tmp_path / f"{PREFIX}1"
+    row = orjson.loads(path.read_bytes())
+    change(row)
+    path.write_bytes(orjson.dumps(row))
+    for _ in range(3):
+        assert two.read(0.0) == (None, {})
+    path.write_bytes(b"\0")
+    assert two.read(0.0) == (None, {})
+    assert len(caplog.records) == 1
+
+
+def test_a_folder_that_takes_no_file_is_logged_once(tmp_path, caplog):
+    (tmp_path / "file").write_text("")
+    one = Handover(tmp_path / "file", 1)
+    for _ in range(3):
+        one.write(0.0, learned(), {})
+        assert one.read(0.0) == (None, {})
+    one.close()
+    assert len(caplog.records) == 1
+
+
+# -------------------------------------------------------------------- the module
+
+
+def taught(bed: Bed) -> Bed:
+    """A balancer that has served for a while, and seen load."""
+    for _ in range(60):
+        for _ in range(3):
+            bed.serve("read", 100.0)
+        bed.period()
+    bed.brain.cursor = 4
+    return bed
+
+
+def test_a_new_process_starts_at_the_threshold_of_the_old_one():
+    old, new = taught(Bed(4)), Bed(4)
+    assert new.brain.threshold(1.0, 4) > old.brain.threshold(1.0, 4)
+    new.give(old.brain.learned())
+    assert new.brain.threshold(1.0, 4) == pytest.approx(old.brain.threshold(1.0, 4))
+    assert new.brain.class_ms == old.brain.class_ms
+    assert {name: peer.slow for name, peer in new.brain.peers.items()} == {
+        name: peer.slow for name, peer in old.brain.peers.items()
+    }
+    base = new.brain.base
+    new.serve("read", 900.0)
+    new.period()
+    assert new.brain.base == pytest.approx(base, rel=0.1)  # not learned anew from one call
+
+
+@pytest.mark.parametrize("change", [{"base": None}, {"base": 0.0}, {"peak": 0.0}, {"mean_aim": 0.0}])
+def test_an_old_process_that_has_only_begun_to_learn_teaches_nothing(change):
+    bed = Bed(4)
+    before = bed.brain.threshold(1.0, 4)
+    bed.give(learned(**change))
+    assert (bed.brain.threshold(1.0, 4), bed.brain.cursor) == (before, 0)
+
+
+def test_a_cursor_from_elsewhere_stays_within_the_table():
+    bed = Bed(4)
+    bed.give(learned(cursor=999, class_ms={"gone": 5.0}))
+    assert bed.brain.cursor == len(bed.brain.shape) - 1
+    assert bed.brain.class_ms == {}
+
+
+def test_calls_of_the_process_beside_count_in_the_queue_the_share_and_the_rank():
+    bed = Bed(4)
+    room = int(bed.brain.threshold(1.0, 4))
+    bed.give(api.Beside({"s0": room / 2, "s1": room / 2, "gone": 9.0}))
+    refused = [not sent(bed.ask()[1]) for _ in range(10)]
+    assert all(refused[2:])
+    bed.give(api.Beside({"s0": 3.0}))
+    assert sent(bed.ask()[1])[0].server != "s0"
+    bed.give(api.Beside({}))
+    assert all(peer.beside == 0.0 for peer in bed.brain.peers.values())
+
+
+# ---------------------------------------------------------------------- the node
+
+
+def test_both_processes_of_an_upgrade_count_each_others_calls_until_one_ends(tmp_path):
+    async def main():
+        raw, server = listening(), Held()
+        shared = {"accept_fd": str(os.dup(raw.fileno())), "tmpdir": str(tmp_path)}
+        async with running(server, **shared) as old:
+            caller = await Caller.to(old)
+            caller.writer.write(request(name="q1"))
+            await until(lambda: server.seen)
+            new = Node(old.config)
+            assert new.handover is not None
+            new.handover = Handover(tmp_path / FOLDER, os.getpid() + 1)  # as both run in one process here
+            old._share()
+            new._on_list(api.ListForm.CACHED, new.config.known)
+            new._share(starts=True)
+            assert new.balancer.peers["s0"].beside == 1.0
+            assert old.balancer.peers["s0"].beside == 0.0
+            server.release.set()
+            await caller.answer()
+            old._share()
+            new._share()
+            assert new.balancer.peers["s0"].beside == 0.0
+            new.close()
+            assert os.listdir(tmp_path / FOLDER) == [f"{PREFIX}{os.getpid()}"]
+        assert os.listdir(tmp_path / FOLDER) == []
+        raw.close()
+
+    asyncio.run(main())
+
+
+def test_a_node_with_a_socket_of_its_own_hands_nothing_over(tmp_path):
+    async def main():
+        async with running(Held(), tmpdir=str(tmp_path)) as node:
+            node._beat(node.loop.time())
+            assert node.handover is None
+
+    asyncio.run(main())
+    assert not os.listdir(tmp_path)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -13,7 +13,7 @@
 from test_operator import DOOR, status
 
 from orchidledge import interface as api
-from orchidledge.net.maintenance import FOLDER, KEEP_MS, PREFIX, Ban, Bans, folder_in
+from orchidledge.net.maintenance import FOLDER, KEEP_MS, PREFIX, Ban, Bans
 from orchidledge.net.node import Node
 
 ENTER, EXIT = "/maintenance/enter", "/maintenance/exit"
@@ -80,7 +80,7 @@
 
 
 def test_without_a_folder_bans_are_kept_in_memory():
-    bans = Bans(folder_in(None))
+    bans = Bans(None)
     assert bans.take_out("s", 0.0)
     assert bans.read(1.0) == []
     assert bans.out("s")
