Take an answer longer than any may be as unreadable before passing it on

Logged: heads that declare 3,000,000,000 bytes, after which some 100 KB come and then an end. `_pass_on` began each of them, so `search` could not be sent again.

--- a/orchidledge/net/body.py
+++ b/orchidledge/net/body.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+LONGEST = 32 * 1024 * 1024  # of any body, either way
 HIGH_WATER = 64 * 1024  # kept while nobody takes it; the reading then stops
 
 
--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from orchidledge.net.body import HIGH_WATER, Body
+from orchidledge.net.body import HIGH_WATER, LONGEST, Body
 
 MAX_BODY = HIGH_WATER  # of a body that is held whole
 MAX_HEAD = 16 * 1024
@@ -282,6 +282,9 @@
             self._response.status = self._parser.get_status_code()
             length = self._response.headers.get(b"content-length", b"")
             self._response.length = int(length) if length.isdigit() else None
+            if self._streams and (self._response.length or 0) > LONGEST:
+                # Guard: passed on as it came, it could not be sent again once nothing more came of it.
+                self._spoilt = self.unreadable = True
             framed = self._response.headers.keys() & {b"content-length", b"transfer-encoding"}
             # Guard: an answer of no length ends with its connection, but only a server that has said it will
             # close means that by an end; any other end is a break.
@@ -289,11 +292,10 @@
             self._to_the_end = not framed and closes and self._response.status >= 200
 
     def on_body(self, body: bytes) -> None:
-        if not self._streams:
-            self._grow(len(body), self._max_body)
-        elif self._response.status != 200:
+        if self._streams and self._response.status != 200:
             self._skip(len(body))
             return
+        self._grow(len(body), LONGEST if self._streams else self._max_body)
         if not self._spoilt:
             self._response.body += body
 
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -13,12 +13,11 @@
 
 import httptools
 
-from orchidledge.net.body import HIGH_WATER, Body
+from orchidledge.net.body import HIGH_WATER, LONGEST, Body
 from orchidledge.net.http import LAST_CHUNK, MAX_BODY, MAX_HEAD, chunk, readable
 
 log = logging.getLogger("orchidledge")
 
-MAX_REQUEST = 32 * 1024 * 1024  # of a body
 READY_PATH = b"/up"
 LINGER_S = (
     1.0  # how long after a fatal answer, and after the last that a caller still sends, that is dropped,
@@ -280,14 +279,14 @@
         call.keep_alive = self._parser.should_keep_alive()
         length = call.headers.get(b"content-length", b"")
         call.length = int(length) if length.isdigit() else None
-        if call.length is not None and call.length > MAX_REQUEST:
+        if call.length is not None and call.length > LONGEST:
             self._fault = 413
         elif call.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size > MAX_REQUEST:
+        if self._size > LONGEST:
             self._fault = self._fault or 413
         if self._partial is not None and not self._fault:
             self._partial.body.put(body)
