Move the reading and forwarding of requests to net/requests.py

node.py had grown past joining the parts. With it one more guard: whether a body goes with the head is settled when the attempt starts, so that one that ends while the attempt still connects can't go twice.

--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import logging
-import math
 import os
 import time
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from urllib.parse import unquote_to_bytes
 
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
@@ -23,13 +21,13 @@
 from orchidledge.net.http import Response
 from orchidledge.net.maintenance import Bans
 from orchidledge.net.operator import Answer, Door
+from orchidledge.net.requests import BadRequestError, forwarded, parse
 from orchidledge.net.server import Call, Server
 from orchidledge.net.upstream import Address, Attempt, Pool
 from orchidledge.settings import report_from
 
 log = logging.getLogger("orchidledge")
 
-WAY_BACK_S = 0.015  # an answer leaves this long before the client's time is up
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
 SPARE_SOCKETS = 32  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.45  # of the other descriptors: callers' connections;
@@ -47,12 +45,6 @@
 STATS_S = 5.0
 BEAT_S = 0.1
 
-HOP_BY_HOP = frozenset(
-    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect".split()
-) | {b"content-length", b"req-deadline-ms"}
-
-KEPT = frozenset({b"req-id", b"host"})  # even if a caller names them as hop-by-hop: a server must see them
-
 
 class Clock:
     """Unix time in milliseconds that never goes back: the event loop's clock, anchored to it once."""
@@ -73,23 +65,15 @@
     service: str  # its class's name
     call: Call
     give_up_at: float  # by the loop's clock
+    give_up_s: float  # from its last byte on
+    whole_at: float  # the loop's time when that came, of its being handed on until then
     backstop: asyncio.TimerHandle | None = None
-    give_up_s: float = 0.0  # from its last byte on
-    whole_at: float = 0.0  # the loop's time when that came, its start until then
     done: bool = False
     attempts: list[Attempt | None] = field(default_factory=list)
     out: int = 0
     last: api.Result | None = None
 
 
-class BadRequestError(Exception):
-    """A request that the module is not asked about, and the status that answers it."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
 class Node:
     def __init__(self, config: Config) -> None:
         self.loop = asyncio.get_running_loop()
@@ -269,7 +253,9 @@
         """A whole request has come in."""
         self.counts["taken"] += 1
         try:
-            request, give_up_at = self._read(call)
+            request, give_up_s = parse(call, self.classes, self.clock.ms(call.arrived))
+            if request.id in self.jobs:
+                raise BadRequestError(400)
         except BadRequestError as error:
             self.counts[f"bad {error.status}"] += 1
             call.answer(error.status)
@@ -281,15 +267,15 @@
             self.figures.reply(request.service, 503)
             call.answer(503)
             return
-        job = self.jobs[request.id] = _Job(request.id, request.service, call, give_up_at)
-        job.give_up_s, job.whole_at = give_up_at - call.arrived, call.arrived
+        job = _Job(request.id, request.service, call, call.arrived + give_up_s, give_up_s, call.arrived)
+        self.jobs[request.id] = job
         self.open += 1
         call.on_gone = lambda: self._on_gone(job)
         if call.coming:
             self.coming += 1
             call.on_whole = lambda: self._on_whole(job)
         else:
-            job.backstop = self.loop.call_at(give_up_at + BACKSTOP_S, self._on_backstop, job)
+            job.backstop = self.loop.call_at(job.give_up_at + BACKSTOP_S, self._on_backstop, job)
         self.tell(request)
 
     def _on_whole(self, job: _Job) -> None:
@@ -305,41 +291,6 @@
                 attempt.run_clock(job.give_up_s)
         self.tell(api.Arrived(job.id, self.clock.ms(job.give_up_at)))
 
-    def _read(self, call: Call) -> tuple[api.Request, float]:
-        """The module's view of a request, and when its client gives up."""
-        headers = call.headers
-        path = call.target.partition(b"?")[0]
-        parts = path.split(b"/")
-        kind = (
-            self.classes.get(unquote_to_bytes(parts[1]).decode("utf-8", "replace"))
-            if len(parts) > 1
-            else None
-        )
-        if kind is None:
-            raise BadRequestError(404)
-        if call.method != (b"GET" if kind.effect is api.Effect.SAFE else b"POST"):
-            raise BadRequestError(405)
-        name = headers.get(b"req-id", b"").decode("latin-1")
-        keyless = kind.effect is api.Effect.KEYED and b"idempotency-key" not in headers
-        if not name or keyless or name in self.jobs:
-            raise BadRequestError(400)
-        give_up_ms = kind.give_up_ms
-        if (deadline := _number(headers, b"req-deadline-ms")) is not None:
-            give_up_ms = min(deadline, 10.0 * kind.give_up_ms)
-        cost_us = _number(headers, b"req-cost")
-        give_up_at = call.arrived + give_up_ms / 1000.0 - WAY_BACK_S
-        owner = headers.get(b"req-owner")
-        request = api.Request(
-            id=name,
-            service=kind.name,
-            give_up_at_ms=self.clock.ms(give_up_at),
-            tenant=owner.decode("latin-1") if owner else None,
-            cost_hint_ms=None if cost_us is None else cost_us / 1000.0,
-            is_retry=headers.get(b"req-retry") == b"1",
-            coming=call.coming,
-        )
-        return request, give_up_at
-
     def _answer(self, job: _Job, status: int, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         if not job.done:
             self.counts[f"answered {status}"] += 1
@@ -415,7 +366,7 @@
 
         attempt = self.pool.send(
             action.server,
-            lambda wait: _forwarded(job.call, wait),
+            lambda wait: forwarded(job.call, wait, body is not None),
             timeout,
             on_result,
             body,
@@ -586,35 +537,3 @@
 
 def _yes_or_no(yes: bool) -> Answer:
     return Answer(200 if yes else 503)
-
-
-def _number(headers: dict[bytes, bytes], name: bytes) -> float | None:
-    """A header's figure, None without one."""
-    text = headers.get(name)
-    if text is None:
-        return None
-    try:
-        value = float(text)
-    except ValueError:
-        raise BadRequestError(400) from None
-    if not math.isfinite(value) or value < 0.0:
-        raise BadRequestError(400)
-    return value
-
-
-def _forwarded(call: Call, wait_s: float) -> bytes:
-    """The request as it goes to a server that is waited for this long."""
-    lines = [call.method + b" " + call.target + b" HTTP/1.1"]
-    named = {name.strip() for name in call.headers.get(b"connection", b"").lower().split(b",")}
-    lines += [
-        name + b": " + value
-        for name, value in call.headers.items()
-        if name not in HOP_BY_HOP and (name not in named or name in KEPT)
-    ]
-    lines.append(b"req-deadline-ms: %d" % max(1, int(wait_s * 1000.0)))
-    body = call.body.whole
-    if body is None and call.length is None:
-        lines.append(b"transfer-encoding: chunked")
-    elif body or call.method != b"GET":
-        lines.append(b"content-length: %d" % (len(body) if body is not None else call.length or 0))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -469,6 +469,36 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("data", [request("post", "q1", LONG[:HIGH_WATER]), chunked(LONG[:HIGH_WATER])])
+def test_a_body_that_ends_while_its_attempt_still_connects_is_sent_once(data):
+    async def main():
+        server = Taking()
+        async with behind(server.serve) as node:
+            up, opened = asyncio.Event(), node.pool.open
+
+            async def slowly(endpoint):
+                await up.wait()
+                return await opened(endpoint)
+
+            node.pool.open = slowly
+            caller = await Caller.to(node)
+            end = len(data) - 5  # handed on with the last byte of its body due, or the last chunk
+            caller.writer.write(data[:end])
+            await until(lambda: node.server.connections)
+            (connection,) = node.server.connections
+            await until(lambda: connection._partial and connection._partial.body.size >= HIGH_WATER - 5)
+            connection._transport.resume_reading()
+            caller.writer.write(data[end:])
+            await until(lambda: connection._partial is None)
+            up.set()
+            assert (await caller.answer()).status == 200
+            assert server.bodies == [LONG[:HIGH_WATER]]
+            assert node.pool.size == 1
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
 def test_a_server_that_reads_slowly_holds_the_caller():
     async def main():
         go_on = asyncio.Event()
