--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -152,6 +152,7 @@
         self.server.resume()  # a standby before it has other times
         if self.server.shares_socket:
             self.server.stop_accepting()
+            self.pool.retire()
             self.server.drain(open_s=HANDOVER_S)
         else:
             self.server.drain()
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -251,6 +251,15 @@
         attempt.begin(server)
         return attempt
 
+    def retire(self) -> None:
+        """Keep no idle connection from now on: another process of this node needs its own, and both together
+        may hold no more than one."""
+        self._idle_s = 0.0
+        for server in self._servers.values():
+            for connection in server.idle:
+                connection.abort()
+            server.idle.clear()
+
     def close(self) -> None:
         for name in list(self._servers):
             self.remove(name)
@@ -271,7 +280,7 @@
         return None
 
     def give_back(self, server: _Server, connection: ClientConnection) -> None:
-        if not connection.usable or server not in self._servers.values():
+        if self._idle_s <= 0.0 or not connection.usable or server not in self._servers.values():
             connection.abort()
             return
         connection.idle_since = asyncio.get_running_loop().time()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -322,6 +322,22 @@
     asyncio.run(main())
 
 
+def test_a_pool_that_retires_closes_what_is_idle_and_keeps_nothing_more():
+    async def main():
+        server, servers = await Peer().start(), pool()
+        servers.add("s", ("127.0.0.1", server.port))
+        assert await result(servers) is Result.OK
+        assert servers.size == 1
+        servers.retire()
+        await until(lambda: not servers.size)
+        assert await result(servers) is Result.OK  # what is still held may be sent on
+        await until(lambda: not servers.size)
+        server.stop()
+        servers.close()
+
+    asyncio.run(main())
+
+
 def test_a_drain_gives_up_what_waits_to_connect_and_closes_idle_connections():
     async def main():
         with never_up() as listener:
