Hold nothing against a server brought back, and count reloads

A server out by hand is restarted there, so its latency, errors and last report are another process's; `BroughtBack` now clears them. proxy.reload_success and proxy.reload_failure count what SIGHUP found.

--- a/orchidledge/__main__.py
+++ b/orchidledge/__main__.py
@@ -28,7 +28,9 @@
     except (OSError, ValueError) as error:
         # Guard: a bad file must not end a node in service; it goes on with what it was told before.
         logging.error("configuration not read again, the old one holds: %s", " ".join(str(error).split()))
+        node.figures.reloads["failure"] += 1
         return
+    node.figures.reloads["success"] += 1
     logging.info("%s follows discovery at %s:%d", config.name, *config.discovery)
     node.watcher.move(config.discovery)
 
--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -207,6 +207,10 @@
         elif isinstance(event, api.BroughtBack):
             self.out_by_hand.discard(event.server)
             self.returns[event.server] = _Return(event.out_ms, event.back_ms)
+            if (
+                known := self.peers.get(event.server)
+            ) is not None:  # another process by now: known by nothing
+                known.slow, known.errs, known.queue, known.util = None, 0.0, 0.0, None
             self._choose_ready()
         return acts
 
--- a/orchidledge/net/figures.py
+++ b/orchidledge/net/figures.py
@@ -12,6 +12,7 @@
 
     def __init__(self, classes: Iterable[str]) -> None:
         self._replies = {name: {"success": 0, "overload": 0, "error": 0} for name in classes}
+        self.reloads = {"success": 0, "failure": 0}  # of the configuration
         self.dispatches = 0  # attempts written whole to servers
 
     def reply(self, name: str, status: int) -> None:
@@ -25,6 +26,7 @@
             for name, replies in self._replies.items()
             for kind, count in replies.items()
         ]
+        lines += [f"proxy.reload_{kind}={count}" for kind, count in self.reloads.items()]
         lines += [
             f"proxy.dispatches={self.dispatches}",
             f"proxy.concurrent={concurrent}",
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -4,10 +4,12 @@
 
 import asyncio
 
-from loopback import Caller, Held, Peer, Scripted, ask, reply, request, running, until
+import orjson
+from loopback import Caller, Held, Peer, Scripted, ask, config_row, reply, request, running, until
 from test_operator import DOOR, call, say, status
 
 from orchidledge import interface as api
+from orchidledge.__main__ import reload
 from orchidledge.net.figures import Figures
 from orchidledge.net.node import Node
 
@@ -32,6 +34,8 @@
         "proxy.replies.post.success=0",
         "proxy.replies.post.overload=2",
         "proxy.replies.post.error=1",
+        "proxy.reload_success=0",
+        "proxy.reload_failure=0",
         "proxy.dispatches=0",
         "proxy.concurrent=3",
         "proxy.targets=12",
@@ -39,6 +43,22 @@
     ]
 
 
+def test_reloads_are_counted_good_and_failed(tmp_path, monkeypatch):
+    async def main():
+        async with running(Peer(), **DOOR) as node:
+            path = tmp_path / "config.json"
+            monkeypatch.setenv("PROXY_CONFIG", str(path))
+            path.write_text("{")
+            reload(node)
+            path.write_bytes(orjson.dumps(config_row("127.0.0.1:1")))
+            reload(node)
+            reload(node)
+            found = await figures(node)
+            assert (found["reload_success"], found["reload_failure"]) == (2, 1)
+
+    asyncio.run(main())
+
+
 def test_answers_are_counted_by_class_and_kind_whoever_worded_them():
     async def main():
         async def script(message):
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -258,6 +258,15 @@
     assert (passed < 50) is cold
 
 
+def test_what_a_server_was_known_for_before_its_stay_is_not_held_against_it():
+    bed = Bed(2)
+    peer = bed.brain.peers["s0"]
+    peer.slow, peer.errs, peer.queue, peer.util = 5.0, 0.9, 7.0, 1.0
+    bed.give(api.TakenOut("s0"))
+    bed.give(api.BroughtBack("s0", bed.now - 3000.0, bed.now))
+    assert (peer.slow, peer.errs, peer.queue, peer.util) == (None, 0.0, 0.0, None)
+
+
 def test_a_second_stay_out_starts_anew():
     bed = Bed(2)
     bed.give(api.TakenOut("s0"))
