Fail the start on a door's address or an inherited descriptor that can't be had

A node that ran on without the door it was told to open could be neither asked nor upgraded, and one that bound its own address in place of a bad descriptor would have found it held by the platform. Both are one plain line and a failed start now; at SIGHUP the old configuration holds. The door opens before the clients' address, so a failed start has taken no client.

--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,8 +14,6 @@
 from orchidledge.net.upstream import Address
 from orchidledge.settings import Row, settings_from
 
-log = logging.getLogger("orchidledge")
-
 
 @dataclass(slots=True, frozen=True)
 class Config:
@@ -42,15 +39,6 @@
     return Path(tmpdir) / name if tmpdir else None
 
 
-def _operator(text: object) -> Address | None:
-    """The door's address. A bad one leaves the node without a door: clients must not go unserved for it."""
-    try:
-        return parse_address(text) if text else None
-    except ValueError as error:
-        log.error("no operators' door: %s", error)
-        return None
-
-
 def parse_config(data: bytes, environment: Mapping[str, str] | None = None) -> Config:
     """The configuration; ValueError says in one line what is wrong with it. What the environment tells
     comes first, as the second process of an upgrade may share the file with the first."""
@@ -69,6 +57,7 @@
         for key, value in given.items():
             if value is not None and not (isinstance(value, int | float) and value > 0):
                 raise ValueError(f"{key}: {value!r} is not a number above 0")
+        operator = told.get("PROXY_OPERATOR") or row.get("operator")
         return Config(
             name=str(row["name"]),
             listen=parse_address(row["listen"]),
@@ -76,7 +65,7 @@
             seed=int(row["seed"], 16),
             known=parse_listing(row["known"]),
             settings=settings_from(row["settings"]),
-            operator=_operator(told.get("PROXY_OPERATOR") or row.get("operator")),
+            operator=parse_address(operator) if operator else None,
             maintenance=_folder(told.get("TMPDIR"), maintenance.FOLDER),
             handover=_folder(told.get("TMPDIR"), handover.FOLDER),
             accept_fd=told.get("PROXY_ACCEPT_FD") or None,
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -137,11 +137,11 @@
         self._read_bans()  # first, so that a server that is out is never sent anything
         self._on_list(api.ListForm.CACHED, self.config.known)
         self._share(starts=True)
+        if self.config.operator is not None:
+            await self.door.open(self.config.operator)
         await self.server.listen(*self.config.listen, self.config.accept_fd)
         if not self.settings.ask_discovery:
             self.watcher.start()
-        if self.config.operator is not None:
-            await self.door.open(self.config.operator)
         self._beat(self.loop.time())
         self._stats()
 
--- a/orchidledge/net/operator.py
+++ b/orchidledge/net/operator.py
@@ -18,7 +18,6 @@
 VISITS = 16  # calls under way at once; of more, the oldest goes
 PATIENCE_S = 5.0  # how long a call may take to come in
 LINGER_S = 1.0  # how long what a visitor still sends after its answer is read and dropped
-BIND_PAUSE_S = 1.0  # before an address that could not be bound is tried again
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,7 +112,6 @@
         self._calls = calls
         self._visits: dict[_Visit, None] = {}  # in the order of their opening
         self._listener: asyncio.Server | None = None
-        self._binding: asyncio.Task[None] | None = None
 
     @property
     def address(self) -> Address:
@@ -122,31 +120,14 @@
         return host, port
 
     async def open(self, address: Address) -> None:
-        """Listen, and if that fails go on trying: clients are served with or without the door."""
-        if not await self._bind(address):
-            self._binding = asyncio.create_task(self._bind_later(address))
+        self._listener = await self.loop.create_server(lambda: _Visit(self), *address)
 
     def close(self) -> None:
-        if self._binding is not None:
-            self._binding.cancel()
         if self._listener is not None:
             self._listener.close()
         for visit in list(self._visits):
             visit.abort()
 
-    async def _bind(self, address: Address) -> bool:
-        try:
-            self._listener = await self.loop.create_server(lambda: _Visit(self), *address)
-        except OSError as error:
-            log.error("no operators' door at %s:%d: %s", *address, " ".join(str(error).split()))
-            return False
-        return True
-
-    async def _bind_later(self, address: Address) -> None:
-        await asyncio.sleep(BIND_PAUSE_S)
-        while not await self._bind(address):
-            await asyncio.sleep(BIND_PAUSE_S)
-
     # ---------------------------------------------------------------- for visits
 
     def opened(self, visit: _Visit) -> None:
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import re
 import socket
 from collections import deque
@@ -16,8 +15,6 @@
 from orchidledge.net.body import HIGH_WATER, LONGEST, Body
 from orchidledge.net.http import LAST_CHUNK, MAX_BODY, MAX_HEAD, chunk, readable
 
-log = logging.getLogger("orchidledge")
-
 READY_PATH = b"/up"
 LINGER_S = (
     1.0  # how long after a fatal answer, and after the last that a caller still sends, that is dropped,
@@ -429,22 +426,20 @@
     """Stands for the interest of nobody in a caller's going away."""
 
 
-def inherited(text: str) -> socket.socket | None:
-    """The listening socket of this descriptor; None, with a line in the log, if it is nothing of the kind."""
+def inherited(text: str) -> socket.socket:
+    """The listening socket of this descriptor; OSError if it is nothing of the kind."""
     try:
         found = socket.socket(fileno=int(text))
     except (OSError, ValueError, OverflowError) as error:
-        log.error("descriptor %r is no socket, the own address is bound: %s", text, error)
-        return None
+        raise OSError(f"descriptor {text!r} is no socket: {error}") from error
     try:
         listening = found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
     except OSError:
         listening = 0
     if listening and (found.family, found.type) == (socket.AF_INET, socket.SOCK_STREAM):
         return found
-    log.error("descriptor %r is no listening TCP socket, the own address is bound", text)
     found.detach()  # whatever it is, it is not the node's to close
-    return None
+    raise OSError(f"descriptor {text!r} is no listening TCP socket")
 
 
 def origin_form(target: bytes) -> bytes:
@@ -489,9 +484,8 @@
 
     async def listen(self, host: str, port: int, accept_fd: str | None = None) -> None:
         """Accept at this address, or from the listening socket that the platform holds for it."""
-        raw = None if accept_fd is None else inherited(accept_fd)
-        self.shares_socket = raw is not None
-        raw = raw or socket.create_server((host, port))
+        self.shares_socket = accept_fd is not None
+        raw = socket.create_server((host, port)) if accept_fd is None else inherited(accept_fd)
         # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
         # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
         self._listener = await self.loop.create_server(
