--- /dev/null
+++ b/orchidledge/registry/settings.py
@@ -0,0 +1,170 @@
+"""TOML configuration of the list service's programs, and their structured logs.
+
+A configuration is read with `tomllib`; an error names the key and the line it stands on, or
+the line that the TOML parser could not read.
+"""
+
+from __future__ import annotations
+
+import logging
+import re
+import sys
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from orchidledge.net.upstream import Address
+
+ENDPOINT = re.compile(r"^127(\.\d{1,3}){3}:\d{1,5}$|^localhost:\d{1,5}$")
+
+
+class ConfigError(ValueError):
+    """A configuration that can't be used: the message names the key and its line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Instance:
+    """One instance of the list service: `[instance]`, `[lease]` and `[watch]` of its file."""
+
+    name: str
+    listen: Address  # HTTP: PROTOCOL's reads and the registry's writes
+    raft: str  # host:port of this instance among its peers
+    peers: tuple[str, ...]  # the others' raft addresses
+    data: Path  # the folder of the Raft journal and snapshot
+    ttl_ms: int = 10_000  # a lease unrenewed so long lapses, and its target is Gone
+    max_wait_ms: int = 60_000  # PROTOCOL's cap on a watch
+    keep_gone: int = 10_000  # tombstones kept for watches that come late
+    stale_after_ms: int = 3_000  # without a leader so long, reads are marked stale
+
+
+@dataclass(slots=True, frozen=True)
+class Agent:
+    """The per-machine agent: `[agent]` of its file."""
+
+    listen: Address  # what the node knows as $PROXY_DISCOVERY
+    registries: tuple[Address, ...]  # the instances, tried in turn
+    wait_ms: int = 20_000  # of each watch it keeps on an instance
+    retry_max_ms: int = 2_000  # the longest pause between failed calls
+
+
+def address(text: str) -> Address:
+    """host:port on loopback; ValueError otherwise."""
+    host, _, port = text.rpartition(":")
+    if not ENDPOINT.match(text) or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not a loopback host:port")
+    return host, int(port)
+
+
+def _line(text: str, key: str) -> int:
+    pattern = re.compile(rf"^\s*{re.escape(key)}\s*=")
+    for number, line in enumerate(text.splitlines(), 1):
+        if pattern.match(line):
+            return number
+    return 0
+
+
+def _read(path: Path) -> tuple[str, dict[str, Any]]:
+    try:
+        text = path.read_text()
+        return text, tomllib.loads(text)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+class _Fields:
+    """Takes the keys of one table, each checked; an error names the key and its line."""
+
+    def __init__(self, path: Path, text: str, table: str, row: dict[str, Any]) -> None:
+        self._path, self._text, self._table, self._row = path, text, table, row
+
+    def fail(self, key: str, why: str) -> ConfigError:
+        where = _line(self._text, key)
+        return ConfigError(f"{self._path}: {self._table}.{key} (line {where}): {why}")
+
+    def get(self, key: str, kind: type, default: Any = None) -> Any:
+        value = self._row.get(key, default)
+        if value is None:
+            raise self.fail(key, "missing")
+        if not isinstance(value, kind) or isinstance(value, bool) is not (kind is bool):
+            raise self.fail(key, f"{value!r} is not a {kind.__name__}")
+        if isinstance(value, int) and kind is int and value <= 0:
+            raise self.fail(key, f"{value} is not above 0")
+        return value
+
+    def address(self, key: str) -> Address:
+        try:
+            return address(self.get(key, str))
+        except ValueError as error:
+            raise self.fail(key, str(error)) from error
+
+    def addresses(self, key: str) -> tuple[Address, ...]:
+        texts = self.get(key, list)
+        try:
+            return tuple(address(text) for text in texts)
+        except (ValueError, TypeError, AttributeError) as error:
+            raise self.fail(key, f"not a list of loopback host:port: {error}") from error
+
+
+def _table(path: Path, text: str, data: dict[str, Any], name: str) -> _Fields:
+    row = data.get(name, {})
+    if not isinstance(row, dict):
+        raise ConfigError(f"{path}: [{name}] (line {_line(text, name)}): not a table")
+    return _Fields(path, text, name, row)
+
+
+def load_instance(path: Path) -> Instance:
+    """An instance's configuration; ConfigError says what is wrong."""
+    text, data = _read(path)
+    node, lease, watch = (_table(path, text, data, name) for name in ("instance", "lease", "watch"))
+    peers = node.addresses("peers")
+    raft = node.address("raft")
+    folder = Path(node.get("data", str))
+    return Instance(
+        name=node.get("name", str),
+        listen=node.address("listen"),
+        raft=f"{raft[0]}:{raft[1]}",
+        peers=tuple(f"{host}:{port}" for host, port in peers),
+        data=folder if folder.is_absolute() else path.parent / folder,
+        ttl_ms=lease.get("ttl_ms", int, 10_000),
+        max_wait_ms=min(watch.get("max_wait_ms", int, 60_000), 60_000),
+        keep_gone=watch.get("keep_gone", int, 10_000),
+        stale_after_ms=watch.get("stale_after_ms", int, 3_000),
+    )
+
+
+def load_agent(path: Path) -> Agent:
+    """An agent's configuration; ConfigError says what is wrong."""
+    text, data = _read(path)
+    agent = _table(path, text, data, "agent")
+    registries = agent.addresses("registries")
+    if not registries:
+        raise agent.fail("registries", "empty")
+    return Agent(
+        listen=agent.address("listen"),
+        registries=registries,
+        wait_ms=min(agent.get("wait_ms", int, 20_000), 60_000),
+        retry_max_ms=agent.get("retry_max_ms", int, 2_000),
+    )
+
+
+def start_logs(program: str, level: str = "info") -> structlog.stdlib.BoundLogger:
+    """JSON lines on standard error, one an event, each with its time, level and program."""
+    logging.basicConfig(stream=sys.stderr, format="%(message)s", level=level.upper())
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.stdlib.LoggerFactory(),
+        wrapper_class=structlog.stdlib.BoundLogger,
+        cache_logger_on_first_use=True,
+    )
+    logger: structlog.stdlib.BoundLogger = structlog.get_logger(program).bind(program=program)
+    return logger
