Serve the list over Raft with leases, and an agent that follows it for a node

Change: python -m orchidledge.registry serve|agent|status|list. An instance answers PROTOCOL's GET /discovery/hosts and its watch from what it has applied, marked Registry-Stale: 1 without a leader holding a quorum; PUT/DELETE /registry/targets/UID and POST /registry/renew are answered once committed. A new leader grants every lease a full TTL before it buries any.

--- /dev/null
+++ b/orchidledge/registry/__main__.py
@@ -0,0 +1,72 @@
+"""`python -m orchidledge.registry`: serve an instance, run an agent, or ask an instance.
+
+    serve --config registry.toml     one instance of the list service
+    agent --config agent.toml        the per-machine agent a node asks ($PROXY_DISCOVERY)
+    status HOST:PORT                 an instance's Raft state, revision and counts, as JSON
+    list HOST:PORT                   the whole list an instance or agent has, as JSON
+
+Exit status: 0, 1 when what was asked could not be reached, 2 on a bad configuration.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+from pathlib import Path
+
+import orjson
+
+from orchidledge.registry import agent, service
+from orchidledge.registry.settings import ConfigError, address, load_agent, load_instance, start_logs
+from orchidledge.registry.web import call
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m orchidledge.registry", description=__doc__.split("\n")[0]
+    )
+    parser.add_argument("--log-level", default="info", choices=["debug", "info", "warning", "error"])
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name in ("serve", "agent"):
+        commands.add_parser(name).add_argument("--config", type=Path, required=True)
+    for name in ("status", "list"):
+        commands.add_parser(name).add_argument("address", help="host:port of an instance or an agent")
+    return parser
+
+
+async def _ask(where: str, target: str) -> int:
+    try:
+        reply = await call(address(where), "GET", target)
+    except (OSError, TimeoutError, ValueError) as failure:
+        print(f"{where}: {type(failure).__name__}: {failure}", file=sys.stderr)
+        return 1
+    stale = reply.headers.get("registry-stale") == "1"
+    row = orjson.loads(reply.body) | ({"stale": True} if stale else {})
+    sys.stdout.write(orjson.dumps(row, option=orjson.OPT_INDENT_2).decode() + "\n")
+    return 0 if reply.status == 200 else 1
+
+
+def main(argv: list[str] | None = None) -> int:
+    arguments = _parser().parse_args(argv)
+    log = start_logs(f"registry.{arguments.command}", arguments.log_level)
+    try:
+        if arguments.command == "serve":
+            asyncio.run(service.run_instance(load_instance(arguments.config), log))
+        elif arguments.command == "agent":
+            asyncio.run(agent.run_agent(load_agent(arguments.config), log))
+        elif arguments.command == "status":
+            return asyncio.run(_ask(arguments.address, "/registry/status"))
+        else:
+            return asyncio.run(_ask(arguments.address, "/discovery/hosts"))
+    except ConfigError as failure:
+        log.error("bad_configuration", why=str(failure))
+        return 2
+    except OSError as failure:
+        log.error("cannot_start", why=f"{type(failure).__name__}: {failure}")
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/orchidledge/registry/service.py
@@ -0,0 +1,252 @@
+"""One instance of the list service: PROTOCOL's reads and watches, the registry's writes, leases.
+
+Reads come from what this instance has applied. While it knows no leader that holds a quorum
+it still answers them, marked `Registry-Stale: 1`: an agent then looks for a fresher instance
+and keeps what it has if there is none, which is safer than an old list taken as new. A write
+is answered only once a majority has committed it (Raft), else 503 after `COMMIT_S`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import structlog
+from pysyncobj import SyncObj, SyncObjConf
+
+from orchidledge.registry.settings import Instance
+from orchidledge.registry.store import Catalog, Page, clean_target
+from orchidledge.registry.web import Answer, Call, serve
+
+COMMIT_S = 2.0  # a write not committed in this time is refused; the caller tries again
+RENEW_BATCH_S = 0.05  # renewals gathered into one command
+TICK_S = 0.25  # of the leader's lease duties
+
+
+def now_ms() -> int:
+    return int(time.time() * 1000)
+
+
+def encode(page: Page) -> bytes:
+    return orjson.dumps({"rev": page.revision, "all": page.whole, "targets": page.targets})
+
+
+def error(status: int, why: str) -> Answer:
+    return Answer(status, orjson.dumps({"error": why}))
+
+
+class Service:
+    """An instance: a Raft member that holds the catalog, and its HTTP face."""
+
+    def __init__(self, config: Instance, log: structlog.stdlib.BoundLogger) -> None:
+        self.config = config
+        self.log = log.bind(instance=config.name)
+        self._loop = asyncio.get_running_loop()
+        self._news: asyncio.Future[None] = self._loop.create_future()
+        self._renewals: dict[str, list[asyncio.Future[bool]]] = {}
+        self._granted_term = -1
+        config.data.mkdir(parents=True, exist_ok=True)
+        self.catalog = Catalog(config.keep_gone, self._changed)
+        conf = SyncObjConf(
+            journalFile=str(config.data / "raft.journal"),
+            fullDumpFile=str(config.data / "raft.dump"),
+            useFork=False,
+            raftMinTimeout=0.4,
+            raftMaxTimeout=1.0,
+            connectionRetryTime=0.5,
+            connectionTimeout=1.5,
+        )
+        self.raft = SyncObj(config.raft, list(config.peers), conf, consumers=[self.catalog])
+
+    # Raft's side: called from its own thread.
+
+    def _changed(self, revision: int) -> None:
+        self._loop.call_soon_threadsafe(self._wake)
+
+    def _wake(self) -> None:
+        news, self._news = self._news, self._loop.create_future()
+        news.set_result(None)
+
+    async def commit(self, command: Callable[..., Any], *args: Any) -> Any:
+        """Propose a command and wait for its result once committed; TimeoutError if it is not in time."""
+        done: asyncio.Future[Any] = self._loop.create_future()
+
+        def settled(result: Any, failure: int) -> None:
+            def give() -> None:
+                if done.done():
+                    return
+                if failure:
+                    done.set_exception(ConnectionError(f"raft refused the command ({failure})"))
+                else:
+                    done.set_result(result)
+
+            self._loop.call_soon_threadsafe(give)
+
+        command(*args, callback=settled)
+        async with asyncio.timeout(COMMIT_S):
+            return await done
+
+    # The state of this instance.
+
+    def status(self) -> dict[str, Any]:
+        raft = self.raft.getStatus()
+        revision, live, gone = self.catalog.count()
+        leader = raft.get("leader")
+        return {
+            "name": self.config.name,
+            "raft": raft["state"],  # 0 follower, 1 candidate, 2 leader
+            "leader": str(leader) if leader is not None else None,
+            "term": raft["raft_term"],
+            "commit": raft["commit_idx"],
+            "applied": raft["last_applied"],
+            "rev": revision,
+            "live": live,
+            "gone": gone,
+            "stale": self.stale(raft),
+        }
+
+    def stale(self, raft: dict[str, Any] | None = None) -> bool:
+        raft = raft or self.raft.getStatus()
+        leader = raft.get("leader")
+        if leader is None:
+            return True
+        return raft["state"] == 2 and not raft["has_quorum"]
+
+    # HTTP.
+
+    async def handle(self, call: Call) -> Answer:
+        try:
+            if call.path == "/discovery/hosts" and call.method == "GET":
+                return await self.read(call)
+            if call.path == "/registry/status" and call.method == "GET":
+                return Answer(200, orjson.dumps(self.status()))
+            if call.path == "/registry/renew" and call.method == "POST":
+                return await self.renew(call)
+            if call.path.startswith("/registry/targets/"):
+                return await self.write(call, call.path.removeprefix("/registry/targets/"))
+            return error(404, f"no {call.method} {call.path}")
+        except (TimeoutError, ConnectionError) as failure:
+            self.log.warning("write_not_committed", path=call.path, why=str(failure) or "timeout")
+            return error(503, "not committed: no leader with a quorum in time")
+
+    async def read(self, call: Call) -> Answer:
+        try:
+            since = int(call.query["since"]) if "since" in call.query else None
+            wait_ms = int(call.query.get("timeout_ms", "0"))
+        except ValueError:
+            return error(400, "since and timeout_ms are whole numbers")
+        wait_s = max(0, min(wait_ms, self.config.max_wait_ms)) / 1000.0
+        deadline = self._loop.time() + wait_s
+        page = self.catalog.page(since)
+        while since is not None and not page.whole and not page.targets:
+            left = deadline - self._loop.time()
+            if left <= 0:
+                break
+            try:
+                async with asyncio.timeout(left):
+                    await asyncio.shield(self._news)
+            except TimeoutError:
+                pass
+            page = self.catalog.page(since)
+        headers = {"Registry-Stale": "1"} if self.stale() else {}
+        return Answer(200, encode(page), headers)
+
+    async def write(self, call: Call, uid: str) -> Answer:
+        change = uuid.uuid4().hex[:12]
+        log = self.log.bind(change=change, uid=uid, method=call.method)
+        if call.method == "DELETE":
+            revision = await self.commit(self.catalog.remove, uid, now_ms())
+            log.info("target_removed", rev=revision)
+            return Answer(200, orjson.dumps({"rev": revision, "change": change}))
+        if call.method != "PUT":
+            return error(405, "PUT or DELETE")
+        try:
+            row = orjson.loads(call.body)
+            if isinstance(row, dict):
+                row.setdefault("uid", uid)
+            target = clean_target(row)
+            if target["uid"] != uid:
+                raise ValueError("uid: not the one in the path")
+        except ValueError as failure:  # orjson's error is one too
+            log.warning("target_refused", why=str(failure)[:200])
+            return error(400, str(failure)[:200])
+        revision = await self.commit(self.catalog.put, target, now_ms())
+        log.info("target_put", rev=revision, state=target["state"], endpoint=target["endpoint"])
+        return Answer(200, orjson.dumps({"rev": revision, "change": change}))
+
+    async def renew(self, call: Call) -> Answer:
+        try:
+            uids = orjson.loads(call.body)["uids"]
+            if not isinstance(uids, list) or not all(isinstance(uid, str) for uid in uids):
+                raise ValueError("uids: not a list of texts")
+        except (ValueError, KeyError, TypeError) as failure:
+            return error(400, f"renew wants {{'uids': [...]}}: {failure}"[:200])
+        waits = []
+        for uid in uids:
+            waits.append(self._loop.create_future())
+            self._renewals.setdefault(uid, []).append(waits[-1])
+        known = await asyncio.gather(*waits)
+        return Answer(
+            200, orjson.dumps({"unknown": [uid for uid, ok in zip(uids, known, strict=True) if not ok]})
+        )
+
+    # Background duties.
+
+    async def flush_renewals(self) -> None:
+        """Each batch of renewals is one command: thousands of servers cost a few writes a second."""
+        while True:
+            await asyncio.sleep(RENEW_BATCH_S)
+            if not self._renewals:
+                continue
+            batch, self._renewals = self._renewals, {}
+            try:
+                unknown = set(await self.commit(self.catalog.renew, list(batch), now_ms()))
+            except (TimeoutError, ConnectionError) as failure:
+                self.log.warning("renewals_not_committed", count=len(batch), why=str(failure) or "timeout")
+                for waits in batch.values():
+                    for wait in waits:
+                        wait.set_exception(TimeoutError())
+                continue
+            for uid, waits in batch.items():
+                for wait in waits:
+                    wait.set_result(uid not in unknown)
+
+    async def keep_leases(self) -> None:
+        """As leader: first grant every lease a full term, then bury what lapses."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            raft = self.raft.getStatus()
+            if raft["state"] != 2 or not raft["has_quorum"]:
+                continue
+            try:
+                if raft["raft_term"] != self._granted_term:
+                    count = await self.commit(self.catalog.grace, now_ms())
+                    self._granted_term = raft["raft_term"]
+                    self.log.info("leader_granted_leases", term=self._granted_term, leases=count)
+                lapsed = await self.commit(self.catalog.expire, now_ms(), self.config.ttl_ms)
+            except (TimeoutError, ConnectionError):
+                continue
+            for uid in lapsed:
+                self.log.info("lease_lapsed", uid=uid, change=uuid.uuid4().hex[:12])
+
+
+async def run_instance(config: Instance, log: structlog.stdlib.BoundLogger) -> None:
+    """Serve until SIGTERM or SIGINT; then close the door and leave the Raft group."""
+    service = Service(config, log)
+    server = await serve(config.listen, service.handle)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    duties = [asyncio.create_task(service.flush_renewals()), asyncio.create_task(service.keep_leases())]
+    service.log.info("instance_started", listen=f"{config.listen[0]}:{config.listen[1]}", raft=config.raft)
+    await stop.wait()
+    service.log.info("instance_stopping", **service.status())
+    server.close()
+    for duty in duties:
+        duty.cancel()
+    service.raft.destroy()
--- a/orchidledge/registry/settings.py
+++ b/orchidledge/registry/settings.py
@@ -46,8 +46,9 @@
 
     listen: Address  # what the node knows as $PROXY_DISCOVERY
     registries: tuple[Address, ...]  # the instances, tried in turn
-    wait_ms: int = 20_000  # of each watch it keeps on an instance
+    wait_ms: int = 2_000  # of each watch on an instance: the longest a silent partition goes unseen
     retry_max_ms: int = 2_000  # the longest pause between failed calls
+    empty_hold_ms: int = 10_000  # an empty whole list must last so long before it empties the cache
 
 
 def address(text: str) -> Address:
@@ -147,7 +148,8 @@
     return Agent(
         listen=agent.address("listen"),
         registries=registries,
-        wait_ms=min(agent.get("wait_ms", int, 20_000), 60_000),
+        wait_ms=min(agent.get("wait_ms", int, 2_000), 60_000),
+        empty_hold_ms=agent.get("empty_hold_ms", int, 10_000),
         retry_max_ms=agent.get("retry_max_ms", int, 2_000),
     )
 
--- /dev/null
+++ b/orchidledge/registry/web.py
@@ -0,0 +1,149 @@
+"""HTTP/1.1 for the list service's programs: a small server over httptools, and a client call.
+
+The server reads one request at a time on a connection and answers it in order, as PROTOCOL's
+discovery wire wants; a request it can't read gets 400 and a close.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import httptools
+
+from orchidledge.net.upstream import Address
+
+MAX_BODY = 4 * 1024 * 1024
+MAX_ANSWER = 64 * 1024 * 1024  # a whole list of 10,000 targets is some 2 MB
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict"}
+REASONS |= {413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+@dataclass(slots=True)
+class Call:
+    """A request as a handler gets it; `query` holds the first value of each name."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+
+    def encode(self, close: bool) -> bytes:
+        head = [f"HTTP/1.1 {self.status} {REASONS.get(self.status, 'Status')}"]
+        head += [f"{name}: {value}" for name, value in self.headers.items()]
+        head += ["Content-Type: application/json", f"Content-Length: {len(self.body)}"]
+        if close:
+            head.append("Connection: close")
+        return ("\r\n".join(head) + "\r\n\r\n").encode() + self.body
+
+
+Handler = Callable[[Call], Awaitable[Answer]]
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._queue: asyncio.Queue[Call | None] = asyncio.Queue()
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._task = asyncio.create_task(self._serve())
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, ValueError):
+            self._queue.put_nowait(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+        if len(self._body) > MAX_BODY:
+            raise ValueError("body too large")
+
+    def on_message_complete(self) -> None:
+        url = urlsplit(self._url.decode("latin-1"))
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        method = self._parser.get_method().decode("latin-1")
+        self._queue.put_nowait(Call(method, url.path, query, self._headers, bytes(self._body)))
+        self._url, self._headers, self._body = b"", {}, bytearray()
+
+    async def _serve(self) -> None:
+        assert self._transport is not None
+        while True:
+            call = await self._queue.get()
+            if call is None:
+                self._transport.write(Answer(400, b'{"error":"unreadable request"}').encode(close=True))
+                self._transport.close()
+                return
+            answer = await self._handler(call)
+            if self._transport.is_closing():
+                return
+            self._transport.write(answer.encode(close=False))
+
+
+async def serve(address: Address, handler: Handler) -> asyncio.Server:
+    """Listen at the address (port 0: one the system picks) and answer with the handler."""
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: _Connection(handler), *address, reuse_address=True)
+
+
+@dataclass(slots=True)
+class Reply:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+async def call(
+    address: Address, method: str, target: str, body: bytes = b"", timeout_s: float = 5.0
+) -> Reply:
+    """One request on a connection of its own; OSError or TimeoutError when it can't be had."""
+    async with asyncio.timeout(timeout_s):
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            head = f"{method} {target} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
+            head += f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+            writer.write(head.encode() + body)
+            status_line = await reader.readline()
+            parts = status_line.split(b" ", 2)
+            if len(parts) < 2 or not parts[1].isdigit():
+                raise ConnectionError(f"no HTTP status line: {status_line[:60]!r}")
+            headers: dict[str, str] = {}
+            while (line := await reader.readline()) not in (b"\r\n", b"\n", b""):
+                name, _, value = line.decode("latin-1").partition(":")
+                headers[name.strip().lower()] = value.strip()
+            size = int(headers.get("content-length", "0"))
+            if size > MAX_ANSWER:
+                raise ConnectionError(f"an answer of {size} bytes")
+            return Reply(int(parts[1]), headers, await reader.readexactly(size))
+        except (ValueError, asyncio.IncompleteReadError) as error:
+            raise ConnectionError(str(error)) from error
+        finally:
+            writer.close()
