--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,184 @@
+"""Processes of the list service on loopback for multi-process tests: instances, agents, calls.
+
+Every port is chosen by the system; every wait is bounded and polls a condition, and a
+failure says what was last seen.
+"""
+
+from __future__ import annotations
+
+import http.client
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def until(check: Callable[[], Any], within_s: float = 10.0, what: str = "condition") -> Any:
+    """Poll until check() is truthy; AssertionError with the last value after within_s."""
+    deadline = time.monotonic() + within_s
+    seen: Any = None
+    while time.monotonic() < deadline:
+        try:
+            seen = check()
+        except (OSError, ValueError, http.client.HTTPException) as error:
+            seen = error
+        else:
+            if seen:
+                return seen
+        time.sleep(0.02)
+    raise AssertionError(f"{what} not reached in {within_s} s; last seen {seen!r}")
+
+
+def ask(
+    port: int, method: str, target: str, body: Any = None, timeout: float = 3.0
+) -> tuple[int, dict[str, str], Any]:
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        data = orjson.dumps(body) if body is not None else None
+        connection.request(method, target, body=data)
+        response = connection.getresponse()
+        raw = response.read()
+        return (
+            response.status,
+            {k.lower(): v for k, v in response.getheaders()},
+            orjson.loads(raw) if raw else None,
+        )
+    finally:
+        connection.close()
+
+
+def spawn(arguments: list[str], log: Path, env: dict[str, str] | None = None) -> subprocess.Popen[bytes]:
+    environment = {**os.environ, "PYTHONPATH": str(ROOT), **(env or {})}
+    with log.open("ab") as out:
+        return subprocess.Popen(
+            [sys.executable, *arguments], stdout=out, stderr=out, env=environment, cwd=log.parent
+        )
+
+
+class Registry:
+    """Three (or more) instances of the list service in one folder."""
+
+    def __init__(self, folder: Path, count: int = 3, ttl_ms: int = 10_000) -> None:
+        self.folder = folder
+        self.http = [free_port() for _ in range(count)]
+        self.raft = [free_port() for _ in range(count)]
+        self.ttl_ms = ttl_ms
+        self.processes: list[subprocess.Popen[bytes] | None] = [None] * count
+        for index in range(count):
+            self.start(index)
+        self.leader()
+
+    def config(self, index: int) -> Path:
+        path = self.folder / f"r{index}.toml"
+        peers = ", ".join(f'"127.0.0.1:{port}"' for i, port in enumerate(self.raft) if i != index)
+        path.write_text(
+            f'[instance]\nname = "r{index}"\nlisten = "127.0.0.1:{self.http[index]}"\n'
+            f'raft = "127.0.0.1:{self.raft[index]}"\npeers = [{peers}]\ndata = "data-r{index}"\n'
+            f"[lease]\nttl_ms = {self.ttl_ms}\n[watch]\nstale_after_ms = 1500\n"
+        )
+        return path
+
+    def start(self, index: int) -> None:
+        arguments = ["-m", "orchidledge.registry", "serve", "--config", str(self.config(index))]
+        self.processes[index] = spawn(arguments, self.folder / f"r{index}.log")
+        until(lambda: self.status(index), what=f"r{index} answering")
+
+    def kill(self, index: int, number: int = signal.SIGKILL) -> None:
+        process = self.processes[index]
+        assert process is not None
+        os.kill(process.pid, number)
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            process.wait(10)
+            self.processes[index] = None
+
+    def wipe(self, index: int) -> None:
+        shutil.rmtree(self.folder / f"data-r{index}", ignore_errors=True)
+
+    def status(self, index: int) -> dict[str, Any]:
+        return ask(self.http[index], "GET", "/registry/status", timeout=1.0)[2]  # type: ignore[no-any-return]
+
+    def leader(self, within_s: float = 10.0) -> int:
+        def find() -> int | None:
+            for index, process in enumerate(self.processes):
+                if (
+                    process is not None
+                    and self.status(index)["raft"] == 2
+                    and not self.status(index)["stale"]
+                ):
+                    return index
+            return None
+
+        return int(until(lambda: (found := find()) is not None and str(found), within_s, "a leader"))
+
+    def put(self, uid: str, port: int = 9, avoid: int | None = None, **fields: Any) -> int:
+        """Register through any live instance until one commits it; the revision it got."""
+        body = {"uid": uid, "endpoint": f"127.0.0.1:{port}", **fields}
+        for index in self.live(avoid):
+            try:
+                status, _, answer = ask(self.http[index], "PUT", f"/registry/targets/{uid}", body)
+            except OSError:
+                continue
+            if status == 200:
+                return int(answer["rev"])
+        raise ConnectionError(f"no instance committed {uid}")
+
+    def live(self, avoid: int | None = None) -> list[int]:
+        return [
+            index for index, process in enumerate(self.processes) if process is not None and index != avoid
+        ]
+
+    def listed(self, index: int) -> dict[str, str]:
+        return {
+            row["uid"]: row["state"] for row in ask(self.http[index], "GET", "/discovery/hosts")[2]["targets"]
+        }
+
+    def agent(self, **keys: Any) -> Agent:
+        return Agent(self.folder, [f"127.0.0.1:{port}" for port in self.http], **keys)
+
+    def stop(self) -> None:
+        for index, process in enumerate(self.processes):
+            if process is not None:
+                process.kill()
+                process.wait(10)
+                self.processes[index] = None
+
+
+class Agent:
+    def __init__(self, folder: Path, registries: list[str], **keys: Any) -> None:
+        self.port = free_port()
+        path = folder / f"agent-{self.port}.toml"
+        quoted = ", ".join(f'"{address}"' for address in registries)
+        extra = "".join(f"{key} = {value}\n" for key, value in keys.items())
+        path.write_text(f'[agent]\nlisten = "127.0.0.1:{self.port}"\nregistries = [{quoted}]\n{extra}')
+        self.process = spawn(
+            ["-m", "orchidledge.registry", "agent", "--config", str(path)], folder / f"{path.stem}.log"
+        )
+
+    def page(self, since: int | None = None, wait_ms: int = 0) -> dict[str, Any]:
+        target = (
+            "/discovery/hosts" if since is None else f"/discovery/hosts?since={since}&timeout_ms={wait_ms}"
+        )
+        return ask(self.port, "GET", target, timeout=wait_ms / 1000 + 2)[2]  # type: ignore[no-any-return]
+
+    def listed(self) -> dict[str, str]:
+        return {row["uid"]: row["state"] for row in self.page()["targets"]}
+
+    def stop(self) -> None:
+        self.process.kill()
+        self.process.wait(10)
