--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -114,6 +114,7 @@
         self._address = address
         self._revision = revision
         self._oldest = 0  # an answer of a version before this is stale; none is until one has come from there
+        self._went_back = False  # the last answer was a whole list of a version before the oldest
         self._wait_ms = int(wait_ms)
         self._limit_s = wait_ms / 1000.0 + LATE_S
         self._endless = endless
@@ -168,7 +169,7 @@
                     return
                 await asyncio.sleep(self.pause())
                 continue
-            self._failing = False
+            self._failing = self._went_back = False
             self._revision = self._oldest = listing.revision
             self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
@@ -189,11 +190,26 @@
         if response.status != 200:
             raise ValueError(f"discovery answered {response.status}")
         listing = parse_listing(orjson.loads(response.body))
-        if listing.revision < self._oldest:
+        if listing.revision < self._oldest and not self._rebuilt(listing):
             # Guard: it would bring servers back that have gone, and take away those that have come.
             raise ValueError(f"stale list, version {listing.revision} after {self._oldest}")
         return listing
 
+    def _rebuilt(self, listing: Listing) -> bool:
+        """A whole list of an older version, twice in a row, comes from a source that counts again from
+        the start (rebuilt from nothing); refused for good, it would freeze the list."""
+        again, self._went_back = self._went_back, listing.whole
+        if again and listing.whole:
+            log.warning(
+                "discovery at %s:%d counts versions again (%d after %d): its whole list is taken",
+                *self._address,
+                listing.revision,
+                self._oldest,
+            )
+            self._went_back = False
+            return True
+        return False
+
     def _drop(self) -> None:
         if self._connection is not None:
             self._connection.abort()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -617,6 +617,24 @@
     asyncio.run(main())
 
 
+def test_a_rebuilt_discovery_counting_again_is_taken_at_its_second_whole_list(monkeypatch, caplog):
+    async def main():
+        monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+        discovery = Discovery(
+            listing(50, True, s5=("127.0.0.1:5", "Ready")),
+            listing(2, True, s2=("127.0.0.1:2", "Ready")),
+            listing(3, True, s2=("127.0.0.1:2", "Ready"), s3=("127.0.0.1:3", "Ready")),
+            listing(4, False, s4=("127.0.0.1:4", "Ready")),
+        )
+        async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
+            await until(lambda: "s4" in node.pool._servers)
+            assert set(node.pool._servers) == {"s2", "s3", "s4"}
+            assert node.counts["list failed"] == 1
+            assert caplog.text.count("counts versions again (3 after 50)") == 1
+
+    asyncio.run(main())
+
+
 def test_a_discovery_moved_to_may_count_its_versions_from_elsewhere():
     async def main():
         elsewhere = Discovery(listing(1, True, s1=("127.0.0.1:1", "Ready")))
