Start a node with its own list service on loopback in one command, and bench the service

Change: python -m orchidledge.registry local starts three instances, an agent and a node as processes in a folder, with stand-in servers that register and renew their leases; Ctrl-C ends them by id. bench/registry.py measures propagation to watching agents, writes accepted again after the leader's kill -9, and a list of 10,000 servers with 100 agents.

--- /dev/null
+++ b/bench/registry.py
@@ -0,0 +1,236 @@
+"""Figures of the list service on loopback: propagation, leader loss, a large list. Outside CI.
+
+    python bench/registry.py propagation [--changes 1000 --agents 10]
+    python bench/registry.py failover [--rounds 5]
+    python bench/registry.py large [--servers 10000 --agents 100]
+
+Each starts three instances and the agents as processes (tests/fleet.py) in a fresh folder
+and prints one JSON line of figures. A watcher in this process follows each agent as a node
+does (a watch, then the next one at once), so "seen" is when a node would have the change.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from orchidledge.registry.web import call
+from tests.fleet import Registry, until
+
+
+def quantile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def rss_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def follow(port: int, seen: dict[str, float], stop: asyncio.Event) -> None:
+    """Watch an agent as a node does, noting when each uid first shows."""
+    since: int | None = None
+    while not stop.is_set():
+        target = "/discovery/hosts" if since is None else f"/discovery/hosts?since={since}&timeout_ms=1000"
+        try:
+            reply = await call(("127.0.0.1", port), "GET", target, timeout_s=3)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(0.01)
+            continue
+        now = time.monotonic()
+        page = orjson.loads(reply.body)
+        since = page["rev"]
+        for row in page["targets"]:
+            seen.setdefault(row["uid"], now)
+
+
+async def put(port: int, uid: str, endpoint: str) -> int:
+    body = orjson.dumps({"uid": uid, "endpoint": endpoint})
+    reply = await call(("127.0.0.1", port), "PUT", f"/registry/targets/{uid}", body, timeout_s=5)
+    return reply.status
+
+
+async def propagation(folder: Path, changes: int, agents: int) -> dict[str, Any]:
+    registry = Registry(folder, ttl_ms=600_000)
+    started = [registry.agent() for _ in range(agents)]
+    try:
+        for agent in started:
+            until(lambda agent=agent: agent.page() is not None, what="an agent")
+        registry.put("s-warm")
+        for agent in started:
+            until(lambda agent=agent: "s-warm" in agent.listed(), what="a warm agent")
+        views: list[dict[str, float]] = [{} for _ in started]
+        stop = asyncio.Event()
+        watchers = [asyncio.create_task(follow(a.port, v, stop)) for a, v in zip(started, views, strict=True)]
+        await asyncio.sleep(0.3)
+        sent: dict[str, float] = {}
+        leader = registry.http[registry.leader()]
+        for number in range(changes):
+            uid = f"p-{number}"
+            sent[uid] = time.monotonic()
+            assert await put(leader, uid, f"127.0.0.1:{10000 + number % 50000}") == 200
+        deadline = time.monotonic() + 10
+        while time.monotonic() < deadline and not all(
+            len(set(sent) & view.keys()) == changes for view in views
+        ):
+            await asyncio.sleep(0.05)
+        stop.set()
+        for watcher in watchers:
+            watcher.cancel()
+        delays = [(view[uid] - at) * 1000 for view in views for uid, at in sent.items() if uid in view]
+        missing = changes * agents - len(delays)
+        return {
+            "bench": "propagation",
+            "changes": changes,
+            "agents": agents,
+            "samples": len(delays),
+            "missing": missing,
+            "p50_ms": round(quantile(delays, 0.5), 2),
+            "p99_ms": round(quantile(delays, 0.99), 2),
+            "max_ms": round(max(delays), 2),
+        }
+    finally:
+        for agent in started:
+            agent.stop()
+        registry.stop()
+
+
+async def failover(folder: Path, rounds: int) -> dict[str, Any]:
+    registry = Registry(folder, ttl_ms=600_000)
+    agent = registry.agent()
+    gaps, read_failures, reads = [], 0, 0
+    try:
+        registry.put("s-0")
+        until(lambda: "s-0" in agent.listed(), what="the agent")
+        for number in range(rounds):
+            leader = registry.leader()
+            killed = time.monotonic()
+            registry.kill(leader)
+            while True:
+                reads += 1
+                try:
+                    reply = await call(("127.0.0.1", agent.port), "GET", "/discovery/hosts", timeout_s=1)
+                    read_failures += reply.status != 200
+                except (OSError, TimeoutError):
+                    read_failures += 1
+                statuses = []
+                for index in registry.live():
+                    try:
+                        statuses.append(await put(registry.http[index], f"f-{number}", "127.0.0.1:9"))
+                    except (OSError, TimeoutError):
+                        statuses.append(0)
+                if 200 in statuses:
+                    break
+                await asyncio.sleep(0.02)
+            gaps.append((time.monotonic() - killed) * 1000)
+            registry.start(leader)
+            until(
+                lambda leader=leader: (
+                    registry.status(leader)["rev"] == registry.status(registry.leader())["rev"]
+                )
+            )
+        return {
+            "bench": "failover",
+            "rounds": rounds,
+            "writes_again_ms": [round(gap) for gap in gaps],
+            "median_ms": round(statistics.median(gaps)),
+            "agent_reads": reads,
+            "agent_read_failures": read_failures,
+        }
+    finally:
+        agent.stop()
+        registry.stop()
+
+
+async def large(folder: Path, servers: int, agents: int) -> dict[str, Any]:
+    registry = Registry(folder, ttl_ms=600_000)
+    started = []
+    try:
+        leader = registry.http[registry.leader()]
+        begun = time.monotonic()
+        limit = asyncio.Semaphore(32)
+
+        async def one(number: int) -> None:
+            async with limit:
+                assert await put(leader, f"l-{number}", f"127.0.0.1:{1024 + number % 60000}") == 200
+
+        await asyncio.gather(*(one(number) for number in range(servers)))
+        registered_s = time.monotonic() - begun
+        timings = []
+        for _ in range(20):
+            at = time.monotonic()
+            reply = await call(("127.0.0.1", leader), "GET", "/discovery/hosts", timeout_s=10)
+            timings.append((time.monotonic() - at) * 1000)
+        size = len(reply.body)
+        started = [registry.agent() for _ in range(agents)]
+        for agent in started:
+            until(
+                lambda agent=agent: len(agent.page()["targets"]) == servers, within_s=60, what="a full agent"
+            )
+        views: list[dict[str, float]] = [{} for _ in started]
+        stop = asyncio.Event()
+        watchers = [asyncio.create_task(follow(a.port, v, stop)) for a, v in zip(started, views, strict=True)]
+        while not all(len(view) >= servers for view in views):
+            await asyncio.sleep(0.05)
+        at = time.monotonic()
+        assert await put(leader, "l-new", "127.0.0.1:9") == 200
+        while not all("l-new" in view for view in views):
+            await asyncio.sleep(0.001)
+        fan_out_ms = max(view["l-new"] for view in views) - at
+        stop.set()
+        for watcher in watchers:
+            watcher.cancel()
+        instances = [process.pid for process in registry.processes if process is not None]
+        return {
+            "bench": "large",
+            "servers": servers,
+            "agents": agents,
+            "register_per_s": round(servers / registered_s),
+            "full_list_bytes": size,
+            "full_list_p50_ms": round(quantile(timings, 0.5), 1),
+            "full_list_max_ms": round(max(timings), 1),
+            "fan_out_all_agents_ms": round(fan_out_ms * 1000, 1),
+            "instance_rss_mb": [round(rss_mb(pid)) for pid in instances],
+            "agent_rss_mb_median": round(statistics.median(rss_mb(a.process.pid) for a in started)),
+        }
+    finally:
+        for agent in started:
+            agent.stop()
+        registry.stop()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("bench", choices=["propagation", "failover", "large"])
+    parser.add_argument("--changes", type=int, default=1000)
+    parser.add_argument("--agents", type=int, default=None)
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--servers", type=int, default=10_000)
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="registry-bench-") as folder:
+        if arguments.bench == "propagation":
+            figures = asyncio.run(propagation(Path(folder), arguments.changes, arguments.agents or 10))
+        elif arguments.bench == "failover":
+            figures = asyncio.run(failover(Path(folder), arguments.rounds))
+        else:
+            figures = asyncio.run(large(Path(folder), arguments.servers, arguments.agents or 100))
+    figures["cores"] = os.cpu_count()
+    print(orjson.dumps(figures).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/orchidledge/registry/__main__.py
+++ b/orchidledge/registry/__main__.py
@@ -4,6 +4,7 @@
     agent --config agent.toml        the per-machine agent a node asks ($PROXY_DISCOVERY)
     status HOST:PORT                 an instance's Raft state, revision and counts, as JSON
     list HOST:PORT                   the whole list an instance or agent has, as JSON
+    local [--dir D --port P]         a node, three instances, an agent and stand-in servers on loopback
 
 Exit status: 0, 1 when what was asked could not be reached, 2 on a bad configuration.
 """
@@ -17,7 +18,7 @@
 
 import orjson
 
-from orchidledge.registry import agent, service
+from orchidledge.registry import agent, local, service
 from orchidledge.registry.settings import ConfigError, address, load_agent, load_instance, start_logs
 from orchidledge.registry.web import call
 
@@ -32,6 +33,12 @@
         commands.add_parser(name).add_argument("--config", type=Path, required=True)
     for name in ("status", "list"):
         commands.add_parser(name).add_argument("address", help="host:port of an instance or an agent")
+    local = commands.add_parser("local")
+    local.add_argument(
+        "--dir", type=Path, default=Path("var/local"), help="for configurations, data and logs"
+    )
+    local.add_argument("--port", type=int, default=8080, help="the node's, for clients")
+    local.add_argument("--servers", type=int, default=3, help="stand-in servers that register")
     return parser
 
 
@@ -55,6 +62,8 @@
             asyncio.run(service.run_instance(load_instance(arguments.config), log))
         elif arguments.command == "agent":
             asyncio.run(agent.run_agent(load_agent(arguments.config), log))
+        elif arguments.command == "local":
+            asyncio.run(local.run_local(arguments.dir.resolve(), arguments.servers, arguments.port, log))
         elif arguments.command == "status":
             return asyncio.run(_ask(arguments.address, "/registry/status"))
         else:
