Apply writes on followers within 10 ms, and mark a leader stale until its term commits

Change: [raft] append_period_ms (10), election_min_ms, election_max_ms in the instance's file; a leader is stale until its grace command commits; the agent keeps the revision it had when it moves to another instance, and refuses an answer behind it until every instance has given one (a rebuild).

--- a/orchidledge/registry/agent.py
+++ b/orchidledge/registry/agent.py
@@ -9,7 +9,8 @@
 (an instance rebuilt from nothing, another instance followed): they start at the agent's start
 time in microseconds and rise by one with each change it passes on. Two rules guard the cache:
 - a stale answer (`Registry-Stale: 1`) is taken only while the cache is empty, since a
-  minority instance may be behind what the node was already told;
+  minority instance may be behind what the node was already told; so is an answer of a
+  revision before the cache's, until every instance in turn has answered so (a rebuild);
 - a whole list that is empty replaces a cache that is not only once it has stayed empty for
   `empty_hold_ms`: a service just rebuilt lists nobody until its servers register again, and
   a node that dropped every server would refuse everything meanwhile.
@@ -99,6 +100,7 @@
         self.source = 0  # index into config.registries
         self.source_rev: int | None = None  # the service's revision of what the cache holds
         self.failures = 0
+        self.behind = 0  # answers in a row of a revision before what the cache holds
         self.empty_since: float | None = None
         self._loop = asyncio.get_running_loop()
         self.news: asyncio.Future[None] = self._loop.create_future()
@@ -136,6 +138,11 @@
             raise ValueError("not a list of the discovery wire")
         if reply.headers.get("registry-stale") == "1" and self.cache.have:
             raise StaleAnswerError(f"stale at rev {row['rev']}")
+        if self.source_rev is not None and row["rev"] < self.source_rev:
+            self.behind += 1
+            if self.behind < len(self.config.registries):  # until every instance has said so: a rebuild
+                raise StaleAnswerError(f"rev {row['rev']} behind {self.source_rev}")
+        self.behind = 0
         whole, targets = bool(row.get("all")), row["targets"]
         if whole and not targets and self.cache.entries and not self._empty_held():
             self.source_rev = None  # ask for the whole list again until the hold is over
@@ -173,8 +180,8 @@
         if self.failures == 1 or self.failures % 50 == 0:  # once a stretch, then now and then
             said = f"{type(outcome).__name__}: {outcome}"[:200]
             self.log.warning("source_failed", source=self._name(), failures=self.failures, why=said)
+        # The revision is kept: the instances count alike, so the next one can tell what changed since.
         self.source = (self.source + 1) % len(self.config.registries)
-        self.source_rev = None if self.cache.have else self.source_rev
 
     def _name(self) -> str:
         return "{}:{}".format(*self.address)
--- a/orchidledge/registry/service.py
+++ b/orchidledge/registry/service.py
@@ -1,7 +1,8 @@
 """One instance of the list service: PROTOCOL's reads and watches, the registry's writes, leases.
 
-Reads come from what this instance has applied. While it knows no leader that holds a quorum
-it still answers them, marked `Registry-Stale: 1`: an agent then looks for a fresher instance
+Reads come from what this instance has applied. While it knows no leader that holds a quorum,
+or is a leader whose term has not yet committed a command, it still answers them, marked
+`Registry-Stale: 1`: an agent then looks for a fresher instance
 and keeps what it has if there is none, which is safer than an old list taken as new. A write
 is answered only once a majority has committed it (Raft), else 503 after `COMMIT_S`.
 """
@@ -56,8 +57,10 @@
             journalFile=str(config.data / "raft.journal"),
             fullDumpFile=str(config.data / "raft.dump"),
             useFork=False,
-            raftMinTimeout=0.4,
-            raftMaxTimeout=1.0,
+            appendEntriesPeriod=config.append_period_ms / 1000.0,
+            autoTickPeriod=min(0.05, config.append_period_ms / 2000.0),
+            raftMinTimeout=config.election_min_ms / 1000.0,
+            raftMaxTimeout=config.election_max_ms / 1000.0,
             connectionRetryTime=0.5,
             connectionTimeout=1.5,
         )
@@ -111,11 +114,12 @@
         }
 
     def stale(self, raft: dict[str, Any] | None = None) -> bool:
+        """True without a leader in reach, and for a leader until a command of its own term has
+        committed: before that it may not have applied all that its predecessors committed."""
         raft = raft or self.raft.getStatus()
-        leader = raft.get("leader")
-        if leader is None:
-            return True
-        return raft["state"] == 2 and not raft["has_quorum"]
+        if raft["state"] == 2:
+            return not raft["has_quorum"] or raft["raft_term"] != self._granted_term
+        return raft.get("leader") is None
 
     # HTTP.
 
--- a/orchidledge/registry/settings.py
+++ b/orchidledge/registry/settings.py
@@ -38,6 +38,11 @@
     max_wait_ms: int = 60_000  # PROTOCOL's cap on a watch
     keep_gone: int = 10_000  # tombstones kept for watches that come late
     stale_after_ms: int = 3_000  # without a leader so long, reads are marked stale
+    # A follower applies a write when the leader's next append tells it the write is committed:
+    # the append period bounds how late an instance that agents follow shows a change.
+    append_period_ms: int = 10
+    election_min_ms: int = 400  # a leader unheard so long (a random time up to the max) is replaced
+    election_max_ms: int = 1_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -121,10 +126,15 @@
 def load_instance(path: Path) -> Instance:
     """An instance's configuration; ConfigError says what is wrong."""
     text, data = _read(path)
-    node, lease, watch = (_table(path, text, data, name) for name in ("instance", "lease", "watch"))
+    node, lease, watch, raft_keys = (
+        _table(path, text, data, name) for name in ("instance", "lease", "watch", "raft")
+    )
     peers = node.addresses("peers")
     raft = node.address("raft")
     folder = Path(node.get("data", str))
+    election = (raft_keys.get("election_min_ms", int, 400), raft_keys.get("election_max_ms", int, 1_000))
+    if election[0] >= election[1]:
+        raise raft_keys.fail("election_max_ms", "not above election_min_ms")
     return Instance(
         name=node.get("name", str),
         listen=node.address("listen"),
@@ -135,6 +145,9 @@
         max_wait_ms=min(watch.get("max_wait_ms", int, 60_000), 60_000),
         keep_gone=watch.get("keep_gone", int, 10_000),
         stale_after_ms=watch.get("stale_after_ms", int, 3_000),
+        append_period_ms=raft_keys.get("append_period_ms", int, 10),
+        election_min_ms=election[0],
+        election_max_ms=election[1],
     )
 
 
