--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -126,3 +126,18 @@
         assert time.monotonic() - granted >= 1.0, "the new leader did not grant a full term"
     finally:
         registry.stop()
+
+
+def test_leader_silenced_by_sigstop_is_replaced_and_agents_read_throughout(registry: Registry) -> None:
+    agent = registry.agent()
+    registry.put("s-1")
+    until(lambda: "s-1" in agent.listed(), what="the agent's list")
+    leader = registry.leader()
+    registry.kill(leader, signal.SIGSTOP)  # its connections stay open and say nothing
+    try:
+        until(lambda: registry.put("s-2", avoid=leader) > 0, what="a write without the silent leader")
+        until(lambda: set(agent.listed()) == {"s-1", "s-2"}, what="the agent moving off the silent leader")
+    finally:
+        registry.kill(leader, signal.SIGCONT)
+    until(lambda: registry.listed(leader) == agent.listed(), what="the old leader catching up")
+    agent.stop()
