Test two node processes listing what the registry lists through leader loss and a reset

Change: two nodes on two agents, one of them behind a relay that resets every connection as the leader is killed; each node's door must show the registry's count within PROTOCOL's 6 s.

--- a/tests/test_registry_node.py
+++ b/tests/test_registry_node.py
@@ -92,13 +92,19 @@
     servers.close()
 
 
-def start_node(folder: Path, discovery: tuple[str, int], known_port: int) -> tuple[object, int]:
+def start_node(
+    folder: Path, discovery: tuple[str, int], known_port: int, door: int | None = None, name: str = "node"
+) -> tuple[object, int]:
     port = free_port()
     known = [{"uid": "s0", "endpoint": f"127.0.0.1:{known_port}", "az": "a", "state": "Ready", "boot_ms": 0}]
     row = config_row(f"{discovery[0]}:{discovery[1]}", known=known, settings={"registryMode": "push"})
     row["listen"] = f"127.0.0.1:{port}"
-    (folder / "node.json").write_bytes(orjson.dumps(row))
-    node = spawn(["-m", "orchidledge"], folder / "node.log", {"PROXY_CONFIG": str(folder / "node.json")})
+    if door is not None:
+        row["operator"] = f"127.0.0.1:{door}"
+    (folder / f"{name}.json").write_bytes(orjson.dumps(row))
+    node = spawn(
+        ["-m", "orchidledge"], folder / f"{name}.log", {"PROXY_CONFIG": str(folder / f"{name}.json")}
+    )
     until(lambda: socket.create_connection(("127.0.0.1", port), timeout=0.5).close() or True, what="the node")
     return node, port
 
@@ -145,3 +151,51 @@
         registry.stop()
     assert outcomes[0] == 0, f"requests lost: {outcomes}"
     assert outcomes[200] == sum(outcomes.values()), f"not all served: {outcomes}"
+
+
+def listed_at(door: int) -> int:
+    """How many servers a node lists, from its door's figures."""
+    connection = http.client.HTTPConnection("127.0.0.1", door, timeout=2)
+    try:
+        connection.request("GET", "/status/metrics")
+        text = connection.getresponse().read().decode()
+    finally:
+        connection.close()
+    return int(text.split("proxy.targets=")[1].split()[0])
+
+
+def test_two_nodes_list_what_the_registry_lists_through_leader_loss_and_a_reset(
+    tmp_path: Path, backends: Backends
+) -> None:
+    registry = Registry(tmp_path, ttl_ms=60_000)
+    agents = [registry.agent(), registry.agent()]
+    relay = Relay(("127.0.0.1", agents[1].port))  # the second node's way to its agent
+    doors = [free_port(), free_port()]
+    nodes = [
+        start_node(tmp_path, ("127.0.0.1", agents[0].port), backends.port(0), doors[0], "node-a")[0],
+        start_node(tmp_path, relay.address, backends.port(0), doors[1], "node-b")[0],
+    ]
+    try:
+        for number in range(5):
+            registry.put(f"s{number}", backends.port(number % 3), az="a")
+        for door in doors:
+            until(lambda door=door: listed_at(door) == 5, within_s=6, what="five servers at a node")
+        registry.kill(registry.leader())
+        relay.reset()
+        until(lambda: registry.remove("s1") > 0, what="a removal after the leader died")
+        for number in range(5, 8):
+            registry.put(f"s{number}", backends.port(number % 3), az="a")
+        live = len(registry.listed(registry.live()[0]))
+        assert live == 7
+        for door in doors:  # within PROTOCOL's 6 s of the last write
+            until(
+                lambda door=door: listed_at(door) == live, within_s=6, what="a node's list after the faults"
+            )
+    finally:
+        for node in nodes:
+            node.send_signal(signal.SIGTERM)  # type: ignore[attr-defined]
+            node.wait(10)  # type: ignore[attr-defined]
+        for agent in agents:
+            agent.stop()
+        relay.close()
+        registry.stop()
