--- a/bench/registry.py
+++ b/bench/registry.py
@@ -3,6 +3,7 @@
     python bench/registry.py propagation [--changes 1000 --agents 10]
     python bench/registry.py failover [--rounds 5]
     python bench/registry.py large [--servers 10000 --agents 100]
+    python bench/registry.py outage [--seconds 30]
 
 Each starts three instances and the agents as processes (tests/fleet.py) in a fresh folder
 and prints one JSON line of figures. A watcher in this process follows each agent as a node
@@ -224,9 +225,53 @@
         registry.stop()
 
 
+async def outage(folder: Path, seconds: float) -> dict[str, Any]:
+    """All three instances killed for a while: the agent's reads meanwhile, and the way back."""
+    registry = Registry(folder, ttl_ms=10_000)
+    agent = registry.agent()
+    try:
+        for number in range(100):
+            registry.put(f"o-{number}")
+        until(lambda: len(agent.listed()) == 100, what="the agent's list")
+        counts = {"reads": 0, "failures": 0}
+        stop = asyncio.Event()
+        reader = asyncio.create_task(read_on(agent.port, counts, stop))
+        for index in range(3):
+            registry.kill(index)
+        await asyncio.sleep(seconds)
+        listed_during = len(agent.listed())
+        back = time.monotonic()
+        for index in range(3):
+            registry.start(index)
+        registry.leader(within_s=30)
+        leader_ms = (time.monotonic() - back) * 1000
+        while await put(registry.http[registry.leader()], "o-after", "127.0.0.1:9") != 200:
+            await asyncio.sleep(0.02)
+        writes_ms = (time.monotonic() - back) * 1000
+        until(lambda: "o-after" in agent.listed(), what="the agent following again")
+        agent_ms = (time.monotonic() - back) * 1000
+        stop.set()
+        await reader
+        return {
+            "bench": "outage",
+            "down_s": seconds,
+            "agent_reads_while_down": counts["reads"],
+            "agent_read_failures": counts["failures"],
+            "agent_listed_while_down": listed_during,
+            "listed_after": len(registry.listed(registry.leader())),
+            "leader_after_start_ms": round(leader_ms),
+            "writes_after_start_ms": round(writes_ms),
+            "agent_follows_after_start_ms": round(agent_ms),
+        }
+    finally:
+        agent.stop()
+        registry.stop()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("bench", choices=["propagation", "failover", "large"])
+    parser.add_argument("bench", choices=["propagation", "failover", "large", "outage"])
+    parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--changes", type=int, default=1000)
     parser.add_argument("--agents", type=int, default=None)
     parser.add_argument("--rounds", type=int, default=5)
@@ -237,6 +282,8 @@
             figures = asyncio.run(propagation(Path(folder), arguments.changes, arguments.agents or 10))
         elif arguments.bench == "failover":
             figures = asyncio.run(failover(Path(folder), arguments.rounds))
+        elif arguments.bench == "outage":
+            figures = asyncio.run(outage(Path(folder), arguments.seconds))
         else:
             figures = asyncio.run(large(Path(folder), arguments.servers, arguments.agents or 100))
     figures["cores"] = os.cpu_count()
