Serve the watch of an instance and of an agent from one module

Cause: the two read the query, waited for news and answered alike in two copies (duplicates: agent.py and service.py), and three programs waited for SIGTERM alike. Change: orchidledge/registry/watch.py holds the query, the wait and the answer.

--- a/orchidledge/registry/agent.py
+++ b/orchidledge/registry/agent.py
@@ -19,7 +19,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import time
 from typing import Any
 
@@ -28,6 +27,7 @@
 import tenacity
 
 from orchidledge.net.upstream import Address
+from orchidledge.registry import watch
 from orchidledge.registry.settings import Agent
 from orchidledge.registry.store import Page, Target
 from orchidledge.registry.web import Answer, Call, call, serve
@@ -192,22 +192,12 @@
         if request.path != "/discovery/hosts" or request.method != "GET":
             return Answer(404, b'{"error":"no such path"}')
         try:
-            since = int(request.query["since"]) if "since" in request.query else None
-            wait_s = max(0, min(int(request.query.get("timeout_ms", "0")), 60_000)) / 1000.0
+            since, wait_s = watch.query(request)
         except ValueError:
             return Answer(400, b'{"error":"since and timeout_ms are whole numbers"}')
         while not self.cache.have:  # silent until there is a list
             await asyncio.shield(self.news)
-        deadline = self._loop.time() + wait_s
-        page = self.cache.page(since)
-        while since is not None and not page.whole and not page.targets and self._loop.time() < deadline:
-            try:
-                async with asyncio.timeout(deadline - self._loop.time()):
-                    await asyncio.shield(self.news)
-            except TimeoutError:
-                pass
-            page = self.cache.page(since)
-        return Answer(200, orjson.dumps({"rev": page.revision, "all": page.whole, "targets": page.targets}))
+        return watch.answer(await watch.page_when_news(self.cache.page, since, wait_s, lambda: self.news))
 
     def status(self) -> dict[str, Any]:
         return {
@@ -224,12 +214,9 @@
     """Follow the service and serve the node until SIGTERM or SIGINT."""
     follower = Follower(config, log)
     server = await serve(config.listen, follower.handle)
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
     task = asyncio.create_task(follower.follow())
     log.info("agent_started", listen="{}:{}".format(*config.listen), registries=len(config.registries))
-    await stop.wait()
+    await watch.until_signalled()
     log.info("agent_stopping", **follower.status())
     task.cancel()
     server.close()
--- a/orchidledge/registry/local.py
+++ b/orchidledge/registry/local.py
@@ -21,6 +21,7 @@
 import orjson
 import structlog
 
+from orchidledge.registry import watch
 from orchidledge.registry.web import Answer, Call, call, serve
 
 # The node's settings: three classes of worth, as a small shop has; see BRIEF for the keys.
@@ -139,10 +140,7 @@
         pids=[child.pid for child in children],
         hint=f"curl -H 'Req-Id: r1' http://127.0.0.1:{node_port}/read/1",
     )
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    await stop.wait()
+    await watch.until_signalled()
     for lease in leases:
         lease.cancel()
     for child in children:
--- a/orchidledge/registry/service.py
+++ b/orchidledge/registry/service.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import time
 import uuid
 from collections.abc import Callable
@@ -20,8 +19,9 @@
 import structlog
 from pysyncobj import SyncObj, SyncObjConf
 
+from orchidledge.registry import watch
 from orchidledge.registry.settings import Instance
-from orchidledge.registry.store import Catalog, Page, clean_target
+from orchidledge.registry.store import Catalog, clean_target
 from orchidledge.registry.web import Answer, Call, serve
 
 COMMIT_S = 2.0  # a write not committed in this time is refused; the caller tries again
@@ -33,10 +33,6 @@
     return int(time.time() * 1000)
 
 
-def encode(page: Page) -> bytes:
-    return orjson.dumps({"rev": page.revision, "all": page.whole, "targets": page.targets})
-
-
 def error(status: int, why: str) -> Answer:
     return Answer(status, orjson.dumps({"error": why}))
 
@@ -140,25 +136,11 @@
 
     async def read(self, call: Call) -> Answer:
         try:
-            since = int(call.query["since"]) if "since" in call.query else None
-            wait_ms = int(call.query.get("timeout_ms", "0"))
+            since, wait_s = watch.query(call, self.config.max_wait_ms)
         except ValueError:
             return error(400, "since and timeout_ms are whole numbers")
-        wait_s = max(0, min(wait_ms, self.config.max_wait_ms)) / 1000.0
-        deadline = self._loop.time() + wait_s
-        page = self.catalog.page(since)
-        while since is not None and not page.whole and not page.targets:
-            left = deadline - self._loop.time()
-            if left <= 0:
-                break
-            try:
-                async with asyncio.timeout(left):
-                    await asyncio.shield(self._news)
-            except TimeoutError:
-                pass
-            page = self.catalog.page(since)
-        headers = {"Registry-Stale": "1"} if self.stale() else {}
-        return Answer(200, encode(page), headers)
+        page = await watch.page_when_news(self.catalog.page, since, wait_s, lambda: self._news)
+        return watch.answer(page, {"Registry-Stale": "1"} if self.stale() else {})
 
     async def write(self, call: Call, uid: str) -> Answer:
         change = uuid.uuid4().hex[:12]
@@ -245,12 +227,9 @@
     """Serve until SIGTERM or SIGINT; then close the door and leave the Raft group."""
     service = Service(config, log)
     server = await serve(config.listen, service.handle)
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
     duties = [asyncio.create_task(service.flush_renewals()), asyncio.create_task(service.keep_leases())]
     service.log.info("instance_started", listen=f"{config.listen[0]}:{config.listen[1]}", raft=config.raft)
-    await stop.wait()
+    await watch.until_signalled()
     service.log.info("instance_stopping", **service.status())
     server.close()
     for duty in duties:
--- /dev/null
+++ b/orchidledge/registry/watch.py
@@ -0,0 +1,54 @@
+"""PROTOCOL's watch, as an instance and an agent both serve it: the query, the wait, the answer."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+import orjson
+
+from orchidledge.registry.store import Page
+from orchidledge.registry.web import Answer, Call
+
+CAP_MS = 60_000  # PROTOCOL: a watch waits 60,000 ms at the most
+
+
+def query(call: Call, cap_ms: int = CAP_MS) -> tuple[int | None, float]:
+    """`since` (None for the whole list) and the wait in seconds; ValueError if either is no number."""
+    since = int(call.query["since"]) if "since" in call.query else None
+    wait_ms = int(call.query.get("timeout_ms", "0"))
+    return since, max(0, min(wait_ms, cap_ms, CAP_MS)) / 1000.0
+
+
+async def page_when_news(
+    page_of: Callable[[int | None], Page],
+    since: int | None,
+    wait_s: float,
+    news: Callable[[], asyncio.Future[None]],
+) -> Page:
+    """The page since a revision once it has something, or as it is when the wait is over."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + wait_s
+    page = page_of(since)
+    while since is not None and not page.whole and not page.targets and loop.time() < deadline:
+        try:
+            async with asyncio.timeout(deadline - loop.time()):
+                await asyncio.shield(news())
+        except TimeoutError:
+            pass
+        page = page_of(since)
+    return page
+
+
+def answer(page: Page, headers: dict[str, str] | None = None) -> Answer:
+    body = orjson.dumps({"rev": page.revision, "all": page.whole, "targets": page.targets})
+    return Answer(200, body, headers or {})
+
+
+async def until_signalled() -> None:
+    """Return at SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    await stop.wait()
