Test the list service's configuration errors and its catalog's changes

Change: a missing key is named without a line; unit tests of five bad files, an agent with no instance, a write repeated, tombstones pushed out and the whole list for a late watch.

--- a/orchidledge/registry/settings.py
+++ b/orchidledge/registry/settings.py
@@ -90,7 +90,8 @@
 
     def fail(self, key: str, why: str) -> ConfigError:
         where = _line(self._text, key)
-        return ConfigError(f"{self._path}: {self._table}.{key} (line {where}): {why}")
+        at = f" (line {where})" if where else ""  # a key that is missing stands on none
+        return ConfigError(f"{self._path}: {self._table}.{key}{at}: {why}")
 
     def get(self, key: str, kind: type, default: Any = None) -> Any:
         value = self._row.get(key, default)
--- /dev/null
+++ b/tests/test_registry_parts.py
@@ -0,0 +1,54 @@
+"""The list service's parts on their own: its configuration and its catalog."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from orchidledge.registry.settings import ConfigError, load_agent, load_instance
+from orchidledge.registry.store import Catalog, clean_target
+
+GOOD = '[instance]\nname = "r0"\nlisten = "127.0.0.1:7401"\nraft = "127.0.0.1:7501"\npeers = []\ndata = "d"\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        (
+            GOOD.replace('"127.0.0.1:7401"', '"10.0.0.1:7401"'),
+            "instance.listen (line 3): '10.0.0.1:7401' is not",
+        ),
+        (GOOD + "[lease]\nttl_ms = -5\n", "lease.ttl_ms (line 8): -5 is not above 0"),
+        (
+            GOOD + "[raft]\nelection_min_ms = 900\nelection_max_ms = 800\n",
+            "election_max_ms (line 9): not above",
+        ),
+        (GOOD.replace('name = "r0"\n', ""), "instance.name: missing"),
+        (GOOD + "[watch\n", "Expected ']'"),
+    ],
+)
+def test_a_bad_configuration_names_its_key_and_line(tmp_path: Path, text: str, said: str) -> None:
+    (tmp_path / "r.toml").write_text(text)
+    with pytest.raises(ConfigError) as raised:
+        load_instance(tmp_path / "r.toml")
+    assert said in str(raised.value)
+
+
+def test_an_agent_needs_an_instance_to_follow(tmp_path: Path) -> None:
+    (tmp_path / "a.toml").write_text('[agent]\nlisten = "127.0.0.1:7400"\nregistries = []\n')
+    with pytest.raises(ConfigError, match=r"agent.registries \(line 3\): empty"):
+        load_agent(tmp_path / "a.toml")
+
+
+def test_the_same_write_twice_is_one_change_and_a_late_watch_gets_the_whole_list() -> None:
+    catalog = Catalog(keep_gone=1, on_change=lambda revision: None)
+    target = clean_target({"uid": "s-1", "endpoint": "127.0.0.1:1"})
+    assert [catalog.put(target, 5, _doApply=True) for _ in range(2)] == [1, 1]
+    catalog.put(clean_target({"uid": "s-2", "endpoint": "127.0.0.1:2"}), 6, _doApply=True)
+    catalog.remove("s-1", 7, _doApply=True)
+    assert [row["state"] for row in catalog.page(2).targets] == ["Gone"]
+    catalog.remove("s-2", 8, _doApply=True)  # pushes s-1's tombstone out
+    late, recent = catalog.page(2), catalog.page(3)
+    assert (late.whole, late.targets, recent.whole) == (True, (), False)
+    assert catalog.expire(10_000, 1_000, _doApply=True) == []
