Close a peer of the list service that sends nothing for 75 s, and bound read-ahead

Need: bad peers get an answer or a close in time and memory does not grow; an instance or agent kept an idle connection forever and queued pipelined requests without bound. Change: web.py closes a connection with no whole request for IDLE_S (75 s, above the watch cap of 60 s) and pauses reading once 8 requests wait on one connection.

--- a/orchidledge/registry/web.py
+++ b/orchidledge/registry/web.py
@@ -16,6 +16,8 @@
 from orchidledge.net.upstream import Address
 
 MAX_BODY = 4 * 1024 * 1024
+IDLE_S = 75.0  # a connection with no whole request for so long is closed: longer than any watch waits
+QUEUED = 8  # requests read ahead on one connection before reading pauses
 MAX_ANSWER = 64 * 1024 * 1024  # a whole list of 10,000 targets is some 2 MB
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict"}
 REASONS |= {413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
@@ -93,11 +95,20 @@
         method = self._parser.get_method().decode("latin-1")
         self._queue.put_nowait(Call(method, url.path, query, self._headers, bytes(self._body)))
         self._url, self._headers, self._body = b"", {}, bytearray()
+        if self._queue.qsize() >= QUEUED and self._transport is not None:
+            self._transport.pause_reading()  # Guard: a peer that pipelines without end must not grow memory
 
     async def _serve(self) -> None:
         assert self._transport is not None
         while True:
-            call = await self._queue.get()
+            try:
+                async with asyncio.timeout(IDLE_S):
+                    call = await self._queue.get()
+            except TimeoutError:
+                self._transport.close()
+                return
+            if self._queue.qsize() < QUEUED:
+                self._transport.resume_reading()
             if call is None:
                 self._transport.write(Answer(400, b'{"error":"unreadable request"}').encode(close=True))
                 self._transport.close()
--- a/tests/test_registry_parts.py
+++ b/tests/test_registry_parts.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 
 import pytest
 
 from orchidledge.registry.settings import ConfigError, load_agent, load_instance
 from orchidledge.registry.store import Catalog, clean_target
+from orchidledge.registry.web import Answer, Call, serve
 
 GOOD = '[instance]\nname = "r0"\nlisten = "127.0.0.1:7401"\nraft = "127.0.0.1:7501"\npeers = []\ndata = "d"\n'
 
@@ -52,3 +54,25 @@
     late, recent = catalog.page(2), catalog.page(3)
     assert (late.whole, late.targets, recent.whole) == (True, (), False)
     assert catalog.expire(10_000, 1_000, _doApply=True) == []
+
+
+def test_a_peer_that_sends_nothing_or_garbage_is_closed_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("orchidledge.registry.web.IDLE_S", 0.05)
+
+    async def main() -> tuple[bytes, bytes]:
+        async def never(call: Call) -> Answer:
+            raise AssertionError("no request should reach the handler")
+
+        server = await serve(("127.0.0.1", 0), never)
+        address = server.sockets[0].getsockname()[:2]
+        silent_reader, _ = await asyncio.open_connection(*address)
+        rude_reader, rude = await asyncio.open_connection(*address)
+        rude.write(b"\x00\x01 not HTTP\r\n\r\n")
+        async with asyncio.timeout(5):
+            said = await silent_reader.read(), await rude_reader.read()
+        server.close()
+        return said
+
+    silent, rude = asyncio.run(main())
+    assert silent == b""
+    assert rude.startswith(b"HTTP/1.1 400 ")
