--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -573,6 +573,20 @@
     asyncio.run(main())
 
 
+def test_a_list_larger_than_any_may_be_is_a_failure_and_keeps_the_list(monkeypatch, caplog):
+    async def main():
+        monkeypatch.setattr("orchidledge.net.discovery.MAX_LIST", 400)
+        huge = listing(2, True, **{f"s{n}": (f"127.0.0.1:{1000 + n}", "Ready") for n in range(20)})
+        async with running(Peer(), discovery=Discovery(huge)) as node:
+            node.balancer = scripted = Scripted()
+            await until(lambda: scripted.of(api.Membership))
+            assert [event.form for event in scripted.of(api.Membership)] == [api.ListForm.FAILED]
+            assert set(node.pool._servers) == {"s0"}
+            assert "the old list holds" in caplog.text
+
+    asyncio.run(main())
+
+
 def test_a_hung_discovery_call_fails_and_the_module_asks_again(monkeypatch):
     async def main():
         monkeypatch.setattr("orchidledge.net.discovery.LATE_S", 0.05)
