Bench a node process taking a list of 10,000 servers from its agent

Change: bench/registry.py node registers the servers, starts a node on an agent and reads its door until it lists them all, then times one more change.

--- a/bench/registry.py
+++ b/bench/registry.py
@@ -4,6 +4,7 @@
     python bench/registry.py failover [--rounds 5]
     python bench/registry.py large [--servers 10000 --agents 100]
     python bench/registry.py outage [--seconds 30]
+    python bench/registry.py node [--servers 10000]
 
 Each starts three instances and the agents as processes (tests/fleet.py) in a fresh folder
 and prints one JSON line of figures. A watcher in this process follows each agent as a node
@@ -268,9 +269,67 @@
         registry.stop()
 
 
+def node_targets(door: int) -> int:
+    import http.client
+
+    connection = http.client.HTTPConnection("127.0.0.1", door, timeout=5)
+    try:
+        connection.request("GET", "/status/metrics")
+        text = connection.getresponse().read().decode()
+    finally:
+        connection.close()
+    return int(text.split("proxy.targets=")[1].split()[0])
+
+
+async def node(folder: Path, servers: int) -> dict[str, Any]:
+    """A node process taking a whole list of many servers from its agent: time and memory."""
+    from tests.fleet import free_port, spawn
+    from tests.loopback import config_row
+
+    registry = Registry(folder, ttl_ms=600_000)
+    agent = registry.agent()
+    process = None
+    try:
+        leader = registry.http[registry.leader()]
+        limit = asyncio.Semaphore(32)
+
+        async def one(number: int) -> None:
+            async with limit:
+                assert await put(leader, f"n-{number}", f"127.0.0.1:{1024 + number % 60000}") == 200
+
+        await asyncio.gather(*(one(number) for number in range(servers)))
+        until(lambda: len(agent.page()["targets"]) == servers, within_s=60, what="a full agent")
+        door = free_port()
+        row = config_row(f"127.0.0.1:{agent.port}", settings={"registryMode": "push"})
+        row["listen"], row["operator"] = f"127.0.0.1:{free_port()}", f"127.0.0.1:{door}"
+        (folder / "node.json").write_bytes(orjson.dumps(row))
+        began = time.monotonic()
+        process = spawn(
+            ["-m", "orchidledge"], folder / "node.log", {"PROXY_CONFIG": str(folder / "node.json")}
+        )
+        until(lambda: node_targets(door) == servers, within_s=60, what="the node's whole list")
+        whole_ms = (time.monotonic() - began) * 1000
+        at = time.monotonic()
+        assert await put(leader, "n-new", "127.0.0.1:9") == 200
+        until(lambda: node_targets(door) == servers + 1, within_s=30, what="one change at the node")
+        return {
+            "bench": "node",
+            "servers": servers,
+            "start_to_whole_list_ms": round(whole_ms),
+            "one_change_ms": round((time.monotonic() - at) * 1000, 1),
+            "node_rss_mb": round(rss_mb(process.pid)),
+        }
+    finally:
+        if process is not None:
+            process.kill()
+            process.wait(10)
+        agent.stop()
+        registry.stop()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("bench", choices=["propagation", "failover", "large", "outage"])
+    parser.add_argument("bench", choices=["propagation", "failover", "large", "outage", "node"])
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--changes", type=int, default=1000)
     parser.add_argument("--agents", type=int, default=None)
@@ -282,6 +341,8 @@
             figures = asyncio.run(propagation(Path(folder), arguments.changes, arguments.agents or 10))
         elif arguments.bench == "failover":
             figures = asyncio.run(failover(Path(folder), arguments.rounds))
+        elif arguments.bench == "node":
+            figures = asyncio.run(node(Path(folder), arguments.servers))
         elif arguments.bench == "outage":
             figures = asyncio.run(outage(Path(folder), arguments.seconds))
         else:
