Test a leader parted from the others by relays: replaced, refused, caught up once joined

Change: tests/fleet.py can run the instances on 127.0.0.2 and up with a relay for each pair (pysyncobj keeps one connection a pair, from the higher address), and cut() silences the links of one instance. The test: the majority takes a write, the parted leader marks itself stale and refuses with 503, lacks the write, and has it once joined, no longer leader. The relay now ends its tasks when closed; the unused stale_after_ms key is gone.

--- a/orchidledge/registry/settings.py
+++ b/orchidledge/registry/settings.py
@@ -37,7 +37,6 @@
     ttl_ms: int = 10_000  # a lease unrenewed so long lapses, and its target is Gone
     max_wait_ms: int = 60_000  # PROTOCOL's cap on a watch
     keep_gone: int = 10_000  # tombstones kept for watches that come late
-    stale_after_ms: int = 3_000  # without a leader so long, reads are marked stale
     # A follower applies a write when the leader's next append tells it the write is committed:
     # the append period bounds how late an instance that agents follow shows a change.
     append_period_ms: int = 10
@@ -145,7 +144,6 @@
         ttl_ms=lease.get("ttl_ms", int, 10_000),
         max_wait_ms=min(watch.get("max_wait_ms", int, 60_000), 60_000),
         keep_gone=watch.get("keep_gone", int, 10_000),
-        stale_after_ms=watch.get("stale_after_ms", int, 3_000),
         append_period_ms=raft_keys.get("append_period_ms", int, 10),
         election_min_ms=election[0],
         election_max_ms=election[1],
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,6 +20,8 @@
 
 import orjson
 
+from tests.relay import Relay
+
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -74,11 +76,20 @@
 class Registry:
     """Three (or more) instances of the list service in one folder."""
 
-    def __init__(self, folder: Path, count: int = 3, ttl_ms: int = 10_000) -> None:
+    def __init__(self, folder: Path, count: int = 3, ttl_ms: int = 10_000, relayed: bool = False) -> None:
         self.folder = folder
         self.http = [free_port() for _ in range(count)]
         self.raft = [free_port() for _ in range(count)]
         self.ttl_ms = ttl_ms
+        # Relayed: each pair of instances talks through a relay of its own, so that a cut can part them.
+        # pysyncobj keeps one connection a pair, opened by the higher address to the lower; instances
+        # stand on 127.0.0.2 and up, relays on 127.0.0.1, so each higher one dials its relay.
+        self.hosts = [f"127.0.0.{2 + index}" if relayed else "127.0.0.1" for index in range(count)]
+        self.links: dict[tuple[int, int], Relay] = {}
+        if relayed:
+            for high in range(count):
+                for low in range(high):
+                    self.links[high, low] = Relay((self.hosts[low], self.raft[low]))
         self.processes: list[subprocess.Popen[bytes] | None] = [None] * count
         for index in range(count):
             self.start(index)
@@ -86,14 +97,24 @@
 
     def config(self, index: int) -> Path:
         path = self.folder / f"r{index}.toml"
-        peers = ", ".join(f'"127.0.0.1:{port}"' for i, port in enumerate(self.raft) if i != index)
+        peers = ", ".join(f'"{self.peer(index, other)}"' for other in range(len(self.raft)) if other != index)
         path.write_text(
             f'[instance]\nname = "r{index}"\nlisten = "127.0.0.1:{self.http[index]}"\n'
-            f'raft = "127.0.0.1:{self.raft[index]}"\npeers = [{peers}]\ndata = "data-r{index}"\n'
-            f"[lease]\nttl_ms = {self.ttl_ms}\n[watch]\nstale_after_ms = 1500\n"
+            f'raft = "{self.hosts[index]}:{self.raft[index]}"\npeers = [{peers}]\ndata = "data-r{index}"\n'
+            f"[lease]\nttl_ms = {self.ttl_ms}\n"
         )
         return path
 
+    def peer(self, index: int, other: int) -> str:
+        link = self.links.get((index, other))
+        return "{}:{}".format(*link.address) if link else f"{self.hosts[other]}:{self.raft[other]}"
+
+    def cut(self, index: int, silent: bool = True) -> None:
+        """Part an instance from the others (silent links, as a cut cable), or join it again."""
+        for pair, link in self.links.items():
+            if index in pair:
+                link.set_silent(silent)
+
     def start(self, index: int) -> None:
         arguments = ["-m", "orchidledge.registry", "serve", "--config", str(self.config(index))]
         self.processes[index] = spawn(arguments, self.folder / f"r{index}.log")
@@ -162,6 +183,8 @@
                 process.kill()
                 process.wait(10)
                 self.processes[index] = None
+        for link in self.links.values():
+            link.close()
 
 
 class Agent:
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -60,8 +60,16 @@
 
         self._loop.call_soon_threadsafe(abort)
 
+    async def _shutdown(self) -> None:
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def close(self) -> None:
-        self.reset()
-        self._loop.call_soon_threadsafe(self._server.close)
+        asyncio.run_coroutine_threadsafe(self._shutdown(), self._loop).result(5)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(5)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -141,3 +141,24 @@
         registry.kill(leader, signal.SIGCONT)
     until(lambda: registry.listed(leader) == agent.listed(), what="the old leader catching up")
     agent.stop()
+
+
+def test_a_leader_parted_from_the_others_is_replaced_and_catches_up_once_joined(tmp_path: Path) -> None:
+    registry = Registry(tmp_path, ttl_ms=60_000, relayed=True)
+    try:
+        registry.put("s-before")
+        old = registry.leader()
+        registry.cut(old)
+        until(lambda: registry.put("s-during", avoid=old) > 0, what="the majority taking writes")
+        until(lambda: registry.status(old)["stale"], what="the parted leader marking itself stale")
+        assert (
+            ask(registry.http[old], "PUT", "/registry/targets/s-lost", {"endpoint": "127.0.0.1:9"})[0] == 503
+        )
+        assert "s-during" not in registry.listed(old)
+        registry.cut(old, silent=False)
+        until(
+            lambda: set(registry.listed(old)) == {"s-before", "s-during"}, what="the parted one catching up"
+        )
+        assert registry.status(old)["raft"] != 2, "two leaders after the cut was mended"
+    finally:
+        registry.stop()
