Take a rebuilt discovery's older whole list only after 10 s of such answers

Change: net/discovery.py takes it only once older whole lists have come for REBUILT_S (10 s) with no newer answer between; the test patches the time to 0.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -22,6 +22,7 @@
 CONNECT_S = 1.0
 PUSH_PAUSE_S = 0.5  # at the most, before a local agent is asked again after a failure
 MAX_LIST = 16 * 1024 * 1024
+REBUILT_S = 10.0  # older whole lists for so long, and no newer answer, come from a source rebuilt
 
 STATES = {
     "Ready": ServerState.UP,
@@ -114,7 +115,7 @@
         self._address = address
         self._revision = revision
         self._oldest = 0  # an answer of a version before this is stale; none is until one has come from there
-        self._went_back = False  # the last answer was a whole list of a version before the oldest
+        self._went_back: float | None = None  # since when the answers have been whole lists of older versions
         self._wait_ms = int(wait_ms)
         self._limit_s = wait_ms / 1000.0 + LATE_S
         self._endless = endless
@@ -169,7 +170,8 @@
                     return
                 await asyncio.sleep(self.pause())
                 continue
-            self._failing = self._went_back = False
+            self._failing = False
+            self._went_back = None
             self._revision = self._oldest = listing.revision
             self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
@@ -196,19 +198,24 @@
         return listing
 
     def _rebuilt(self, listing: Listing) -> bool:
-        """A whole list of an older version, twice in a row, comes from a source that counts again from
-        the start (rebuilt from nothing); refused for good, it would freeze the list."""
-        again, self._went_back = self._went_back, listing.whole
-        if again and listing.whole:
-            log.warning(
-                "discovery at %s:%d counts versions again (%d after %d): its whole list is taken",
-                *self._address,
-                listing.revision,
-                self._oldest,
-            )
-            self._went_back = False
-            return True
-        return False
+        """A source that counts again from the start (rebuilt from nothing) and says so for REBUILT_S, with no
+        newer answer between: its whole list is taken. Refused for good, it would freeze the list; a replica
+        that lags for a moment must not bring back what has gone."""
+        now = asyncio.get_running_loop().time()
+        if not listing.whole:
+            return False
+        if self._went_back is None:
+            self._went_back = now
+            return False
+        if now - self._went_back < REBUILT_S:
+            return False
+        log.warning(
+            "discovery at %s:%d counts versions again (%d after %d): its whole list is taken",
+            *self._address,
+            listing.revision,
+            self._oldest,
+        )
+        return True
 
     def _drop(self) -> None:
         if self._connection is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -631,9 +631,10 @@
     asyncio.run(main())
 
 
-def test_a_rebuilt_discovery_counting_again_is_taken_at_its_second_whole_list(monkeypatch, caplog):
+def test_a_rebuilt_discovery_counting_again_is_taken_once_it_has_said_so_long_enough(monkeypatch, caplog):
     async def main():
         monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+        monkeypatch.setattr("orchidledge.net.discovery.REBUILT_S", 0.0)
         discovery = Discovery(
             listing(50, True, s5=("127.0.0.1:5", "Ready")),
             listing(2, True, s2=("127.0.0.1:2", "Ready")),
