Step a parted leader down after two election times, and log pysyncobj's lines as JSON

Its own warnings came out as plain text. Change: leaderFallbackTimeout is twice election_max_ms (Raft's check-quorum); the stdlib handler renders foreign log lines through structlog as JSON, with their logger's name.

--- a/orchidledge/registry/service.py
+++ b/orchidledge/registry/service.py
@@ -57,6 +57,9 @@
             autoTickPeriod=min(0.05, config.append_period_ms / 2000.0),
             raftMinTimeout=config.election_min_ms / 1000.0,
             raftMaxTimeout=config.election_max_ms / 1000.0,
+            # Raft's check-quorum: a leader that has heard from no majority for two election times steps
+            # down, so that a parted one says it is stale rather than leading alone for pysyncobj's 30 s.
+            leaderFallbackTimeout=2 * config.election_max_ms / 1000.0,
             connectionRetryTime=0.5,
             connectionTimeout=1.5,
         )
--- a/orchidledge/registry/settings.py
+++ b/orchidledge/registry/settings.py
@@ -167,15 +167,29 @@
 
 
 def start_logs(program: str, level: str = "info") -> structlog.stdlib.BoundLogger:
-    """JSON lines on standard error, one an event, each with its time, level and program."""
-    logging.basicConfig(stream=sys.stderr, format="%(message)s", level=level.upper())
+    """JSON lines on standard error, one an event, each with its time, level and program; the lines of
+    libraries that log through `logging` (pysyncobj) come out the same way."""
+    shared: list[structlog.typing.Processor] = [
+        structlog.contextvars.merge_contextvars,
+        structlog.stdlib.add_log_level,
+        structlog.stdlib.add_logger_name,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+    ]
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=shared,
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                structlog.processors.JSONRenderer(),
+            ],
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
+        processors=[*shared, structlog.stdlib.ProcessorFormatter.wrap_for_formatter],
         logger_factory=structlog.stdlib.LoggerFactory(),
         wrapper_class=structlog.stdlib.BoundLogger,
         cache_logger_on_first_use=True,
