--- a/bench/registry.py
+++ b/bench/registry.py
@@ -28,7 +28,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from orchidledge.registry.web import call
-from tests.fleet import Registry, until
+from tests.fleet import Registry, listed_at, until
 
 
 def quantile(values: list[float], share: float) -> float:
@@ -72,6 +72,17 @@
         await asyncio.sleep(0.01)
 
 
+async def register(port: int, prefix: str, count: int) -> None:
+    """Register `count` servers, 32 writes in flight at a time."""
+    limit = asyncio.Semaphore(32)
+
+    async def one(number: int) -> None:
+        async with limit:
+            assert await put(port, f"{prefix}-{number}", f"127.0.0.1:{1024 + number % 60000}") == 200
+
+    await asyncio.gather(*(one(number) for number in range(count)))
+
+
 async def put(port: int, uid: str, endpoint: str) -> int:
     body = orjson.dumps({"uid": uid, "endpoint": endpoint})
     reply = await call(("127.0.0.1", port), "PUT", f"/registry/targets/{uid}", body, timeout_s=5)
@@ -175,13 +186,7 @@
     try:
         leader = registry.http[registry.leader()]
         begun = time.monotonic()
-        limit = asyncio.Semaphore(32)
-
-        async def one(number: int) -> None:
-            async with limit:
-                assert await put(leader, f"l-{number}", f"127.0.0.1:{1024 + number % 60000}") == 200
-
-        await asyncio.gather(*(one(number) for number in range(servers)))
+        await register(leader, "l", servers)
         registered_s = time.monotonic() - begun
         timings = []
         for _ in range(20):
@@ -269,18 +274,6 @@
         registry.stop()
 
 
-def node_targets(door: int) -> int:
-    import http.client
-
-    connection = http.client.HTTPConnection("127.0.0.1", door, timeout=5)
-    try:
-        connection.request("GET", "/status/metrics")
-        text = connection.getresponse().read().decode()
-    finally:
-        connection.close()
-    return int(text.split("proxy.targets=")[1].split()[0])
-
-
 async def node(folder: Path, servers: int) -> dict[str, Any]:
     """A node process taking a whole list of many servers from its agent: time and memory."""
     from tests.fleet import free_port, spawn
@@ -291,13 +284,7 @@
     process = None
     try:
         leader = registry.http[registry.leader()]
-        limit = asyncio.Semaphore(32)
-
-        async def one(number: int) -> None:
-            async with limit:
-                assert await put(leader, f"n-{number}", f"127.0.0.1:{1024 + number % 60000}") == 200
-
-        await asyncio.gather(*(one(number) for number in range(servers)))
+        await register(leader, "n", servers)
         until(lambda: len(agent.page()["targets"]) == servers, within_s=60, what="a full agent")
         door = free_port()
         row = config_row(f"127.0.0.1:{agent.port}", settings={"registryMode": "push"})
@@ -307,11 +294,11 @@
         process = spawn(
             ["-m", "orchidledge"], folder / "node.log", {"PROXY_CONFIG": str(folder / "node.json")}
         )
-        until(lambda: node_targets(door) == servers, within_s=60, what="the node's whole list")
+        until(lambda: listed_at(door) == servers, within_s=60, what="the node's whole list")
         whole_ms = (time.monotonic() - began) * 1000
         at = time.monotonic()
         assert await put(leader, "n-new", "127.0.0.1:9") == 200
-        until(lambda: node_targets(door) == servers + 1, within_s=30, what="one change at the node")
+        until(lambda: listed_at(door) == servers + 1, within_s=30, what="one change at the node")
         return {
             "bench": "node",
             "servers": servers,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -73,6 +73,17 @@
         )
 
 
+def listed_at(door: int) -> int:
+    """How many servers a node lists, from its door's figures."""
+    connection = http.client.HTTPConnection("127.0.0.1", door, timeout=2)
+    try:
+        connection.request("GET", "/status/metrics")
+        text = connection.getresponse().read().decode()
+    finally:
+        connection.close()
+    return int(text.split("proxy.targets=")[1].split()[0])
+
+
 class Registry:
     """Three (or more) instances of the list service in one folder."""
 
--- a/tests/test_registry_node.py
+++ b/tests/test_registry_node.py
@@ -14,7 +14,7 @@
 import orjson
 import pytest
 
-from tests.fleet import Registry, free_port, spawn, until
+from tests.fleet import Registry, free_port, listed_at, spawn, until
 from tests.loopback import config_row
 from tests.relay import Relay
 
@@ -153,17 +153,6 @@
     assert outcomes[200] == sum(outcomes.values()), f"not all served: {outcomes}"
 
 
-def listed_at(door: int) -> int:
-    """How many servers a node lists, from its door's figures."""
-    connection = http.client.HTTPConnection("127.0.0.1", door, timeout=2)
-    try:
-        connection.request("GET", "/status/metrics")
-        text = connection.getresponse().read().decode()
-    finally:
-        connection.close()
-    return int(text.split("proxy.targets=")[1].split()[0])
-
-
 def test_two_nodes_list_what_the_registry_lists_through_leader_loss_and_a_reset(
     tmp_path: Path, backends: Backends
 ) -> None:
