Keep a verified state file for each node and restore it as a typed event

On start each rule that rejects all or part (missing, torn, digest, format, another node, future, list old, list behind) is named in one log line. The module gets `Restored(learned, age_ms)`: load figures within TRUST_MS (15 s, the peak's forgetting), faded; verdicts count as heard age_ms ago. Servers out by hand come back out.

--- a/orchidledge/__main__.py
+++ b/orchidledge/__main__.py
@@ -1,7 +1,12 @@
-"""One real node: `python -m orchidledge`, told what it is by the file that PROXY_CONFIG names."""
+"""One real node: `python -m orchidledge`, told what it is by the file that PROXY_CONFIG names.
+
+`python -m orchidledge state show FILE [--node NAME]` prints a state file's verdict and contents as JSON;
+it exits 0 where the file is whole, 1 where a rule rejects it, 2 on a wrong command line.
+"""
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import logging
@@ -12,6 +17,7 @@
 
 from orchidledge.net.config import Config, parse_config
 from orchidledge.net.node import Node
+from orchidledge.net.snapshot import show
 
 
 def read_config() -> Config:
@@ -52,7 +58,20 @@
     await node.stop()
 
 
+def state(argv: list[str]) -> int:
+    parser = argparse.ArgumentParser(prog="python -m orchidledge state", description="Inspect a state file.")
+    parser.add_argument("verb", choices=["show"])
+    parser.add_argument("file", type=Path)
+    parser.add_argument("--node", help="check it against this node's name, as a start would")
+    told = parser.parse_args(argv)
+    text, whole = show(told.file, told.node)
+    print(text)
+    return 0 if whole else 1
+
+
 def main() -> int:
+    if sys.argv[1:2] == ["state"]:
+        return state(sys.argv[2:])
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
         config = read_config()
--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -56,6 +56,7 @@
 SPREAD = 1.25  # of its share of T1: what a server may hold from here, as calls and servers differ
 COLD_SHARE = 0.4  # of the overload factor: what a cold server may get of its present capacity
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
+TRUST_MS = PEAK_MS  # restored load figures older than this tell of another load than the present one
 
 
 @dataclass(slots=True)
@@ -200,6 +201,8 @@
                 peer.beside = event.held.get(address, 0.0)
         elif isinstance(event, api.Learned):
             self._learn(now, event)
+        elif isinstance(event, api.Restored):
+            self._restore(now, event)
         elif isinstance(event, api.TakenOut):
             self.out_by_hand.add(event.server)
             self.returns.pop(event.server, None)
@@ -251,10 +254,10 @@
         """The calls in flight from here, by server."""
         return {address: peer.load for address, peer in self.peers.items() if peer.load > 0.0}
 
-    def _learn(self, now: float, event: api.Learned) -> None:
-        """Start from what another process has learned."""
+    def _learn(self, now: float, event: api.Learned) -> bool:
+        """Start from what another process has learned; whether it was enough to start from."""
         if event.base is None or event.base <= 0.0 or event.peak <= 0.0 or event.mean_aim <= 0.0:
-            return  # it has only begun to learn
+            return False  # it has only begun to learn
         # Guard: a new process knew of no rate and stood at cursor 0; the servers jammed under what it let in.
         self.base, self.level, self.first = event.base, event.level, [event.base] * BASE_LEAST
         self.cursor = max(0, min(len(self.shape) - 1, event.cursor))
@@ -264,6 +267,22 @@
         for address, slow in event.slow.items():
             if address in self.peers:
                 self.peers[address].slow, self.peers[address].heard_ms = slow, now
+        return True
+
+    def _restore(self, now: float, event: api.Restored) -> None:
+        """Start from the state file of this node's last process. The latency figures hold whatever its
+        age: they are the servers'. The load figures fade as the peak fades, and past TRUST_MS only the peak
+        is kept, from cursor 0 and the start's floor. A server's verdict counts as heard `age_ms` ago: it
+        fades as an unheard one's does, and traffic checks it again; none is trusted for good."""
+        if event.age_ms < 0.0 or not self._learn(now, event.learned):
+            return
+        fade = math.exp(-event.age_ms / PEAK_MS)
+        self.rate, self.peak, self.sends = self.rate * fade, self.peak * fade, self.sends * fade
+        if event.age_ms > TRUST_MS:
+            self.cursor, self.periods, self.level, self.rate, self.sends = 0, 0, self.base or 0.0, 0.0, 0.0
+        for address in event.learned.slow:
+            if address in self.peers:
+                self.peers[address].heard_ms = now - event.age_ms
 
     # ------------------------------------------------------------ membership
 
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -255,6 +255,14 @@
     held: dict[str, float]
 
 
+@dataclass(slots=True)
+class Restored:
+    """What this node had learned when it wrote its state file, `age_ms` before now (net/snapshot.py)."""
+
+    learned: Learned
+    age_ms: float
+
+
 Event = (
     Membership
     | Request
@@ -268,6 +276,7 @@
     | BroughtBack
     | Learned
     | Beside
+    | Restored
 )
 
 
--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -27,6 +27,8 @@
     accept_fd: str | None = None  # descriptor of the clients' listening socket, where the platform holds it
     maintenance: Path | None = None  # the folder of the bans that two processes of a node share
     handover: Path | None = None  # and of what they tell each other
+    state: Path | None = None  # the state file, kept across a crash; None: nothing is kept
+    state_every_ms: float = 1000.0  # how often it is written
     memory_mb: float = 2048.0
     sockets: int = 1024  # descriptors for everything
     max_open: int = 20_000  # requests open at once
@@ -53,11 +55,15 @@
             "conn_idle_ms": bounds.get("connIdleMs"),
             "connect_timeout_ms": bounds.get("connectTimeoutMs"),
             "ask_within_ms": (row["settings"].get("invariants") or {}).get("askWithinMs"),
+            "state_every_ms": row.get("state_every_ms"),
         }
         for key, value in given.items():
             if value is not None and not (isinstance(value, int | float) and value > 0):
                 raise ValueError(f"{key}: {value!r} is not a number above 0")
         operator = told.get("PROXY_OPERATOR") or row.get("operator")
+        state = told.get("PROXY_STATE") or row.get("state")
+        if state is not None and not (isinstance(state, str) and state):
+            raise ValueError(f"state: {state!r} is not a path")
         return Config(
             name=str(row["name"]),
             listen=parse_address(row["listen"]),
@@ -69,6 +75,7 @@
             maintenance=_folder(told.get("TMPDIR"), maintenance.FOLDER),
             handover=_folder(told.get("TMPDIR"), handover.FOLDER),
             accept_fd=told.get("PROXY_ACCEPT_FD") or None,
+            state=Path(state) if state else None,
             **{key: value for key, value in given.items() if value is not None},
         )
     except KeyError as error:
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -130,6 +130,10 @@
         if self._task is None:
             self._task = asyncio.create_task(self._follow())
 
+    def told(self, revision: int) -> None:
+        """The node knows the list at this rev from elsewhere (its state file): ask for what came since."""
+        self._revision = max(self._revision, revision)
+
     def move(self, address: Address) -> None:
         """Follow the list at this address from now on; a watch that is on goes over at once."""
         if address == self._address:
--- a/orchidledge/net/handover.py
+++ b/orchidledge/net/handover.py
@@ -51,7 +51,7 @@
                 at_ms, theirs, learned = (
                     _number(row["at_ms"]),
                     _numbers(row["held"]),
-                    _learned(row["learned"]),
+                    learned_from(row["learned"]),
                 )
             except FileNotFoundError:
                 continue  # it has just ended
@@ -99,7 +99,7 @@
     return {name: max(0.0, _number(value)) for name, value in row.items()}
 
 
-def _learned(row: dict[str, Any]) -> Learned:
+def learned_from(row: dict[str, Any]) -> Learned:
     return Learned(
         base=None if row["base"] is None else _number(row["base"]),
         level=_number(row["level"]),
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -23,6 +23,8 @@
 from orchidledge.net.operator import Answer, Door
 from orchidledge.net.requests import BadRequestError, forwarded, parse
 from orchidledge.net.server import Call, Server
+from orchidledge.net.snapshot import StateFile, encode, listing_of
+from orchidledge.net.snapshot import read as read_state
 from orchidledge.net.upstream import Address, Attempt, Pool
 from orchidledge.settings import report_from
 
@@ -106,6 +108,9 @@
             Random(config.seed),
         )
         self.listed: dict[str, tuple[api.Server, Address]] = {}
+        self.listed_rev = config.known.revision
+        self.state = StateFile(config.state) if config.state is not None else None
+        self._writing: set[asyncio.Task[None]] = set()
         self.up: set[str] = set()  # those that the pool may reach
         self.bans = Bans(config.maintenance)
         shared = config.accept_fd is not None and config.handover is not None
@@ -136,7 +141,8 @@
         """Tell the module what is known and begin to serve."""
         self._read_bans()  # first, so that a server that is out is never sent anything
         self._on_list(api.ListForm.CACHED, self.config.known)
-        self._share(starts=True)
+        self._restore()
+        self._share(starts=True)  # what a process beside this one tells is newer than any file
         if self.config.operator is not None:
             await self.door.open(self.config.operator)
         await self.server.listen(*self.config.listen, self.config.accept_fd)
@@ -144,6 +150,7 @@
             self.watcher.start()
         self._beat(self.loop.time())
         self._stats()
+        self._keep()
 
     async def stop(self) -> None:
         """Leave service: take what still comes, finish what is held, and end in time."""
@@ -165,12 +172,14 @@
         for job in [job for job in self.jobs.values() if not job.done]:
             self._answer(job, 504)
         await asyncio.sleep(0)
+        await self._write_state()
         self.close()
 
     def standby(self) -> bool:
         """The operators' drain: what is held is finished, callers go elsewhere, the process runs on."""
         if not self.stopping:
             self.server.drain(YOUNG_S)
+            self._keep(again=False)
         return True
 
     def active(self) -> bool:
@@ -183,6 +192,8 @@
         self.door.close()
         if self.handover is not None:
             self.handover.close()
+        if self.state is not None:
+            self.state.close()
         self.server.close()
         self.watcher.close()
         self.pool.close()
@@ -413,6 +424,7 @@
         if listing is None:
             self.tell(api.Membership(form))
             return
+        self.listed_rev = listing.revision
         if form is not api.ListForm.DELTA:
             self.listed = {}
         for server in listing.servers:
@@ -496,10 +508,56 @@
         self._beside = bool(held)
         self.handover.write(self.clock.ms(), self.balancer.learned(), self.balancer.held())
 
+    # ---------------------------------------------------------------- state file
+
+    def _restore(self) -> None:
+        """Take from the state file what its rules let through: bans, then the list, then the figures."""
+        if self.config.state is None:
+            return
+        now = self.clock.ms()
+        found = read_state(self.config.state, self.config.name, now, self.config.known.revision)
+        for name, since in found.out.items():
+            if self.bans.get(name) is None:  # the folder of bans knows better where it has the server
+                self.bans.take_out(name, since)
+                self._on_ban(name)
+        if found.listing is not None:
+            self._on_list(api.ListForm.CACHED, found.listing)
+            self.watcher.told(found.listing.revision)
+        if found.learned is not None:
+            self.tell(api.Restored(found.learned, found.age_ms))
+
+    def _keep(self, again: bool = True) -> None:
+        """Write the state file now and, unless told otherwise, on its period; never on a request's path."""
+        if self.state is None:
+            return
+        task = asyncio.create_task(self._write_state())
+        self._writing.add(task)
+        task.add_done_callback(self._writing.discard)
+        if again:
+            self._timers["state"] = self.loop.call_later(self.config.state_every_ms / 1000.0, self._keep)
+
+    async def _write_state(self) -> None:
+        if self.state is None:
+            return
+        bans = ((name, self.bans.get(name)) for name in self.listed)
+        out = {name: ban.out_ms for name, ban in bans if ban is not None and ban.back_ms is None}
+        learned, listing = self.balancer.learned(), listing_of(self.listed, self.listed_rev)
+        await self.state.write(encode(self.config.name, self.clock.ms(), learned, out, listing))
+
     # -------------------------------------------------------------------- figures
 
     def metrics(self) -> bytes:
-        return self.figures.text(self.open + self.passing_on, len(self.listed), self.balancer.avoided)
+        text = self.figures.text(self.open + self.passing_on, len(self.listed), self.balancer.avoided)
+        if self.state is None:
+            return text
+        kept = self.state
+        return (
+            text
+            + (
+                f"proxy.state_writes={kept.writes}\nproxy.state_failures={kept.failures}\n"
+                f"proxy.state_bytes={kept.bytes}\nproxy.state_write_ms={kept.last_s * 1000.0:.3f}\n"
+            ).encode()
+        )
 
     def _on_sent(self) -> None:
         self.figures.dispatches += 1
--- /dev/null
+++ b/orchidledge/net/snapshot.py
@@ -0,0 +1,271 @@
+"""The node's state file: what it has learned, the servers out by hand and the last list, kept across a crash.
+
+On disk: MAGIC, an xxh64 digest of the body (8 bytes, big-endian), the body's length (4 bytes) and the body in
+msgpack. Written whole, the way a power loss cannot tear: a temporary file beside it, fsync, rename over the
+old one, fsync of the folder. One process writes a file at a time, the one holding its lock.
+
+On start the file is verified by the rules in RULES; each that rejects the file or a part of it is named in
+one log line. What is left reaches the module as `Restored`, which decides what of it to trust.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import fcntl
+import logging
+import math
+import os
+import struct
+import time
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgpack
+import orjson
+import xxhash
+
+from orchidledge.interface import Learned, Server, ServerState
+from orchidledge.net.discovery import Listing, parse_listing
+from orchidledge.net.handover import learned_from
+from orchidledge.net.upstream import Address
+
+log = logging.getLogger("orchidledge")
+
+MAGIC = b"OLST"
+HEADER = struct.Struct(">4sQI")
+FORMAT = 1  # raised whenever the body changes its meaning; another format is not read
+PROGRAM = "0.1.0"
+MAX_FILE = 64 * 1024 * 1024
+SKEW_MS = 1000.0  # a file written later than now by more than this was written before the clock went back
+LIST_MS = 300_000.0  # a restored list older than this is not used: servers have come and gone since
+WIRE_STATES = {ServerState.UP: "Ready", ServerState.DRAINING: "Terminating"}
+
+RULES = {
+    "missing": "no file: a cold start",
+    "unreadable": "the file could not be read: a cold start",
+    "torn": "shorter or longer than its header says: a cold start",
+    "digest": "its digest does not match: a cold start",
+    "malformed": "its body is not what this format holds: a cold start",
+    "format": "of another format: a cold start",
+    "another node": "written by another node: a cold start",
+    "future": "written after now, so the clock has gone back: only servers out by hand are used",
+    "list old": f"its list is older than {LIST_MS / 1000:.0f} s: the list is not used",
+    "list behind": "its list is no newer than the one the node was given: that one is used",
+}
+
+
+@dataclass(slots=True)
+class Recovered:
+    """What a verified file gives: all of it None or empty for a cold start; `age_ms` since it was written."""
+
+    age_ms: float = math.inf
+    learned: Learned | None = None
+    out: dict[str, float] = field(default_factory=dict)  # servers out by hand, and since when (Unix ms)
+    listing: Listing | None = None
+    broken: list[str] = field(default_factory=list)  # the rules that rejected all or part of it
+
+
+def encode(node: str, now_ms: float, learned: Learned, out: dict[str, float], listing: Listing) -> bytes:
+    """The file's bytes."""
+    targets = [
+        {
+            "uid": server.address,
+            "endpoint": "{}:{}".format(*listing.endpoints[server.address]),
+            "az": server.zone,
+            "pod_group": server.cell,
+            "state": WIRE_STATES[server.state],
+            "boot_ms": server.launched_ms or 0,
+        }
+        for server in listing.servers
+        if server.state in WIRE_STATES
+    ]
+    body: bytes = msgpack.packb(
+        {
+            "format": FORMAT,
+            "program": PROGRAM,
+            "node": node,
+            "written_ms": now_ms,
+            "learned": asdict(learned),
+            "out": out,
+            "list": {"rev": listing.revision, "all": True, "targets": targets},
+        }
+    )
+    return HEADER.pack(MAGIC, xxhash.xxh64_intdigest(body), len(body)) + body
+
+
+def decode(data: bytes) -> dict[str, Any]:
+    """The body of a file; ValueError names the rule it breaks."""
+    if len(data) < HEADER.size:
+        raise ValueError("torn")
+    magic, digest, length = HEADER.unpack_from(data)
+    body = data[HEADER.size :]
+    if magic != MAGIC or length != len(body):
+        raise ValueError("torn")
+    if xxhash.xxh64_intdigest(body) != digest:
+        raise ValueError("digest")
+    try:
+        row = msgpack.unpackb(body, strict_map_key=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise ValueError("malformed") from error
+    if not isinstance(row, dict):
+        raise ValueError("malformed")
+    if row.get("format") != FORMAT:
+        raise ValueError("format")
+    return row
+
+
+def verify(data: bytes, node: str, now_ms: float, given_rev: int) -> Recovered:
+    """Apply RULES to a file's bytes for this node at this time, given the rev of the list it was told."""
+    row = decode(data)
+    if row.get("node") != node:
+        raise ValueError("another node")
+    try:
+        written = float(row["written_ms"])
+        out = {str(name): float(since) for name, since in row["out"].items()}
+        learned = learned_from(row["learned"])
+        listing = parse_listing(row["list"])
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ValueError("malformed") from error
+    found = Recovered(now_ms - written, learned, out, listing)
+    if not math.isfinite(written) or written > now_ms + SKEW_MS:
+        return Recovered(out=out, broken=["future"])
+    if found.age_ms > LIST_MS:
+        found.listing, found.broken = None, ["list old"]
+    elif listing.revision <= given_rev:
+        found.listing, found.broken = None, ["list behind"]
+    return found
+
+
+def read(path: Path, node: str, now_ms: float, given_rev: int) -> Recovered:
+    """The verified file, with one log line for what it gave or why it gave nothing or less."""
+    try:
+        with path.open("rb") as opened:
+            data = opened.read(MAX_FILE + 1)
+        found = verify(data, node, now_ms, given_rev)
+    except FileNotFoundError:
+        found = Recovered(broken=["missing"])
+    except OSError as error:
+        log.error("state %s: %s", path, " ".join(str(error).split()))
+        found = Recovered(broken=["unreadable"])
+    except ValueError as error:
+        found = Recovered(broken=[str(error) if str(error) in RULES else "malformed"])
+    listed = 0 if found.listing is None else len(found.listing.servers)
+    said = "; ".join(f"{rule}, {RULES[rule]}" for rule in found.broken) or "verified"
+    log.info(
+        "state %s: %s; age %.0f ms, figures %s, %d out by hand, %d listed",
+        path,
+        said,
+        found.age_ms,
+        "yes" if found.learned is not None else "no",
+        len(found.out),
+        listed,
+    )
+    return found
+
+
+def show(path: Path, node: str | None = None) -> tuple[str, bool]:
+    """A file's verdict and body as JSON text, and whether it is whole; `node` checks its name as well."""
+    try:
+        row = decode(path.read_bytes())
+        if node is not None and row.get("node") != node:
+            raise ValueError("another node")
+    except OSError as error:
+        return orjson.dumps({"verdict": "unreadable", "error": str(error)}).decode(), False
+    except ValueError as error:
+        rule = str(error) if str(error) in RULES else "malformed"
+        return orjson.dumps({"verdict": rule, "rule": RULES[rule]}).decode(), False
+    age = time.time() * 1000.0 - float(row.get("written_ms", 0.0))
+    listed = row.get("list", {})
+    summary = {"verdict": "whole", "age_ms": round(age), "listed": len(listed.get("targets", []))}
+    return orjson.dumps({**summary, **row}, option=orjson.OPT_INDENT_2).decode(), True
+
+
+def listing_of(listed: dict[str, tuple[Server, Address]], revision: int) -> Listing:
+    """The node's present list in the form that `encode` keeps."""
+    servers = tuple(server for server, _ in listed.values())
+    return Listing(revision, True, servers, {name: endpoint for name, (_, endpoint) in listed.items()})
+
+
+def _put(path: Path, data: bytes) -> None:
+    """Write whole or not at all: the rename is atomic, the fsyncs make it outlive a power loss."""
+    draft = path.with_name(f"{path.name}.draft")
+    with draft.open("wb") as opened:
+        opened.write(data)
+        opened.flush()
+        os.fsync(opened.fileno())
+    os.replace(draft, path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+class StateFile:
+    """The writer of one node's file. Only the process that holds `FILE.lock` writes; another reads only."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.writes = self.failures = 0  # since the start
+        self.bytes = 0  # of the last write
+        self.last_s = 0.0  # time the last write took
+        self._lock: int | None = None
+        self._busy = False
+        self._failing = False
+        self._told_shared = False
+
+    def holds(self) -> bool:
+        """Whether this process may write; tried again at each call, as the other may have ended."""
+        if self._lock is not None:
+            return True
+        try:
+            self.path.parent.mkdir(parents=True, exist_ok=True)
+            handle = os.open(self.path.with_name(f"{self.path.name}.lock"), os.O_RDWR | os.O_CREAT, 0o600)
+        except OSError as error:
+            self._fail(error)
+            return False
+        try:
+            fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(handle)
+            if not self._told_shared:
+                log.warning("state %s: another process writes it; this one only reads it", self.path)
+            self._told_shared = True
+            return False
+        self._lock = handle
+        if self._told_shared:
+            log.info("state %s: this process writes it from now on", self.path)
+        return True
+
+    async def write(self, data: bytes) -> None:
+        """Put the bytes on disk in a worker thread; a write still under way makes this one wait its turn."""
+        if self._busy or not self.holds():
+            return
+        self._busy = True
+        began = asyncio.get_running_loop().time()
+        try:
+            await asyncio.to_thread(_put, self.path, data)
+        except OSError as error:
+            self._fail(error)
+        else:
+            self.writes += 1
+            self.bytes, self.last_s = len(data), asyncio.get_running_loop().time() - began
+            if self._failing:
+                log.info("state %s: written again", self.path)
+            self._failing = False
+        finally:
+            self._busy = False
+
+    def close(self) -> None:
+        if self._lock is not None:
+            with contextlib.suppress(OSError):
+                os.close(self._lock)  # which lets the lock go
+            self._lock = None
+
+    def _fail(self, error: OSError) -> None:
+        self.failures += 1
+        if not self._failing:  # once for each stretch of failures; the counter tells the rest
+            log.error("state %s not written, service goes on: %s", self.path, " ".join(str(error).split()))
+        self._failing = True
