--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,156 @@
+"""Figures of the node's state file: its write cost, and a node's return warm against cold. Outside CI.
+
+    python bench/recovery.py write [--servers 10000 --writes 50]
+    python bench/recovery.py restart [--rounds 20]
+    python bench/recovery.py threshold
+
+`write` encodes and writes (fsync, rename, fsync) the file of a node that lists so many servers.
+`restart` runs a node process under a steady client, kills it with SIGKILL and starts it again,
+with its state file (warm) and without (cold), and times each start to its first served request.
+`threshold` feeds the module a busy stretch, then a Restored of it, and compares the threshold at
+the first period of a warm start with the one it had and with a cold start's.
+Each prints one JSON line.
+"""
+
+from __future__ import annotations
+
+import argparse
+import http.client
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from orchidledge import interface as api
+from orchidledge.brain import Balancer
+from orchidledge.net import snapshot
+from orchidledge.net.discovery import Listing
+from tests.helpers import servers, settings
+from tests.test_recovery import Counted, Node, target
+from tests.test_registry_node import Client
+
+
+def write(count: int, writes: int) -> dict[str, Any]:
+    listed = servers(count)
+    endpoints = {server.address: ("10.1.0.1", 7000 + at) for at, server in enumerate(listed)}
+    listing = Listing(count, True, listed, endpoints)
+    learned = Balancer(settings(), 1, 0.0).learned()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "n0.state"
+        encodes, puts = [], []
+        for _ in range(writes):
+            began = time.perf_counter()
+            data = snapshot.encode("n0", time.time() * 1000.0, learned, {}, listing)
+            encoded = time.perf_counter()
+            snapshot._put(path, data)
+            encodes.append(encoded - began)
+            puts.append(time.perf_counter() - encoded)
+        began = time.perf_counter()
+        snapshot.verify(path.read_bytes(), "n0", time.time() * 1000.0, 0)
+        verify_ms = (time.perf_counter() - began) * 1000.0
+    return {
+        "servers": count,
+        "bytes": len(data),
+        "encode_ms_p50": round(statistics.median(encodes) * 1000.0, 2),
+        "write_ms_p50": round(statistics.median(puts) * 1000.0, 2),
+        "write_ms_max": round(max(puts) * 1000.0, 2),
+        "verify_ms": round(verify_ms, 2),
+    }
+
+
+def _first_served(port: int) -> float:
+    began = time.monotonic()
+    while True:
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=1)
+        try:
+            name = f"b{time.monotonic_ns()}"
+            connection.request("GET", f"/read/{name}", headers={"Req-Id": name})
+            if connection.getresponse().status == 200:
+                return time.monotonic() - began
+        except OSError:
+            pass
+        finally:
+            connection.close()
+        time.sleep(0.001)
+
+
+def restart(rounds: int) -> dict[str, Any]:
+    upstream = Counted()
+    figures: dict[str, list[float]] = {"warm": [], "cold": []}
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            for kind in ("warm", "cold"):
+                state = Path(folder) / f"{kind}.state"
+                node = Node(Path(folder), state, [target("s0", upstream.port)], state_every_ms=100)
+                for _ in range(rounds):
+                    if kind == "cold":
+                        state.unlink(missing_ok=True)
+                    began = time.monotonic()
+                    assert node.process is None or node.process.poll() is not None
+                    node.start()
+                    listening = time.monotonic() - began
+                    figures[kind].append(listening + _first_served(node.port))
+                    client = Client(node.port)
+                    time.sleep(0.3)
+                    client.finish()
+                    node.kill()
+    finally:
+        upstream.close()
+    return {
+        kind: {
+            "start_to_first_served_ms_p50": round(statistics.median(times) * 1000.0, 1),
+            "max_ms": round(max(times) * 1000.0, 1),
+            "rounds": len(times),
+        }
+        for kind, times in figures.items()
+    }
+
+
+def threshold() -> dict[str, Any]:
+    listed = servers(8)
+    busy = Balancer(settings(), 1, 0.0)
+    busy.handle(0.0, api.Membership(api.ListForm.FULL, listed))
+    now, number = 0.0, 0
+    while now < 20_000.0:  # twenty seconds of a busy pool whose servers answer in 40 ms
+        now += 5.0
+        for act in busy.handle(now, api.Request(f"r{number}", "read", now + 1000.0)):
+            if isinstance(act, api.Send):
+                busy.handle(now + 40.0, api.Outcome(act.id, 0, act.server, api.Result.OK, 40.0, True))
+        number += 1
+        busy.handle(now, api.Alarm("period"))
+    before = busy.threshold(1.0, len(busy.ready))
+    found = {}
+    for kind, event in (("warm", api.Restored(busy.learned(), 500.0)), ("cold", None)):
+        node = Balancer(settings(), 2, 0.0)
+        node.handle(0.0, api.Membership(api.ListForm.FULL, listed))
+        if event is not None:
+            node.handle(0.0, event)
+        node.handle(0.0, api.Alarm("period"))
+        found[kind] = round(node.threshold(1.0, len(node.ready)), 1)
+    return {"before_kill": round(before, 1), "first_period": found}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("figure", choices=["write", "restart", "threshold"])
+    parser.add_argument("--servers", type=int, default=10_000)
+    parser.add_argument("--writes", type=int, default=50)
+    parser.add_argument("--rounds", type=int, default=20)
+    told = parser.parse_args()
+    if told.figure == "write":
+        result = write(told.servers, told.writes)
+    elif told.figure == "restart":
+        result = restart(told.rounds)
+    else:
+        result = threshold()
+    print(orjson.dumps({told.figure: result}).decode())
+
+
+if __name__ == "__main__":
+    main()
