Encode the state file in its worker thread, off the event loop

Cause: at 10,000 listed servers encoding took 27 ms on the event loop once a second (bench/recovery.py write), a stall for every request in flight.

Change: StateFile.write takes a function that makes the bytes, and runs it with the write in the worker thread; the node hands it copies of the figures and the list, which the loop never changes after.

Measured: tests/test_recovery.py, test_node, test_handover, test_upgrade pass (106).

--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -541,8 +541,10 @@
             return
         bans = ((name, self.bans.get(name)) for name in self.listed)
         out = {name: ban.out_ms for name, ban in bans if ban is not None and ban.back_ms is None}
+        # What the thread reads is made here and never changed after: copies of the figures and the list.
         learned, listing = self.balancer.learned(), listing_of(self.listed, self.listed_rev)
-        await self.state.write(encode(self.config.name, self.clock.ms(), learned, out, listing))
+        learned.class_ms, name, now = dict(learned.class_ms), self.config.name, self.clock.ms()
+        await self.state.write(lambda: encode(name, now, learned, out, listing))
 
     # -------------------------------------------------------------------- figures
 
--- a/orchidledge/net/snapshot.py
+++ b/orchidledge/net/snapshot.py
@@ -18,6 +18,7 @@
 import os
 import struct
 import time
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Any
@@ -239,25 +240,31 @@
             log.info("state %s: this process writes it from now on", self.path)
         return True
 
-    async def write(self, data: bytes) -> None:
-        """Put the bytes on disk in a worker thread; a write still under way makes this one wait its turn."""
+    async def write(self, make: Callable[[], bytes]) -> None:
+        """Make the bytes and put them on disk in a worker thread, off the event loop; a write still under way
+        makes this one wait for the next period. `make` must read only what the loop no longer changes."""
         if self._busy or not self.holds():
             return
         self._busy = True
         began = asyncio.get_running_loop().time()
         try:
-            await asyncio.to_thread(_put, self.path, data)
+            size = await asyncio.to_thread(self._make_and_put, make)
         except OSError as error:
             self._fail(error)
         else:
             self.writes += 1
-            self.bytes, self.last_s = len(data), asyncio.get_running_loop().time() - began
+            self.bytes, self.last_s = size, asyncio.get_running_loop().time() - began
             if self._failing:
                 log.info("state %s: written again", self.path)
             self._failing = False
         finally:
             self._busy = False
 
+    def _make_and_put(self, make: Callable[[], bytes]) -> int:
+        data = make()
+        _put(self.path, data)
+        return len(data)
+
     def close(self) -> None:
         if self._lock is not None:
             with contextlib.suppress(OSError):
