Count the answers other than 200 after a kill, warm against cold, in bench/recovery.py

Change: `refusals` loads a node over 4 servers that take 6 calls at once (503 beyond), kills it, starts it again with and without its file and counts what was not 200.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -3,12 +3,15 @@
     python bench/recovery.py write [--servers 10000 --writes 50]
     python bench/recovery.py restart [--rounds 20]
     python bench/recovery.py threshold
+    python bench/recovery.py refusals [--rounds 3 --callers 16]
 
 `write` encodes and writes (fsync, rename, fsync) the file of a node that lists so many servers.
 `restart` runs a node process under a steady client, kills it with SIGKILL and starts it again,
 with its state file (warm) and without (cold), and times each start to its first served request.
 `threshold` feeds the module a busy stretch, then a Restored of it, and compares the threshold at
 the first period of a warm start with the one it had and with a cold start's.
+`refusals` loads a node over 4 servers that take 6 calls at once each (more are answered 503), kills it
+and counts the answers other than 200 in the 10 s after its start again, warm and cold.
 Each prints one JSON line.
 """
 
@@ -19,7 +22,9 @@
 import statistics
 import sys
 import tempfile
+import threading
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -112,6 +117,79 @@
     }
 
 
+class Bounded(Counted):
+    """A server that holds each call 20 ms and answers 503 to those over `room` at once."""
+
+    def __init__(self, room: int) -> None:
+        super().__init__()
+        gate = threading.BoundedSemaphore(room)
+        handler = self.server.RequestHandlerClass
+
+        def do_get(answer: Any) -> None:
+            if not gate.acquire(blocking=False):
+                answer.send_response(503)
+                answer.send_header("Content-Length", "0")
+                answer.end_headers()
+                return
+            try:
+                time.sleep(0.02)
+                handler.do_GET(answer)  # type: ignore[attr-defined]
+            finally:
+                gate.release()
+
+        self.server.RequestHandlerClass = type("Full", (handler,), {"do_GET": do_get})
+
+
+def _load(port: int, callers: int, seconds: float) -> Counter[int]:
+    statuses: Counter[int] = Counter()
+    end = time.monotonic() + seconds
+
+    def call(number: int) -> None:
+        while time.monotonic() < end:
+            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=2)
+            name = f"c{number}-{time.monotonic_ns()}"
+            try:
+                connection.request("GET", f"/read/{name}", headers={"Req-Id": name})
+                statuses[connection.getresponse().status] += 1
+            except OSError:
+                statuses[0] += 1
+            finally:
+                connection.close()
+
+    threads = [threading.Thread(target=call, args=(number,)) for number in range(callers)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
+
+
+def refusals(rounds: int, callers: int) -> dict[str, Any]:
+    backends = [Bounded(6) for _ in range(4)]
+    found: dict[str, list[float]] = {"warm": [], "cold": []}
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            known = [target(f"s{at}", server.port) for at, server in enumerate(backends)]
+            for kind in ("warm", "cold"):
+                state = Path(folder) / f"{kind}.state"
+                node = Node(Path(folder), state, known, state_every_ms=200)
+                node.start()
+                _load(node.port, callers, 10.0)  # learned under this load
+                for _ in range(rounds):
+                    node.kill()
+                    if kind == "cold":
+                        state.unlink(missing_ok=True)
+                    node.start()
+                    statuses = _load(node.port, callers, 10.0)
+                    found[kind].append(sum(statuses.values()) - statuses[200])
+                    found.setdefault(f"{kind}_answers", []).append(sum(statuses.values()))
+                node.kill()
+    finally:
+        for server in backends:
+            server.close()
+    return {kind: [int(value) for value in values] for kind, values in found.items()}
+
+
 def threshold() -> dict[str, Any]:
     listed = servers(8)
     busy = Balancer(settings(), 1, 0.0)
@@ -138,7 +216,8 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("figure", choices=["write", "restart", "threshold"])
+    parser.add_argument("figure", choices=["write", "restart", "threshold", "refusals"])
+    parser.add_argument("--callers", type=int, default=16)
     parser.add_argument("--servers", type=int, default=10_000)
     parser.add_argument("--writes", type=int, default=50)
     parser.add_argument("--rounds", type=int, default=20)
@@ -147,6 +226,8 @@
         result = write(told.servers, told.writes)
     elif told.figure == "restart":
         result = restart(told.rounds)
+    elif told.figure == "refusals":
+        result = refusals(told.rounds, told.callers)
     else:
         result = threshold()
     print(orjson.dumps({told.figure: result}).decode())
