--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -10,7 +10,7 @@
 with its state file (warm) and without (cold), and times each start to its first served request.
 `threshold` feeds the module a busy stretch, then a Restored of it, and compares the threshold at
 the first period of a warm start with the one it had and with a cold start's.
-`refusals` loads a node over 4 servers that take 6 calls at once each (more are answered 503), kills it
+`refusals` loads a node over 4 servers that take 2 calls of 50 ms at once each (more are answered 503), kills it
 and counts the answers other than 200 in the 10 s after its start again, warm and cold.
 Each prints one JSON line.
 """
@@ -118,9 +118,9 @@
 
 
 class Bounded(Counted):
-    """A server that holds each call 20 ms and answers 503 to those over `room` at once."""
+    """A server that holds each call `hold_s` and answers 503 to those over `room` at once."""
 
-    def __init__(self, room: int) -> None:
+    def __init__(self, room: int, hold_s: float) -> None:
         super().__init__()
         gate = threading.BoundedSemaphore(room)
         handler = self.server.RequestHandlerClass
@@ -132,7 +132,7 @@
                 answer.end_headers()
                 return
             try:
-                time.sleep(0.02)
+                time.sleep(hold_s)
                 handler.do_GET(answer)  # type: ignore[attr-defined]
             finally:
                 gate.release()
@@ -165,7 +165,7 @@
 
 
 def refusals(rounds: int, callers: int) -> dict[str, Any]:
-    backends = [Bounded(6) for _ in range(4)]
+    backends = [Bounded(2, 0.05) for _ in range(4)]
     found: dict[str, list[float]] = {"warm": [], "cold": []}
     try:
         with tempfile.TemporaryDirectory() as folder:
