--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -10,8 +10,8 @@
 with its state file (warm) and without (cold), and times each start to its first served request.
 `threshold` feeds the module a busy stretch, then a Restored of it, and compares the threshold at
 the first period of a warm start with the one it had and with a cold start's.
-`refusals` loads a node over 4 servers that take 2 calls of 50 ms at once each (more are answered 503), kills it
-and counts the answers other than 200 in the 10 s after its start again, warm and cold.
+`refusals` loads a node over 4 servers that take 2 calls of 50 ms at once each (more are answered 503),
+kills it and counts the answers other than 200 in the 10 s after its start again, warm and cold.
 Each prints one JSON line.
 """
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -36,9 +36,10 @@
 
 
 class Counted:
-    """A server that counts each path it is asked for: a request that reached it twice shows as 2."""
+    """A server that counts each path it is asked for (a request that reached it twice shows as 2) and answers
+    `body`; as discovery, with `rev`, a watch since that rev waits a while, as nothing is newer."""
 
-    def __init__(self) -> None:
+    def __init__(self, body: bytes = b"done", rev: int | None = None) -> None:
         self.paths: Counter[str] = Counter()
         paths = self.paths
 
@@ -47,10 +48,12 @@
 
             def do_GET(self) -> None:
                 paths[self.path] += 1
+                if f"since={rev}&" in self.path:
+                    time.sleep(0.5)
                 self.send_response(200)
-                self.send_header("Content-Length", "4")
+                self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
-                self.wfile.write(b"done")
+                self.wfile.write(body)
 
             def log_message(self, *_: object) -> None:
                 pass
@@ -270,39 +273,10 @@
         second.stop()
 
 
-class Listed:
-    """A discovery stand-in: one list, and a watch that waits while nothing is newer."""
-
-    def __init__(self, rev: int, targets: list[dict[str, Any]]) -> None:
-        body = orjson.dumps({"rev": rev, "all": True, "targets": targets})
-
-        class Answer(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def do_GET(self) -> None:
-                if f"since={rev}&" in self.path:
-                    time.sleep(0.5)
-                self.send_response(200)
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-
-            def log_message(self, *_: object) -> None:
-                pass
-
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Answer)
-        self.port = int(self.server.server_address[1])
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
-
-    def close(self) -> None:
-        self.server.shutdown()
-        self.server.server_close()
-
-
 def test_a_restart_while_discovery_is_down_serves_the_restored_list(
     tmp_path: Path, upstream: Counted
 ) -> None:
-    discovery = Listed(5, [target("s1", upstream.port)])
+    discovery = Counted(orjson.dumps({"rev": 5, "all": True, "targets": [target("s1", upstream.port)]}), 5)
     state = tmp_path / "n0.state"
     gone = [target("s0", free_port())]  # the list the platform hands over is old: its server has gone
     node = Node(
