Split the node into parts by job: jobs, attempts, server list, driver, keeper, clockwork

Node was one class of 560 lines that held requests, attempts, the server list, bans, the state file, hand-over, figures and the module's driver, so a further part could only be added inside it.

Each job is a class in a module of its own, handed the objects it needs. Node keeps the assembly, start, stop, standby, active and close. What comes next is plugged in at `Node.parts` (the Part protocol, which the state file's keeper fulfils), the dict of calls that the door is made of, and `Attempts.on_outcome`, whose first listeners are the counter and the module. Behaviour is unchanged; tests follow the attributes to their new places with the same assertions.

--- /dev/null
+++ b/orchidledge/net/clock.py
@@ -0,0 +1,17 @@
+"""The node's clock."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+
+class Clock:
+    """Unix time in milliseconds that never goes back: the event loop's clock, anchored to it once."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._time = loop.time
+        self._anchor = time.time() - loop.time()
+
+    def ms(self, at: float | None = None) -> float:
+        return ((self._time() if at is None else at) + self._anchor) * 1000.0
--- /dev/null
+++ b/orchidledge/net/driver.py
@@ -0,0 +1,100 @@
+"""The decision module's driver: events go in one at a time, actions that come out are carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter, deque
+
+from orchidledge import interface as api
+from orchidledge.brain import Balancer
+from orchidledge.net.attempts import Attempts
+from orchidledge.net.clock import Clock
+from orchidledge.net.discovery import Watcher
+from orchidledge.net.jobs import Jobs
+
+log = logging.getLogger("orchidledge")
+
+FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
+
+
+class Driver:
+    """Owns the module, the events that wait for it and the alarms that it has asked for."""
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        clock: Clock,
+        jobs: Jobs,
+        attempts: Attempts,
+        watcher: Watcher,
+        counts: Counter[str],
+    ) -> None:
+        self.balancer = balancer
+        self._loop = asyncio.get_running_loop()
+        self._clock = clock
+        self._jobs = jobs
+        self._attempts = attempts
+        self._watcher = watcher
+        self._counts = counts
+        self._events: deque[api.Event] = deque()
+        self._deciding = False
+        self._alarms: dict[str, asyncio.TimerHandle] = {}
+
+    def tell(self, event: api.Event) -> None:
+        """Give the module an event and carry out what it says; events that come of that wait their turn."""
+        self._events.append(event)
+        if self._deciding:
+            return
+        self._deciding = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                for action in self._decide(event):
+                    self._act(action)
+        finally:
+            self._deciding = False
+
+    def close(self) -> None:
+        for alarm in self._alarms.values():
+            alarm.cancel()
+
+    def _decide(self, event: api.Event) -> list[api.Action]:
+        try:
+            return self.balancer.handle(self._clock.ms(), event)
+        except Exception:
+            # Guard: a fault of the module must leave no caller without an answer, nor stop its clockwork.
+            log.exception("the decision module failed on %s", type(event).__name__)
+            self._counts["faults"] += 1
+            self._make_good(event)
+            return []
+
+    def _make_good(self, event: api.Event) -> None:
+        """Do in the module's place what nobody else would do after it has lost this event."""
+        if isinstance(event, api.Request | api.Outcome):
+            job = self._jobs.get(event.id)
+            if job is not None and not job.done and not job.out:
+                self._jobs.answer(job, 500)
+                self._events.append(api.Lapsed(event.id))
+        elif isinstance(event, api.Alarm):
+            self._wake(FAULT_PAUSE_S, event.name)
+        elif isinstance(event, api.Membership) and event.form is api.ListForm.FAILED:
+            self._loop.call_later(FAULT_PAUSE_S, self._watcher.start)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._attempts.send(action)
+            case api.Refuse():
+                self._jobs.refuse(action)
+            case api.Fail():
+                self._jobs.fail(action)
+            case api.Cancel():
+                self._attempts.cancel(action)
+            case api.Wake():
+                self._wake(action.delay_ms / 1000.0, action.name)
+            case api.Watch():
+                self._watcher.start()
+
+    def _wake(self, delay_s: float, name: str) -> None:
+        self._alarms[name] = self._loop.call_later(delay_s, self.tell, api.Alarm(name))
--- a/orchidledge/net/figures.py
+++ b/orchidledge/net/figures.py
@@ -20,6 +20,10 @@
         kind = "success" if status == 200 else "overload" if status in OVERLOAD else "error"
         self._replies[name][kind] += 1
 
+    def sent(self) -> None:
+        """Count an attempt that has been written whole."""
+        self.dispatches += 1
+
     def text(self, concurrent: int, targets: int, disabled: int) -> bytes:
         lines = [
             f"proxy.replies.{name}.{kind}={count}"
--- a/orchidledge/net/operator.py
+++ b/orchidledge/net/operator.py
@@ -1,4 +1,4 @@
-"""The operators' door: one call to a connection, parsed here and answered by a method of the node."""
+"""The operators' door: one call to a connection, parsed here, answered by the part of the node it is for."""
 
 from __future__ import annotations
 
@@ -26,6 +26,10 @@
     text: bytes = b""
 
 
+def yes_or_no(yes: bool) -> Answer:
+    return Answer(200 if yes else 503)
+
+
 Calls = Mapping[tuple[bytes, bytes], Callable[[bytes], Answer]]  # by method and path, each given the body
 
 
--- /dev/null
+++ b/orchidledge/net/sharing.py
@@ -0,0 +1,30 @@
+"""Hand-over between two processes of one node: what they tell each other, and what the module hears of it."""
+
+from __future__ import annotations
+
+from orchidledge import interface as api
+from orchidledge.net.clock import Clock
+from orchidledge.net.driver import Driver
+from orchidledge.net.handover import Handover
+
+
+class Sharing:
+    def __init__(self, handover: Handover, clock: Clock, driver: Driver) -> None:
+        self.handover = handover
+        self._clock = clock
+        self._driver = driver
+        self._beside = False  # another process of this node holds calls
+
+    def share(self, starts: bool = False) -> None:
+        """Tell another process of this node what is held and known here, and the module what is there."""
+        learned, held = self.handover.read(self._clock.ms())
+        if starts and learned is not None:
+            self._driver.tell(learned)
+        if held or self._beside:
+            self._driver.tell(api.Beside(held))
+        self._beside = bool(held)
+        balancer = self._driver.balancer
+        self.handover.write(self._clock.ms(), balancer.learned(), balancer.held())
+
+    def close(self) -> None:
+        self.handover.close()
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -89,7 +89,7 @@
             assert (await figures(node))["replies.post.overload"] == 1
             server.release.set()
             await caller.answer()
-            node.balancer = Scripted(
+            node.driver.balancer = Scripted(
                 lambda event: [api.Refuse("no")] if isinstance(event, api.Request) else []
             )
             assert (await ask(node, request(name="no"))).status == 503
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -157,18 +157,19 @@
             caller.writer.write(request(name="q1"))
             await until(lambda: server.seen)
             new = Node(old.config)
-            assert new.handover is not None
-            new.handover = Handover(tmp_path / FOLDER, os.getpid() + 1)  # as both run in one process here
-            old._share()
-            new._on_list(api.ListForm.CACHED, new.config.known)
-            new._share(starts=True)
-            assert new.balancer.peers["s0"].beside == 1.0
-            assert old.balancer.peers["s0"].beside == 0.0
+            assert new.sharing is not None
+            # As both run in one process here.
+            new.sharing.handover = Handover(tmp_path / FOLDER, os.getpid() + 1)
+            old.sharing.share()
+            new.servers.on_list(api.ListForm.CACHED, new.config.known)
+            new.sharing.share(starts=True)
+            assert new.driver.balancer.peers["s0"].beside == 1.0
+            assert old.driver.balancer.peers["s0"].beside == 0.0
             server.release.set()
             await caller.answer()
-            old._share()
-            new._share()
-            assert new.balancer.peers["s0"].beside == 0.0
+            old.sharing.share()
+            new.sharing.share()
+            assert new.driver.balancer.peers["s0"].beside == 0.0
             new.close()
             assert os.listdir(tmp_path / FOLDER) == [f"{PREFIX}{os.getpid()}"]
         assert os.listdir(tmp_path / FOLDER) == []
@@ -180,8 +181,8 @@
 def test_a_node_with_a_socket_of_its_own_hands_nothing_over(tmp_path):
     async def main():
         async with running(Held(), tmpdir=str(tmp_path)) as node:
-            node._beat(node.loop.time())
-            assert node.handover is None
+            node.clockwork.beat(node.loop.time())
+            assert node.sharing is None
 
     asyncio.run(main())
     assert not os.listdir(tmp_path)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -120,11 +120,11 @@
             filler.connect(silent.getsockname())
             server = Peer()
             async with running(server, bounds={"connectTimeoutMs": 10_000.0}, **DOOR) as node:
-                known = node.listed["s0"][0]
+                known = node.servers.listed["s0"][0]
                 silent_server = api.Server("quiet", zone=known.zone)
-                node.listed["quiet"] = silent_server, silent.getsockname()[:2]
+                node.servers.listed["quiet"] = silent_server, silent.getsockname()[:2]
                 assert await status(node, "PUT", ENTER, b"s0") == 200
-                node._tell_servers(api.Membership(api.ListForm.DELTA, (silent_server,)))
+                node.servers.change(api.Membership(api.ListForm.DELTA, (silent_server,)))
                 caller = await Caller.to(node)
                 caller.writer.write(request())
                 await until(lambda: node.pool.size)
@@ -157,7 +157,7 @@
             discovery.news.append(news)
             node.watcher.close()
             node.watcher.start()
-            await until(lambda: "s1" in node.listed)
+            await until(lambda: "s1" in node.servers.listed)
             for at in range(10):
                 assert (await ask(node, request(name=f"q{at}"))).status == 200
             assert not server.seen
@@ -174,13 +174,13 @@
             new.server.listen = _nowhere  # type: ignore[method-assign]
             await new.start()
             assert await status(old, "PUT", ENTER, b"s0") == 200
-            await until(lambda: not new.up)  # by its own look at the folder
+            await until(lambda: not new.servers.up)  # by its own look at the folder
             later = Node(old.config)
             later.server.listen = _nowhere  # type: ignore[method-assign]
             await later.start()
-            assert not later.up
+            assert not later.servers.up
             assert await status(later, "PUT", EXIT, b"s0") == 200
-            await until(lambda: old.up and new.up)
+            await until(lambda: old.servers.up and new.servers.up)
             new.close()
             later.close()
 
@@ -195,9 +195,9 @@
     async def main():
         async with running(Peer(), tmpdir=str(tmp_path), **DOOR) as node:
             Bans(tmp_path / FOLDER).take_out("s0", 1.0)
-            assert node.exit_maintenance("s0")
+            assert node.servers.exit_maintenance("s0")
             assert not Bans(tmp_path / FOLDER).out("s0")
-            assert node.up == {"s0"}
+            assert node.servers.up == {"s0"}
 
     asyncio.run(main())
 
@@ -206,8 +206,8 @@
     async def main():
         async with running(Peer(), tmpdir=str(tmp_path)) as node:
             Bans(tmp_path / FOLDER).take_out("s0", 1.0)
-            node._beat(node.loop.time())
-            assert node.up == {"s0"}
+            node.clockwork.beat(node.loop.time())
+            assert node.servers.up == {"s0"}
 
     asyncio.run(main())
     assert os.listdir(Path(tmp_path)) == [FOLDER]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -28,9 +28,9 @@
 )
 
 from orchidledge import interface as api
-from orchidledge.net import node as node_module
+from orchidledge.net import driver as driver_module
+from orchidledge.net.clock import Clock
 from orchidledge.net.discovery import Listing, Watcher, parse_address
-from orchidledge.net.node import Clock
 from orchidledge.net.server import BODY_S, HEAD_S, PACE, SWEEP_S
 
 
@@ -63,8 +63,8 @@
             assert seen.body == b'{"a":1}'
             assert (seen.headers["req-id"], seen.headers["idempotency-key"]) == ("q7", "k1")
             assert 0 < int(seen.headers["req-deadline-ms"]) < 9000
-            assert node.balancer.peers["s0"].queue == 3
-            assert node.jobs == {}
+            assert node.driver.balancer.peers["s0"].queue == 3
+            assert node.jobs.held == {}
 
     asyncio.run(main())
 
@@ -72,7 +72,7 @@
 def test_the_module_hears_what_the_request_says():
     async def main():
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted(lambda event: [api.Refuse(event.id, 250.0)])
+            node.driver.balancer = scripted = Scripted(lambda event: [api.Refuse(event.id, 250.0)])
             before = node.clock.ms()
             answer = await ask(
                 node,
@@ -100,7 +100,7 @@
 
         server = Peer(script)
         async with running(server) as node:
-            node.balancer = scripted = Scripted(send_to("s0"))
+            node.driver.balancer = scripted = Scripted(send_to("s0"))
             assert (await ask(node, request(kind, "q1"))).status == 200
             assert (await ask(node, request(kind, "q2"))).status == 502  # on the connection kept from before
             assert (server.connections, len(server.seen)) == (1, 2)
@@ -138,14 +138,14 @@
                     return [api.Fail(event.id)] if moot else [api.Send(event.id, "s0")]
                 return []
 
-            node.balancer = scripted = Scripted(act)
+            node.driver.balancer = scripted = Scripted(act)
             assert (await ask(node, request())).status == 502
             assert len(server.seen) == 3
             outcomes = scripted.of(api.Outcome)
             assert [event.attempt for event in outcomes] == [0, 1, 2, 3]
             assert outcomes[-1].result is api.Result.MOOT
-            node.balancer = scripted = Scripted()
-            node._act(api.Send("q1", "s0"))
+            node.driver.balancer = scripted = Scripted()
+            node.driver._act(api.Send("q1", "s0"))
             assert [(event.result, event.done) for event in scripted.of(api.Outcome)] == [
                 (api.Result.MOOT, True)
             ]
@@ -161,11 +161,11 @@
             caller = await Caller.to(node)
             caller.writer.write(request())
             await until(lambda: server.seen)
-            assert node.balancer.peers["s0"].load == 1.0
+            assert node.driver.balancer.peers["s0"].load == 1.0
             caller.writer.close()
-            await until(lambda: not node.jobs)
-            assert node.balancer.peers["s0"].load == 0.0
-            assert node.open == 0
+            await until(lambda: not node.jobs.held)
+            assert node.driver.balancer.peers["s0"].load == 0.0
+            assert node.jobs.open == 0
 
     asyncio.run(main())
 
@@ -180,10 +180,10 @@
                     return [api.Send(event.id, "s0"), api.Send(event.id, "s1")]
                 return []
 
-            node.balancer = scripted = Scripted(act)
+            node.driver.balancer = scripted = Scripted(act)
             assert (await ask(node, request())).body == b"done"
             server.release.set()
-            await until(lambda: not node.jobs)
+            await until(lambda: not node.jobs.held)
             outcomes = scripted.of(api.Outcome)
             assert [(event.attempt, event.done) for event in outcomes] == [(1, True), (0, True)]
 
@@ -200,10 +200,10 @@
                     raise RuntimeError("broken")
                 return [api.Send(event.id, "s0")] if isinstance(event, api.Request) else []
 
-            node.balancer = scripted = Scripted(act)
+            node.driver.balancer = scripted = Scripted(act)
             assert (await ask(node, request())).status == 500
             assert scripted.of(api.Lapsed)
-            assert not node.jobs
+            assert not node.jobs.held
             assert node.server.ready
 
     asyncio.run(main())
@@ -211,7 +211,7 @@
 
 def test_a_fault_on_an_alarm_does_not_stop_the_modules_clockwork(monkeypatch):
     async def main():
-        monkeypatch.setattr(node_module, "FAULT_PAUSE_S", 0.01)
+        monkeypatch.setattr(driver_module, "FAULT_PAUSE_S", 0.01)
 
         def act(event):
             if isinstance(event, api.Alarm) and len(scripted.of(api.Alarm)) == 1:
@@ -219,8 +219,8 @@
             return []
 
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted(act)
-            node._act(api.Wake(1.0, "tick"))
+            node.driver.balancer = scripted = Scripted(act)
+            node.driver._act(api.Wake(1.0, "tick"))
             await until(lambda: len([event for event in scripted.of(api.Alarm) if event.name == "tick"]) == 2)
 
     asyncio.run(main())
@@ -229,7 +229,7 @@
 def test_a_request_that_the_module_forgets_is_answered_at_its_deadline():
     async def main():
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted()
+            node.driver.balancer = scripted = Scripted()
             assert (await ask(node, request(Req_Deadline_Ms="200"))).status == 504
             assert [event.id for event in scripted.of(api.Lapsed)] == ["q1"]
 
@@ -245,7 +245,7 @@
                     return [api.Send(event.id, "s0", 60_000.0)]
                 return [api.Fail(event.id)] if isinstance(event, api.Outcome) else []
 
-            node.balancer = scripted = Scripted(act)
+            node.driver.balancer = scripted = Scripted(act)
             assert (await ask(node, request(Req_Deadline_Ms="300"))).status == 504
             # The module's answer to its time-out came first, not the node's own.
             assert [event.result for event in scripted.of(api.Outcome)] == [api.Result.TIMEOUT]
@@ -277,10 +277,10 @@
 def test_bad_callers_are_answered_and_never_reach_the_module(data, status):
     async def main():
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted()
+            node.driver.balancer = scripted = Scripted()
             assert (await ask(node, data)).status == status
             assert not scripted.of(api.Request)
-            assert not node.jobs
+            assert not node.jobs.held
 
     asyncio.run(main())
 
@@ -492,17 +492,17 @@
 def test_busy_connections_over_the_limit_are_refused_at_once_and_closed():
     async def main():
         async with running(Peer(), limits={"sockets": 132}) as node:
-            node.balancer = scripted = Scripted()  # holds every request
+            node.driver.balancer = scripted = Scripted()  # holds every request
             callers = [await Caller.to(node) for _ in range(node.server.limit)]
             for at, caller in enumerate(callers):
                 caller.writer.write(request(name=f"q{at}"))
-            await until(lambda: node.open == len(callers))
+            await until(lambda: node.jobs.open == len(callers))
             late = await ask(node, request(name="late"))
             assert (late.status, late.headers["connection"]) == (503, "close")
             assert len(scripted.of(api.Request)) == len(callers)
             await until(lambda: len(node.server.connections) == len(callers))
             for at, caller in enumerate(callers):
-                node._act(api.Refuse(f"q{at}"))
+                node.driver._act(api.Refuse(f"q{at}"))
                 assert (await caller.answer()).status == 503
                 caller.writer.close()
 
@@ -519,7 +519,7 @@
             reply(503),
         )
         async with running(Peer(), discovery=discovery) as node:
-            node.balancer = scripted = Scripted()
+            node.driver.balancer = scripted = Scripted()
             # The module's first act, on the known list, was to ask for a watch.
             await until(lambda: len(scripted.of(api.Membership)) == 3)
             forms = [event.form for event in scripted.of(api.Membership)]
@@ -540,7 +540,7 @@
 def test_the_known_list_comes_first_and_as_cached():
     async def main():
         async with running(Peer()) as node:
-            node.balancer = scripted = Scripted()
+            node.driver.balancer = scripted = Scripted()
             await node.start()
             assert [event.form for event in scripted.of(api.Membership)] == [api.ListForm.CACHED]
             assert scripted.events[0].servers[0].launched_ms is None  # 0 means long ago
@@ -563,7 +563,7 @@
 def test_any_bad_discovery_call_is_a_failure_and_keeps_the_list(news, caplog):
     async def main():
         async with running(Peer(), discovery=Discovery(news)) as node:
-            node.balancer = scripted = Scripted()
+            node.driver.balancer = scripted = Scripted()
             await until(lambda: scripted.of(api.Membership))
             assert [event.form for event in scripted.of(api.Membership)] == [api.ListForm.FAILED]
             assert (set(node.pool._servers), node.server.ready) == ({"s0"}, True)
@@ -578,7 +578,7 @@
         monkeypatch.setattr("orchidledge.net.discovery.MAX_LIST", 400)
         huge = listing(2, True, **{f"s{n}": (f"127.0.0.1:{1000 + n}", "Ready") for n in range(20)})
         async with running(Peer(), discovery=Discovery(huge)) as node:
-            node.balancer = scripted = Scripted()
+            node.driver.balancer = scripted = Scripted()
             await until(lambda: scripted.of(api.Membership))
             assert [event.form for event in scripted.of(api.Membership)] == [api.ListForm.FAILED]
             assert set(node.pool._servers) == {"s0"}
@@ -607,7 +607,7 @@
         discovery = Discovery(reply(503), listing(5, True, s9=("127.0.0.1:9", "Ready")))
         async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
             await until(lambda: set(node.pool._servers) == {"s9"})
-            assert set(node.balancer.peers) == {"s9"}
+            assert set(node.driver.balancer.peers) == {"s9"}
 
     asyncio.run(main())
 
@@ -623,7 +623,7 @@
         )
         async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
             await until(lambda: "s6" in node.pool._servers)
-            assert set(node.pool._servers) == set(node.balancer.peers) == {"s5", "s6"}
+            assert set(node.pool._servers) == set(node.driver.balancer.peers) == {"s5", "s6"}
             assert node.counts["list failed"] == 2
             assert caplog.text.count("stale list, version 3 after 5") == 1
             assert caplog.text.count("the old list holds") == 1  # once for the stretch
@@ -679,7 +679,7 @@
     async def main():
         server = Peer()
         async with running(server) as node:
-            node.balancer = scripted = Scripted(send_to("s0", "s0"))
+            node.driver.balancer = scripted = Scripted(send_to("s0", "s0"))
             caller = await Caller.to(node)
             hold = asyncio.Event()
 
@@ -690,7 +690,7 @@
             caller.writer.write(request())
             await until(lambda: node.pool.size)
             row = Listing(9, False, (api.Server("s0", state=api.ServerState.DRAINING),), {"s0": ("", 1)})
-            node._on_list(api.ListForm.DELTA, row)
+            node.servers.on_list(api.ListForm.DELTA, row)
             assert [event.result for event in scripted.of(api.Outcome)] == [api.Result.CONNECT_FAILED] * 2
             assert (await caller.answer()).status == 502
             assert server.seen == []
@@ -741,7 +741,7 @@
                     return [api.Send(event.id, "s0"), api.Send(event.id, "s0")]
                 return [api.Refuse(event.id)] if isinstance(event, api.Outcome) else []
 
-            node.balancer = scripted = Scripted(act)
+            node.driver.balancer = scripted = Scripted(act)
             assert (await ask(node, request(Req_Deadline_Ms="0"))).status == 503
             outcomes = [(event.result, event.attempt) for event in scripted.of(api.Outcome)]
             assert outcomes == [(api.Result.MOOT, 0), (api.Result.MOOT, 1)]
@@ -758,7 +758,7 @@
             endpoints = {"s0": ("127.0.0.1", server.port)}
             for launched in (5.0, 5.0):
                 row = Listing(9, False, (api.Server("s0", launched_ms=launched),), endpoints)
-                node._on_list(api.ListForm.DELTA, row)
+                node.servers.on_list(api.ListForm.DELTA, row)
                 assert (await ask(node, request(name="q2"))).status == 200
             assert server.connections == 2
 
