Test a further part of the node: its start, stop, figures and outcomes

The order matters to whoever adds one: it starts once the node listens, stops after the last answer, and hears of an outcome after the module has. Told late, the module still shows the call in flight and the test fails.

--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,71 @@
+"""A further part of the node: it begins, reports and ends with it, and may hear of outcomes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from loopback import Discovery, Peer, ask, config, request, targets
+
+from orchidledge import interface as api
+from orchidledge.net import node as node_module
+from orchidledge.net.node import Node
+
+
+class Recorded:
+    """A part that notes what is asked of it, and whether the node served at that time."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self.seen: list[tuple[str, bool]] = []
+
+    async def start(self) -> None:
+        self.seen.append(("start", bool(self._node.server.address)))
+
+    async def stop(self) -> None:
+        self.seen.append(("stop", bool(self._node.jobs.under_way)))
+
+    def close(self) -> None:
+        self.seen.append(("close", bool(self._node.jobs.under_way)))
+
+    def metrics(self) -> str:
+        return "proxy.recorded=1\n"
+
+
+def test_a_part_starts_once_the_node_listens_and_stops_before_it_closes(monkeypatch, tmp_path):
+    monkeypatch.setattr(node_module, "STOP_LEAST_S", 0.0)
+
+    async def main():
+        server, discovery = await Peer().start(), await Discovery().start()
+        known = targets(s0=(server.endpoint, "Ready"))
+        node = Node(config(discovery.endpoint, known=known, state=str(tmp_path / "state")))
+        part = Recorded(node)
+        node.parts.append(part)
+        heard: list[tuple[str, api.Result, dict[str, float]]] = []
+        node.attempts.on_outcome.append(
+            lambda outcome: heard.append((outcome.server, outcome.result, node.driver.balancer.held()))
+        )
+        await node.start()
+        assert (await ask(node, request())).status == 200
+        # The module had heard of it first: nothing was in flight any more.
+        assert heard == [("s0", api.Result.OK, {})]
+        *_, kept, last = node.metrics().splitlines()
+        assert (kept.partition(b"=")[0], last) == (b"proxy.state_write_ms", b"proxy.recorded=1")
+        await node.stop()
+        assert part.seen == [("start", True), ("stop", False), ("close", False)]
+        for peer in (server, discovery):
+            peer.stop()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("state", [False, True])
+def test_metrics_have_the_state_files_lines_only_where_one_is_kept(tmp_path, state):
+    async def main():
+        more = {"state": str(tmp_path / "state")} if state else {}
+        node = Node(config("127.0.0.1:1", **more))
+        assert (b"proxy.state_writes=0\n" in node.metrics()) is state
+        assert node.metrics().endswith(b"\n")
+        node.close()
+
+    asyncio.run(main())
