--- /dev/null
+++ b/orchidledge/members/__init__.py
@@ -0,0 +1,1 @@
+"""Members: who is there, who has failed, and what to do while they disagree (docs/fleet.md)."""
--- /dev/null
+++ b/orchidledge/members/ledger.py
@@ -0,0 +1,222 @@
+"""The rows of the fleet: who is enrolled, under which incarnation, and what share each may be taking.
+
+A replicated state machine without clocks: every call stands in the list service's log and gives the same
+result on each instance. Its rules (docs/fleet.md, "Shares"):
+
+- A row's `share` is the most that its process may be taking; the sum over all rows is never over 1. A grant
+  is made only from what is free, and what a node gives up is free only once its own renewal says so.
+- An elector counts for the majority that must be attached before a lapsed row's share is given away. A row
+  becomes one once every elector has acknowledged a revision that shows it; a restarted process takes its
+  old row's place.
+- An incarnation is given once and only rises.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+
+class State(StrEnum):
+    LIVE = "live"
+    LAPSED = "lapsed"  # its lease has run out; its share is kept for it until a majority gives it away
+    LEAVING = "leaving"  # drains; takes its share until it has left
+    LEFT = "left"  # takes no share; an elector for one more term, while others may rest on its last word
+
+
+@dataclass(slots=True)
+class Row:
+    name: str
+    address: str  # host:port where siblings call it; one process at a time can listen there
+    zone: str
+    start: str  # a random text of the process's start
+    incarnation: int
+    rank: int  # its first incarnation: the lowest one wins a tie; kept by a restarted process
+    enrolled: int  # revision at which it came
+    share: float = 0.0
+    acked: int = 0  # it knows all rows that came up to this revision
+    elector: bool = False
+    state: State = State.LIVE
+    seq: int = 0  # of its last renewal
+
+    def told(self) -> dict[str, Any]:
+        """What siblings are told of it."""
+        return {
+            "name": self.name,
+            "address": self.address,
+            "zone": self.zone,
+            "incarnation": self.incarnation,
+            "rank": self.rank,
+            "state": self.state.value,
+        }
+
+
+class Ledger:
+    """The rows by incarnation. Plain data: it can be pickled, copied and compared."""
+
+    def __init__(self) -> None:
+        self.revision = 0  # rises with each change that siblings have to know of
+        self.incarnations = 0
+        self.by_incarnation: dict[int, Row] = {}
+
+    # ------------------------------------------------------------------ commands
+
+    def enrol(self, name: str, address: str, zone: str, start: str) -> Row:
+        """The row of a process that has just begun to listen at its address. The same start again is no
+        change."""
+        before = None
+        for row in self.by_incarnation.values():
+            if row.state is State.LEFT:
+                continue
+            if row.start == start:
+                return row
+            if row.address == address:
+                before = row
+        self.incarnations += 1
+        self.revision += 1
+        number = self.incarnations
+        new = Row(name, address, zone, start, number, number, self.revision)
+        if before is not None:  # it listened where this one listens now, so it has ended
+            del self.by_incarnation[before.incarnation]
+            new.rank, new.elector = before.rank, before.elector
+        self.by_incarnation[number] = new
+        self._promote()
+        self._grant(new)
+        return new
+
+    def renew(self, incarnation: int, seq: int, acked: int, using: float) -> Row | None:
+        """Renew a lease. `using` is the most share that the process may be taking until it has the answer
+        to this very renewal; `acked` the revision it acts on. None: no such row, the process has to enrol
+        anew."""
+        row = self.by_incarnation.get(incarnation)
+        if row is None or row.state is State.LEFT:
+            return None
+        if seq > row.seq:  # one that was overtaken, or a repeat, changes nothing
+            row.seq = seq
+            row.acked = max(row.acked, min(acked, self.revision))
+            row.share = min(row.share, max(0.0, using))
+            if row.state is State.LAPSED:
+                row.state = State.LIVE
+                self.revision += 1
+            self._promote()
+        self._grant(row)
+        return row
+
+    def leaving(self, incarnation: int) -> bool:
+        row = self.by_incarnation.get(incarnation)
+        if row is None or row.state is State.LEFT:
+            return False
+        if row.state is not State.LEAVING:
+            row.state = State.LEAVING
+            self.revision += 1
+        return True
+
+    def leave(self, incarnation: int) -> bool:
+        """The process takes no share any more."""
+        row = self.by_incarnation.get(incarnation)
+        if row is None or row.state is State.LEFT:
+            return False
+        self._end(row)
+        return True
+
+    def remove(self, name: str) -> list[int]:
+        """An operator's word that the processes of this name have ended."""
+        ended = [
+            row for row in self.by_incarnation.values() if row.name == name and row.state is not State.LEFT
+        ]
+        for row in ended:
+            self._end(row)
+        return [row.incarnation for row in ended]
+
+    def expire(self, lapsed: list[tuple[int, int]], support: list[int]) -> tuple[list[int], list[int]]:
+        """Leases that ran out, each with the seq of the renewal it ran out after, and the rows that the
+        leader knows to be attached for a whole term (members/leases.py). Returns those that lapsed now and
+        those removed."""
+        out = [self.by_incarnation[number] for number, seq in lapsed if self._still(number, seq)]
+        newly = [row for row in out if row.state in (State.LIVE, State.LEAVING)]
+        for row in newly:
+            row.state = State.LAPSED
+        given = self.majority(support)
+        removed = [row for row in out if row.state is State.LEFT or not row.elector or given]
+        for row in removed:
+            del self.by_incarnation[row.incarnation]
+        if newly or removed:
+            self.revision += 1
+            self._promote()
+        return [row.incarnation for row in newly], [row.incarnation for row in removed]
+
+    # --------------------------------------------------------------------- reads
+
+    def would_expire(self, lapsed: list[tuple[int, int]], support: list[int]) -> bool:
+        """Whether `expire` would change anything, so that an idle fleet adds nothing to the log."""
+        given = self.majority(support)
+        out = [self.by_incarnation[number] for number, seq in lapsed if self._still(number, seq)]
+        return any(given or not row.elector or row.state is not State.LAPSED for row in out)
+
+    def majority(self, support: list[int]) -> bool:
+        """Whether these rows are a majority of all electors; a tie is won with the lowest rank."""
+        electors = {row.incarnation: row.rank for row in self.by_incarnation.values() if row.elector}
+        return is_majority(
+            {rank for number, rank in electors.items() if number in support}, electors.values()
+        )
+
+    def answer(self, row: Row, acked: int) -> dict[str, Any]:
+        """What the process of this row is told; the members only where it does not know this revision."""
+        told: dict[str, Any] = {
+            "incarnation": row.incarnation,
+            "rev": self.revision,
+            "share": min(row.share, self.aim()),
+            "elector": row.elector,
+            "state": row.state.value,
+        }
+        if acked != self.revision:
+            told["members"] = [other.told() for other in self.by_incarnation.values()]
+        return told
+
+    def rows(self) -> list[Row]:
+        return list(self.by_incarnation.values())
+
+    def aim(self) -> float:
+        """The share that each row comes to once all have renewed."""
+        return 1.0 / max(1, sum(row.state is not State.LEFT for row in self.by_incarnation.values()))
+
+    def total(self) -> float:
+        """The sum of the shares that all processes may be taking."""
+        return sum(row.share for row in self.by_incarnation.values())
+
+    # -------------------------------------------------------------------- parts
+
+    def _still(self, incarnation: int, seq: int) -> bool:
+        row = self.by_incarnation.get(incarnation)
+        return row is not None and row.seq == seq
+
+    def _end(self, row: Row) -> None:
+        row.state, row.share = State.LEFT, 0.0
+        self.revision += 1
+        self._promote()
+
+    def _grant(self, row: Row) -> None:
+        """Give the row what is free, up to its aim. What it has over that stays its own until it gives it
+        up."""
+        if row.state in (State.LIVE, State.LEAVING):
+            free = max(0.0, 1.0 - self.total())
+            row.share += max(0.0, min(free, self.aim() - row.share))
+
+    def _promote(self) -> None:
+        for row in self.by_incarnation.values():
+            if row.elector or row.state not in (State.LIVE, State.LEAVING):
+                continue
+            counted = [
+                other
+                for other in self.by_incarnation.values()
+                if other.elector and other.state is not State.LEFT
+            ]
+            row.elector = all(other.acked >= row.enrolled for other in counted)
+
+
+def is_majority(ranks: set[int], electors: Any) -> bool:
+    """Whether the rows of these ranks are more than half of the electors, or half with the lowest rank."""
+    all_ranks = set(electors)
+    twice = 2 * len(ranks & all_ranks)
+    return twice > len(all_ranks) or (bool(all_ranks) and twice == len(all_ranks) and min(all_ranks) in ranks)
