Give the interface groups of servers, route versions as an event, and a server's model

The decision module needs to be told which version is in force and which group a server is of: Group, RouteVersion and Server.model, which the discovery's list already carried and the node dropped. A model that is not a text counts as none, as it did before.

--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -151,6 +151,7 @@
     cell: int = 0
     state: ServerState = ServerState.UP
     launched_ms: float | None = None  # None: long ago
+    model: str = ""
 
 
 @dataclass(slots=True)
@@ -263,6 +264,29 @@
     age_ms: float
 
 
+@dataclass(slots=True, frozen=True)
+class Group:
+    """Servers of one model, one zone or both (None: any), and their part of a class's calls.
+
+    A server belongs to the first group of its class that takes it; one that none takes gets no call.
+    """
+
+    model: str | None
+    zone: str | None
+    weight: float  # against the sum over the class's groups; 0: no call
+
+    def takes(self, server: Server) -> bool:
+        return self.model in (None, server.model) and self.zone in (None, server.zone)
+
+
+@dataclass(slots=True)
+class RouteVersion:
+    """The version from now on: requests admitted after it are ranked by it, earlier ones by their own."""
+
+    number: int  # 0 is neutral
+    classes: dict[str, tuple[Group, ...]]  # a class that is not here is ranked as under version 0
+
+
 Event = (
     Membership
     | Request
@@ -277,6 +301,7 @@
     | Learned
     | Beside
     | Restored
+    | RouteVersion
 )
 
 
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -70,12 +70,14 @@
     if not isinstance(target["uid"], str):
         raise ValueError("a uid is not a text")
     boot = target.get("boot_ms") or 0
+    model = target.get("model")
     return Server(
         address=target["uid"],
         zone=target.get("az") or "",
         cell=int(target.get("pod_group") or 0),
         state=state,
         launched_ms=float(boot) if boot > 0 else None,  # 0: long ago
+        model=model if isinstance(model, str) else "",  # a list is not refused for it
     )
 
 
