Replicate the fleet's state in the list service and answer its calls

The nodes need one place that grants shares and incarnations, tells service time and holds route versions. A second consumer of the Raft log holds the ledger, the activations and the log's time (fleet_state.py pure, fleet.py under the lock). Each term begins with a command of its leader, and commands of earlier terms are refused from there on, so a leader that has been replaced promises nothing. Any instance takes a call and passes it on to the leader, whose address that first command carries. Renewals are gathered for 20 ms into one entry. What is known of service time is kept for a restart on the same machine. The targets' leases moved to leases.py; a renewal whose caller had gone ended their duty.

--- a/orchidledge/registry/agent.py
+++ b/orchidledge/registry/agent.py
@@ -14,6 +14,8 @@
 - a whole list that is empty replaces a cache that is not only once it has stayed empty for
   `empty_hold_ms`: a service just rebuilt lists nobody until its servers register again, and
   a node that dropped every server would refuse everything meanwhile.
+
+The fleet's calls (`/fleet/...`) it passes on as they come, whether it has a list or not (passing.py).
 """
 
 from __future__ import annotations
@@ -29,6 +31,7 @@
 
 from orchidledge.net.upstream import Address
 from orchidledge.registry import watch
+from orchidledge.registry.passing import Passing
 from orchidledge.registry.settings import Agent
 from orchidledge.registry.store import Page, Target
 from orchidledge.registry.web import Answer, Call, call, serve
@@ -106,6 +109,7 @@
         self.empty_since: float | None = None
         self._loop = asyncio.get_running_loop()
         self.news: asyncio.Future[None] = self._loop.create_future()
+        self._fleet = Passing(config.registries, lambda: self.source, log)
 
     @property
     def address(self) -> Address:
@@ -191,6 +195,8 @@
     async def handle(self, request: Call) -> Answer:
         if request.path == "/agent/status":
             return Answer(200, orjson.dumps(self.status()))
+        if request.path.startswith("/fleet/"):
+            return await self._fleet.answer(request)
         if request.path != "/discovery/hosts" or request.method != "GET":
             return Answer(404, b'{"error":"no such path"}')
         try:
--- /dev/null
+++ b/orchidledge/registry/dump.py
@@ -0,0 +1,40 @@
+"""The snapshot file of an instance, as pysyncobj writes it, made safe to read across releases.
+
+pysyncobj's own reader wants one part for each consumer it now has and gives up on a file with fewer, after
+which the instance applies nothing more. Here a part that a file lacks leaves its consumer as it starts (a
+file from before the fleet was added), and parts that are too many are left (a file from a later release). The
+layout stays pysyncobj's, so an earlier release reads these files too.
+"""
+
+from __future__ import annotations
+
+import gzip
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from pysyncobj import SyncObjConsumer
+from pysyncobj import pickle as wire
+
+LEVEL = 1  # of gzip: files are written in Raft's thread, and the default level takes several times as long
+
+
+class Dump:
+    """Writes and reads snapshots of these consumers, for `SyncObjConf(serializer=, deserializer=)`."""
+
+    def __init__(self, consumers: Sequence[SyncObjConsumer]) -> None:
+        self._consumers = consumers
+
+    def write(self, path: str, raft: Sequence[Any]) -> None:
+        """`raft`: pysyncobj's own part, the last two log entries and the cluster."""
+        parts = [{}, *(consumer._serialize() for consumer in self._consumers)]
+        with gzip.open(path, "wb", compresslevel=LEVEL) as file:
+            wire.dump((parts, *raft), file)
+
+    def read(self, path: str) -> tuple[Any, ...]:
+        """Give each consumer its part and return pysyncobj's; any error is pysyncobj's to log."""
+        with gzip.open(Path(path), "rb") as file:
+            parts, *raft = wire.load(file)
+        for consumer, part in zip(self._consumers, parts[1:], strict=False):
+            consumer._deserialize(part)
+        return tuple(raft)
--- /dev/null
+++ b/orchidledge/registry/fleet_leader.py
@@ -0,0 +1,214 @@
+"""What the instance that leads does for the fleet: service time, leases, renewals gathered into few entries.
+
+Whoever has been replaced as leader may not know it yet. So nothing here is done or answered but by commands
+that carry the Raft term, which the log refuses once a later leader has begun (fleet_state.py).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import structlog
+
+from orchidledge.members.leases import LATE, LeaseClock
+from orchidledge.registry.clock_file import ClockFile
+from orchidledge.registry.fleet import FleetCatalog, Renewal, Told
+from orchidledge.registry.fleet_state import Begun
+from orchidledge.registry.service_clock import ServiceClock
+from orchidledge.registry.settings import Members
+
+BATCH_S = 0.02  # renewals gathered into one command
+BATCH = 500  # at the most, so that an entry stays well under what pysyncobj sends in one piece
+
+Commit = Callable[..., Awaitable[Any]]  # a command and its arguments; ConnectionError or TimeoutError
+
+
+class NotLeadingError(ConnectionError):
+    """This instance does not lead, or not yet."""
+
+
+class FleetLeader:
+    """Leads the fleet while this instance is Raft's leader; `http` is where it answers, host:port."""
+
+    def __init__(
+        self,
+        config: Members,
+        http: str,
+        fleet: FleetCatalog,
+        clock: ServiceClock,
+        file: ClockFile,
+        commit: Commit,
+        log: structlog.stdlib.BoundLogger,
+    ) -> None:
+        self._config, self.http, self._fleet = config, http, fleet
+        self._clock, self._file, self._clocks = clock, file, file.clocks
+        self._commit, self._log = commit, log
+        self._leases = LeaseClock(config.ttl_ms)
+        self._term: int | None = None  # in which calls are answered
+        self._batch: list[tuple[Renewal, asyncio.Future[Told | None]]] = []
+        self._flushes: set[asyncio.Task[None]] = set()
+        self._news = asyncio.Event()
+        self._period_s = min(0.25, max(0.05, config.ttl_ms / 20_000.0))
+        self._unsaved = False
+
+    # Calls.
+
+    @property
+    def leads(self) -> bool:
+        """Whether calls are answered here."""
+        return self._term is not None and self._fleet.leads == self._term and self._fleet.quorum()
+
+    @property
+    def ttl_ms(self) -> float:
+        """Of the leases in force."""
+        return self._leases.ttl_ms
+
+    @property
+    def prepare_ms(self) -> float:
+        return self._config.prepare_ms
+
+    def service_ms(self) -> float:
+        """S now; NotLeadingError on an instance that does not lead."""
+        if self._term is None:
+            raise NotLeadingError("not the leader")
+        return self._clock.now(self._clocks.mono())
+
+    def too_late(self, sent: float) -> float | None:
+        """How many ms ago a renewal was sent, where that is more than it may be or lies ahead by as much."""
+        ago = self.service_ms() - sent
+        return ago if abs(ago) > LATE * self.ttl_ms else None
+
+    async def ask(self, command: Callable[..., Any], *args: Any) -> Any:
+        """Commit a command in the term that this instance leads in, and return its result; ConnectionError or
+        TimeoutError if that can't be had, when it may have been done nevertheless."""
+        term = self._term
+        if term is None or self._fleet.leads != term:
+            raise NotLeadingError("not the leader")
+        result = await self._commit(command, self.service_ms(), term, *args)
+        if result is None:
+            raise NotLeadingError("replaced as leader")
+        return result
+
+    async def renew(self, renewal: Renewal) -> Told | None:
+        """What the process is told, None where it has no row; as `ask`."""
+        wait: asyncio.Future[Told | None] = asyncio.get_running_loop().create_future()
+        self._batch.append((renewal, wait))
+        if len(self._batch) == 1:
+            self._start_flush()
+        return await wait
+
+    def _start_flush(self) -> None:
+        flush = asyncio.create_task(self._flush())
+        self._flushes.add(flush)
+        flush.add_done_callback(self._flushes.discard)
+
+    async def _flush(self) -> None:
+        await asyncio.sleep(BATCH_S)
+        batch, self._batch = self._batch[:BATCH], self._batch[BATCH:]
+        if self._batch:
+            self._start_flush()
+        try:
+            results = await self.ask(self._fleet.renew_many, [renewal for renewal, _ in batch])
+        except (TimeoutError, ConnectionError) as failure:
+            self._log.warning("renewals_not_committed", count=len(batch), why=str(failure) or "timeout")
+            for _, wait in batch:
+                if not wait.done():  # its caller may have gone
+                    wait.set_exception(ConnectionError("renewals not committed"))
+            return
+        for (_, wait), result in zip(batch, results, strict=True):
+            if not wait.done():
+                wait.set_result(result)
+
+    # Duties.
+
+    def wake(self) -> None:
+        """This instance may have begun or ceased to lead."""
+        if self._fleet.leads != self._term:
+            self._news.set()
+
+    async def run(self) -> None:
+        while True:
+            self._news.clear()
+            try:
+                await self._duties()
+            except (TimeoutError, ConnectionError) as failure:
+                self._log.info("fleet_duty_not_committed", why=str(failure) or "timeout")
+            except Exception:
+                self._log.exception("fleet_duty_failed")  # Guard: leases must go on being counted
+            self._save_clock()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._period_s):
+                    await self._news.wait()
+
+    async def _duties(self) -> None:
+        term = self._fleet.leads
+        if term is None:
+            if self._term is not None:
+                self._term = None
+                self._fleet.read(lambda state: self._clock.follow(self._clocks.mono()))
+                self._log.info("fleet_leading_ended")
+            return
+        if not self._fleet.quorum():
+            return
+        if term != self._term:
+            await self._take_up(term)
+        await self._expire()
+        if self._fleet.read(lambda state: state.to_decide(self.service_ms())):
+            await self.ask(self._fleet.decide)
+
+    async def _take_up(self, term: int) -> None:
+        """Begin to lead: the log's first command of the term, then service time, then whole leases."""
+        self._term = None
+        self._fleet.serve(term)
+        known = self._clock.bound(self._clocks.mono())
+        config = self._config
+        begun: Begun | None = await self._commit(
+            self._fleet.lead, 0.0, term, self.http, known.epoch if known else None, config.ttl_ms,
+            config.clock_bound_ms,
+        )  # fmt: skip
+        if begun is None:
+            raise NotLeadingError("replaced as leader")
+        goes_on = begun.log_ms == 0.0 or (known is not None and known.epoch == begun.epoch)
+        if not goes_on:
+            # Nodes may rest on service time as it was: by the end of this no lease is left that does.
+            self._log.warning("service_time_lost", log_ms=begun.log_ms, wait_ms=begun.ttl_ms)
+            await asyncio.sleep((begun.ttl_ms + config.clock_bound_ms) / 1000.0)
+            if self._fleet.leads != term:
+                raise NotLeadingError("replaced as leader")
+        now = self._clocks.mono()
+        unix = self._clocks.unix()
+        self._fleet.read(lambda state: self._clock.lead(now, unix, begun.log_ms, begun.epoch))
+        self._leases = LeaseClock(begun.ttl_ms)
+        self._leases.lead(now, begun.rows)
+        self._term = term
+        self._log.info("fleet_leading", term=term, rows=len(begun.rows), service_ms=round(self.service_ms()))
+
+    async def _expire(self) -> None:
+        for renewed in self._fleet.take_renewed():
+            self._leases.renewed(renewed.at, renewed.incarnation, renewed.seq, renewed.answered)
+        self._leases.keep(self._fleet.read(lambda state: set(state.ledger.by_incarnation)))
+        lapsed, support = self._leases.due(self._clocks.mono())
+        if not lapsed:
+            return
+        repeats = self._fleet.read(
+            lambda state: state.repeats if state.ledger.would_expire(lapsed, support) else None
+        )
+        if repeats is None:
+            return
+        newly, removed = await self.ask(self._fleet.expire, lapsed, support, repeats)
+        for incarnation in newly:
+            self._log.info("member_lapsed", incarnation=incarnation, attached=len(support))
+        for incarnation in removed:
+            self._log.info("member_removed", incarnation=incarnation, attached=len(support))
+
+    def _save_clock(self) -> None:
+        try:
+            self._file.save(self._clock.bound(self._clocks.mono()))
+            self._unsaved = False
+        except OSError as failure:
+            if not self._unsaved:  # once a stretch
+                self._log.warning("service_clock_not_kept", why=str(failure))
+            self._unsaved = True
--- /dev/null
+++ b/orchidledge/registry/fleet_web.py
@@ -0,0 +1,279 @@
+"""The fleet's calls over HTTP (docs/fleet.md): checked, passed on to the instance that leads, answered there.
+
+200 done, and what a body says is in the log; 400 a call that is not as it has to be, with one line saying
+why; 404 no such row, version or path; 409 refused, or too late; 503 not done, as far as known: say it again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Any
+from urllib.parse import unquote
+
+import orjson
+import structlog
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from orchidledge.registry import watch
+from orchidledge.registry.fleet import FleetCatalog, Told
+from orchidledge.registry.fleet_leader import FleetLeader
+from orchidledge.registry.passing import HOP, pass_on
+from orchidledge.registry.settings import address
+from orchidledge.registry.web import Answer, Call
+from orchidledge.routes.activation import Ruling
+from orchidledge.routes.table import MAX_TEXT, parse
+
+MAX_BODY = 8 * 1024
+PASS_S = 1.0  # for the leader's answer: a silent one is replaced in as long
+
+Text = Annotated[str, Field(min_length=1, max_length=100)]
+Whole = Annotated[int, Field(ge=0, lt=2**53)]
+Ms = Annotated[float, Field(allow_inf_nan=False)]
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(strict=True)
+
+
+class Enrol(_Body):
+    name: Text
+    address: Text
+    zone: Annotated[str, Field(max_length=100)] = ""
+    start: Text
+
+
+class Renew(_Body):
+    incarnation: Whole
+    seq: Whole
+    acked: Annotated[int, Field(ge=-1, lt=2**53)]
+    using: Annotated[float, Field(ge=0.0, le=1.0)]
+    sent: Ms | None = None
+    answered: Annotated[int, Field(ge=-1, lt=2**53)] = -1  # the last renewal whose answer was used
+
+
+class One(_Body):
+    incarnation: Whole
+
+
+class Vote(_Body):
+    incarnation: Whole
+    number: Whole
+    yes: bool
+    why: Annotated[str, Field(max_length=300)] = ""
+
+
+class Halt(_Body):
+    number: Whole | None = None
+
+
+class Rollback(_Body):
+    number: Whole
+
+
+def reply(status: int, body: Any) -> Answer:
+    return Answer(status, orjson.dumps(body))
+
+
+def error(status: int, why: str) -> Answer:
+    return reply(status, {"error": why[:300]})
+
+
+def _read(kind: type[_Body], body: bytes) -> Any:
+    """The body as `kind`; ValueError names the field that is wrong, in one line."""
+    try:
+        return kind.model_validate(orjson.loads(body or b"{}"))
+    except ValidationError as failure:
+        first = failure.errors(include_url=False, include_context=False)[0]
+        place = ".".join(str(part) for part in first["loc"]) or "body"
+        raise ValueError(f"{place}: {first['msg']}") from failure
+
+
+Handler = Callable[[Call], Awaitable[Answer]]
+
+
+class FleetWeb:
+    """The handlers; `news` gives the future that is done at the next change of a revision."""
+
+    def __init__(
+        self,
+        fleet: FleetCatalog,
+        leader: FleetLeader,
+        news: Callable[[], asyncio.Future[None]],
+        max_wait_ms: int,
+        log: structlog.stdlib.BoundLogger,
+    ) -> None:
+        self._fleet, self._leader, self._news = fleet, leader, news
+        self._max_wait_ms, self._log = max_wait_ms, log
+        self._failures = 0
+        self._handlers: dict[tuple[str, str], Handler] = {
+            ("POST", "enrol"): self._enrol,
+            ("POST", "renew"): self._renew,
+            ("POST", "leaving"): self._leaving,
+            ("POST", "leave"): self._leave,
+            ("GET", "members"): self._members,
+            ("GET", "routes"): self._routes,
+            ("PUT", "routes"): self._propose,
+            ("POST", "routes/vote"): self._vote,
+            ("POST", "routes/halt"): self._halt,
+            ("POST", "routes/rollback"): self._rollback,
+        }
+
+    async def handle(self, call: Call) -> Answer:
+        """The answer to any call under /fleet/."""
+        try:
+            return await self._answer(call)
+        except (OSError, TimeoutError) as failure:
+            self._failures += 1
+            if self._failures % 100 == 1:  # every member says it again until there is a leader
+                said = f"{type(failure).__name__}: {failure}"[:200]
+                self._log.warning(
+                    "fleet_call_failed", path=call.path[:100], failures=self._failures, why=said
+                )
+            return error(503, "no leader with a quorum in time")
+
+    async def _answer(self, call: Call) -> Answer:
+        path = call.path.removeprefix("/fleet/")
+        if (call.method, path) == ("GET", "watch"):
+            return await self._watch(call)
+        handler = self._handler(call.method, path)
+        if handler is None:
+            return error(404, f"no {call.method} {call.path}")
+        if not self._leader.leads:
+            return await self._pass_on(call)
+        limit = MAX_TEXT if (call.method, path) == ("PUT", "routes") else MAX_BODY
+        if len(call.body) > limit:
+            return self._refuse(call, f"body: {len(call.body)} bytes, over {limit}")
+        try:
+            return await handler(call)
+        except ValueError as failure:  # orjson's error is one too
+            return self._refuse(call, str(failure))
+
+    def _handler(self, method: str, path: str) -> Handler | None:
+        if method == "DELETE" and path.startswith("members/"):
+            return self._remove
+        if method == "GET" and path.startswith("routes/"):
+            return self._text
+        return self._handlers.get((method, path))
+
+    async def _pass_on(self, call: Call) -> Answer:
+        to = self._fleet.leader()
+        if to is None or HOP in call.headers or to == self._leader.http:
+            return error(503, "no leader in reach")
+        return await pass_on(address(to), call, PASS_S, hop=True)
+
+    def _refuse(self, call: Call, why: str) -> Answer:
+        self._log.warning("fleet_call_refused", method=call.method, path=call.path[:100], why=why[:300])
+        return error(400, why)
+
+    # Members.
+
+    async def _enrol(self, call: Call) -> Answer:
+        t2 = self._leader.service_ms()
+        body: Enrol = _read(Enrol, call.body)
+        try:
+            address(body.address)
+        except ValueError as failure:
+            raise ValueError(f"address: {failure}") from failure
+        fields = (body.name, body.address, body.zone, body.start)
+        (told,) = await self._leader.ask(self._fleet.enrol, *fields)
+        if told is None:
+            return error(409, "too many members")
+        self._log.info(
+            "member_enrolled", name=body.name, address=body.address, incarnation=told["incarnation"]
+        )
+        return self._lease(told, t2)
+
+    async def _renew(self, call: Call) -> Answer:
+        t2 = self._leader.service_ms()
+        body: Renew = _read(Renew, call.body)
+        late = None if body.sent is None else self._leader.too_late(body.sent)
+        if late is not None:
+            return error(409, f"sent {late:.0f} ms ago by service time")
+        told = await self._leader.renew((body.incarnation, body.seq, body.answered, body.acked, body.using))
+        return error(404, "no such row: enrol anew") if told is None else self._lease(told, t2)
+
+    def _lease(self, told: Told, t2: float) -> Answer:
+        body = told | {"ttl_ms": self._leader.ttl_ms, "t2": t2, "t3": self._leader.service_ms()}
+        return reply(200, body)
+
+    async def _leaving(self, call: Call) -> Answer:
+        body: One = _read(One, call.body)
+        return reply(200, {"ok": await self._leader.ask(self._fleet.leaving, body.incarnation)})
+
+    async def _leave(self, call: Call) -> Answer:
+        body: One = _read(One, call.body)
+        ok = await self._leader.ask(self._fleet.leave, body.incarnation)
+        self._log.info("member_left", incarnation=body.incarnation, known=ok)
+        return reply(200, {"ok": ok})
+
+    async def _remove(self, call: Call) -> Answer:
+        name = unquote(call.path.removeprefix("/fleet/members/"))
+        removed = await self._leader.ask(self._fleet.remove, name)
+        self._log.warning("member_removed_by_operator", name=name[:100], incarnations=removed)
+        return reply(200, {"removed": removed})
+
+    async def _members(self, call: Call) -> Answer:
+        return reply(200, self._fleet.members())
+
+    async def _watch(self, call: Call) -> Answer:
+        """A hint that something has changed, from what this instance has applied: once the members' revision
+        is not `since`, or the routes' not `routes_since` (not given: what it was at the call)."""
+        try:
+            since, wait_s = watch.query(call, self._max_wait_ms)
+            routes_since = int(call.query["routes_since"]) if "routes_since" in call.query else None
+        except ValueError:
+            return error(400, "since, routes_since and timeout_ms are whole numbers")
+        revisions = self._fleet.read(lambda state: state.revisions())
+        known = (since, revisions[1] if routes_since is None else routes_since)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        while revisions == known and loop.time() < deadline:
+            news = self._news()
+            try:
+                async with asyncio.timeout(deadline - loop.time()):
+                    await asyncio.shield(news)
+            except TimeoutError:
+                pass
+            revisions = self._fleet.read(lambda state: state.revisions())
+        return reply(200, {"rev": revisions[0], "routes_rev": revisions[1]})
+
+    # Routes.
+
+    async def _routes(self, call: Call) -> Answer:
+        return reply(200, self._fleet.read(lambda state: state.routes.status()))
+
+    async def _text(self, call: Call) -> Answer:
+        number = int(call.path.removeprefix("/fleet/routes/"))
+        text = self._fleet.read(lambda state: state.routes.text(number))
+        if text is None:
+            return error(404, f"no version {number}")
+        return Answer(200, text.encode(), {"content-type": "application/toml"})
+
+    async def _propose(self, call: Call) -> Answer:
+        parse(0, call.body)  # ValueError names the key and its line
+        deadline = self._leader.service_ms() + self._leader.prepare_ms
+        return self._begun(await self._leader.ask(self._fleet.propose, call.body.decode(), deadline))
+
+    async def _rollback(self, call: Call) -> Answer:
+        body: Rollback = _read(Rollback, call.body)
+        deadline = self._leader.service_ms() + self._leader.prepare_ms
+        return self._begun(await self._leader.ask(self._fleet.rollback, body.number, deadline))
+
+    def _begun(self, ruling: Ruling) -> Answer:
+        if ruling.refused:
+            return error(409, ruling.why)
+        self._log.info("route_version_proposed", number=ruling.number, phase=ruling.phase)
+        return reply(200, {"number": ruling.number, "phase": ruling.phase})
+
+    async def _vote(self, call: Call) -> Answer:
+        body: Vote = _read(Vote, call.body)
+        fields = (body.incarnation, body.number, body.yes, body.why)
+        ruling: Ruling = await self._leader.ask(self._fleet.vote, *fields)
+        return reply(200, {"phase": ruling.phase})
+
+    async def _halt(self, call: Call) -> Answer:
+        body: Halt = _read(Halt, call.body)
+        ruling: Ruling = await self._leader.ask(self._fleet.halt, body.number)
+        self._log.warning("routes_halted", number=ruling.number, phase=ruling.phase)
+        return reply(200, {"number": ruling.number, "phase": ruling.phase})
--- a/orchidledge/registry/service.py
+++ b/orchidledge/registry/service.py
@@ -17,16 +17,21 @@
 
 import orjson
 import structlog
-from pysyncobj import SyncObj, SyncObjConf
+from pysyncobj import SyncObj, SyncObjConf, SyncObjConsumer
 
 from orchidledge.registry import watch
+from orchidledge.registry.clock_file import ClockFile, Clocks
+from orchidledge.registry.dump import Dump
+from orchidledge.registry.fleet import FleetCatalog
+from orchidledge.registry.fleet_leader import FleetLeader
+from orchidledge.registry.fleet_web import FleetWeb
+from orchidledge.registry.leases import TargetLeases
+from orchidledge.registry.service_clock import ServiceClock
 from orchidledge.registry.settings import Instance
 from orchidledge.registry.store import Catalog, clean_target
 from orchidledge.registry.web import Answer, Call, serve
 
 COMMIT_S = 2.0  # a write not committed in this time is refused; the caller tries again
-RENEW_BATCH_S = 0.05  # renewals gathered into one command
-TICK_S = 0.25  # of the leader's lease duties
 
 
 def now_ms() -> int:
@@ -38,17 +43,30 @@
 
 
 class Service:
-    """An instance: a Raft member that holds the catalog, and its HTTP face."""
+    """An instance: a Raft member that holds the catalog and the fleet's state, and its HTTP face."""
 
     def __init__(self, config: Instance, log: structlog.stdlib.BoundLogger) -> None:
         self.config = config
         self.log = log.bind(instance=config.name)
         self._loop = asyncio.get_running_loop()
         self._news: asyncio.Future[None] = self._loop.create_future()
-        self._renewals: dict[str, list[asyncio.Future[bool]]] = {}
-        self._granted_term = -1
+        self._fleet_news: asyncio.Future[None] = self._loop.create_future()
         config.data.mkdir(parents=True, exist_ok=True)
         self.catalog = Catalog(config.keep_gone, self._changed)
+        clocks = Clocks(config.members.clock_offset_ms)
+        clock_file = ClockFile(config.data, clocks)
+        clock = ServiceClock(clock_file.load())
+        self.fleet = FleetCatalog(clock, clocks.mono, self._fleet_changed)
+        http = "{}:{}".format(*config.listen)
+        self.leader = FleetLeader(config.members, http, self.fleet, clock, clock_file, self.commit, self.log)
+        self._fleet_web = FleetWeb(
+            self.fleet, self.leader, lambda: self._fleet_news, config.max_wait_ms, self.log
+        )
+        self.raft = self._join([self.catalog, self.fleet])
+        self.leases = TargetLeases(self.catalog, self.raft, config.ttl_ms, self.commit, self.log)
+
+    def _join(self, consumers: list[SyncObjConsumer]) -> SyncObj:
+        config, dump = self.config, Dump(consumers)
         conf = SyncObjConf(
             journalFile=str(config.data / "raft.journal"),
             fullDumpFile=str(config.data / "raft.dump"),
@@ -62,8 +80,11 @@
             leaderFallbackTimeout=2 * config.election_max_ms / 1000.0,
             connectionRetryTime=0.5,
             connectionTimeout=1.5,
+            serializer=dump.write,
+            deserializer=dump.read,
+            onStateChanged=self.fleet.state_changed,
         )
-        self.raft = SyncObj(config.raft, list(config.peers), conf, consumers=[self.catalog])
+        return SyncObj(config.raft, list(config.peers), conf, consumers=consumers)
 
     # Raft's side: called from its own thread.
 
@@ -74,6 +95,14 @@
         news, self._news = self._news, self._loop.create_future()
         news.set_result(None)
 
+    def _fleet_changed(self) -> None:
+        self._loop.call_soon_threadsafe(self._wake_fleet)
+
+    def _wake_fleet(self) -> None:
+        news, self._fleet_news = self._fleet_news, self._loop.create_future()
+        news.set_result(None)
+        self.leader.wake()
+
     async def commit(self, command: Callable[..., Any], *args: Any) -> Any:
         """Propose a command and wait for its result once committed; TimeoutError if it is not in time."""
         done: asyncio.Future[Any] = self._loop.create_future()
@@ -117,12 +146,14 @@
         committed: before that it may not have applied all that its predecessors committed."""
         raft = raft or self.raft.getStatus()
         if raft["state"] == 2:
-            return not raft["has_quorum"] or raft["raft_term"] != self._granted_term
+            return not raft["has_quorum"] or raft["raft_term"] != self.leases.granted_term
         return raft.get("leader") is None
 
     # HTTP.
 
     async def handle(self, call: Call) -> Answer:
+        if call.path.startswith("/fleet/"):
+            return await self._fleet_web.handle(call)
         try:
             if call.path == "/discovery/hosts" and call.method == "GET":
                 return await self.read(call)
@@ -175,62 +206,17 @@
                 raise ValueError("uids: not a list of texts")
         except (ValueError, KeyError, TypeError) as failure:
             return error(400, f"renew wants {{'uids': [...]}}: {failure}"[:200])
-        waits = []
-        for uid in uids:
-            waits.append(self._loop.create_future())
-            self._renewals.setdefault(uid, []).append(waits[-1])
-        known = await asyncio.gather(*waits)
-        return Answer(
-            200, orjson.dumps({"unknown": [uid for uid, ok in zip(uids, known, strict=True) if not ok]})
-        )
-
-    # Background duties.
-
-    async def flush_renewals(self) -> None:
-        """Each batch of renewals is one command: thousands of servers cost a few writes a second."""
-        while True:
-            await asyncio.sleep(RENEW_BATCH_S)
-            if not self._renewals:
-                continue
-            batch, self._renewals = self._renewals, {}
-            try:
-                unknown = set(await self.commit(self.catalog.renew, list(batch), now_ms()))
-            except (TimeoutError, ConnectionError) as failure:
-                self.log.warning("renewals_not_committed", count=len(batch), why=str(failure) or "timeout")
-                for waits in batch.values():
-                    for wait in waits:
-                        wait.set_exception(TimeoutError())
-                continue
-            for uid, waits in batch.items():
-                for wait in waits:
-                    wait.set_result(uid not in unknown)
-
-    async def keep_leases(self) -> None:
-        """As leader: first grant every lease a full term, then bury what lapses."""
-        while True:
-            await asyncio.sleep(TICK_S)
-            raft = self.raft.getStatus()
-            if raft["state"] != 2 or not raft["has_quorum"]:
-                continue
-            try:
-                if raft["raft_term"] != self._granted_term:
-                    count = await self.commit(self.catalog.grace, now_ms())
-                    self._granted_term = raft["raft_term"]
-                    self.log.info("leader_granted_leases", term=self._granted_term, leases=count)
-                if not self.catalog.any_lapsed(now_ms(), self.config.ttl_ms):
-                    continue
-                lapsed = await self.commit(self.catalog.expire, now_ms(), self.config.ttl_ms)
-            except (TimeoutError, ConnectionError):
-                continue
-            for uid in lapsed:
-                self.log.info("lease_lapsed", uid=uid, change=uuid.uuid4().hex[:12])
+        return Answer(200, orjson.dumps({"unknown": await self.leases.renew(uids)}))
 
 
 async def run_instance(config: Instance, log: structlog.stdlib.BoundLogger) -> None:
     """Serve until SIGTERM or SIGINT; then close the door and leave the Raft group."""
     service = Service(config, log)
     server = await serve(config.listen, service.handle)
-    duties = [asyncio.create_task(service.flush_renewals()), asyncio.create_task(service.keep_leases())]
+    duties = [
+        asyncio.create_task(duty())
+        for duty in (service.leases.flush, service.leases.keep, service.leader.run)
+    ]
     service.log.info("instance_started", listen=f"{config.listen[0]}:{config.listen[1]}", raft=config.raft)
     await watch.until_signalled()
     service.log.info("instance_stopping", **service.status())
--- a/orchidledge/registry/service_clock.py
+++ b/orchidledge/registry/service_clock.py
@@ -2,17 +2,18 @@
 
 Pure: readings of clocks come in as arguments. The rules:
 
-- The first leader starts S at Unix time. While an instance leads, S runs by its monotonic clock alone, so a wall
-  clock that jumps or stands off does not enter.
-- Every command of the fleet carries the leader's S when it was proposed. An instance that applies one knows that S is
-  at least that now: the stamp less its own monotonic clock is a lower bound of what S is ahead of that clock by, short
-  of the truth by the delay of the replication. The highest bound is kept. It loses DRIFT of the time since, as the two
-  clocks' rates may differ by that, so it stays a bound and newer ones come to replace it.
-- A new leader goes on from that bound, and never from below `log_ms`, the highest stamp in its log: S does not go back
-  behind what the log has, and lags by the quickest replication seen, some ms.
-- An instance that has no bound (started on a machine that started anew, no command of a leader heard since) can't tell
-  what S is. If it has to lead, S goes on from `log_ms`, which is a jump. Such jumps are numbered by the log (`epoch`); a
-  bound of an earlier epoch is worth nothing.
+- The first leader starts S at Unix time. While an instance leads, S runs by its monotonic clock alone, so a
+  wall clock that jumps or stands off does not enter.
+- Every command of the fleet carries the leader's S when it was proposed. An instance that applies one knows
+  that S is at least that now: the stamp less its own monotonic clock is a lower bound of what S is ahead of
+  that clock by, short of the truth by the delay of the replication. The highest bound is kept. It loses DRIFT
+  of the time since, as the two clocks' rates may differ by that, so it stays a bound and newer ones come to
+  replace it.
+- A new leader goes on from that bound, and never from below `log_ms`, the highest stamp in its log: S does
+  not go back behind what the log has, and lags by the quickest replication seen, some ms.
+- An instance that has no bound (started on a machine that started anew, no command of a leader heard since)
+  can't tell what S is. If it has to lead, S goes on from `log_ms`, which is a jump. Such jumps are numbered
+  by the log (`epoch`); a bound of an earlier epoch is worth nothing.
 """
 
 from __future__ import annotations
@@ -53,7 +54,7 @@
         return Bound(self._leads, now, self._epoch) if self._leads is not None else self._bound
 
     def lead(self, now: float, unix_ms: float, log_ms: float, epoch: int) -> None:
-        """Begin to lead: `log_ms` and `epoch` are the log's once all that was committed before has been applied."""
+        """Begin to lead: `log_ms` and `epoch` are the log's, once all committed before has been applied."""
         self.follow(now)
         known = self._bound
         if known is not None and known.epoch == epoch:
--- a/orchidledge/registry/settings.py
+++ b/orchidledge/registry/settings.py
@@ -25,9 +25,19 @@
     """A configuration that can't be used: the message names the key and its line."""
 
 
+@dataclass(slots=True, frozen=True)
+class Members:
+    """What the list service does for the fleet: `[members]` of an instance's file (docs/fleet.md)."""
+
+    ttl_ms: int = 5_000  # a node's lease; the longest that any leader had counts for all
+    clock_bound_ms: int = 250  # nodes' estimates of service time differ by less
+    prepare_ms: int = 10_000  # a proposed route version has to be prepared by all in this time
+    clock_offset_ms: int = 0  # for tests alone: sets this instance's clocks off
+
+
 @dataclass(slots=True, frozen=True)
 class Instance:
-    """One instance of the list service: `[instance]`, `[lease]` and `[watch]` of its file."""
+    """One instance of the list service: its file's tables `[instance]`, `[lease]`, `[watch]` and so on."""
 
     name: str
     listen: Address  # HTTP: PROTOCOL's reads and the registry's writes
@@ -42,6 +52,7 @@
     append_period_ms: int = 10
     election_min_ms: int = 400  # a leader unheard so long (a random time up to the max) is replaced
     election_max_ms: int = 1_000
+    members: Members = Members()
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,10 +74,14 @@
     return host, int(port)
 
 
-def _line(text: str, key: str) -> int:
-    pattern = re.compile(rf"^\s*{re.escape(key)}\s*=")
+def _line(text: str, table: str, key: str) -> int:
+    """Where the key stands in its table; a key of the same name in another is not it."""
+    within, pattern = "", re.compile(rf"^\s*{re.escape(key)}\s*=")
     for number, line in enumerate(text.splitlines(), 1):
-        if pattern.match(line):
+        header = re.match(r"^\s*\[([^\[\]]+)\]", line)
+        if header:
+            within = header.group(1).strip()
+        elif within == table and pattern.match(line):
             return number
     return 0
 
@@ -88,17 +103,17 @@
         self._path, self._text, self._table, self._row = path, text, table, row
 
     def fail(self, key: str, why: str) -> ConfigError:
-        where = _line(self._text, key)
+        where = _line(self._text, self._table, key)
         at = f" (line {where})" if where else ""  # a key that is missing stands on none
         return ConfigError(f"{self._path}: {self._table}.{key}{at}: {why}")
 
-    def get(self, key: str, kind: type, default: Any = None) -> Any:
+    def get(self, key: str, kind: type, default: Any = None, signed: bool = False) -> Any:
         value = self._row.get(key, default)
         if value is None:
             raise self.fail(key, "missing")
         if not isinstance(value, kind) or isinstance(value, bool) is not (kind is bool):
             raise self.fail(key, f"{value!r} is not a {kind.__name__}")
-        if isinstance(value, int) and kind is int and value <= 0:
+        if isinstance(value, int) and kind is int and value <= 0 and not signed:
             raise self.fail(key, f"{value} is not above 0")
         return value
 
@@ -119,15 +134,15 @@
 def _table(path: Path, text: str, data: dict[str, Any], name: str) -> _Fields:
     row = data.get(name, {})
     if not isinstance(row, dict):
-        raise ConfigError(f"{path}: [{name}] (line {_line(text, name)}): not a table")
+        raise ConfigError(f"{path}: [{name}] (line {_line(text, '', name)}): not a table")
     return _Fields(path, text, name, row)
 
 
 def load_instance(path: Path) -> Instance:
     """An instance's configuration; ConfigError says what is wrong."""
     text, data = _read(path)
-    node, lease, watch, raft_keys = (
-        _table(path, text, data, name) for name in ("instance", "lease", "watch", "raft")
+    node, lease, watch, raft_keys, members = (
+        _table(path, text, data, name) for name in ("instance", "lease", "watch", "raft", "members")
     )
     peers = node.addresses("peers")
     raft = node.address("raft")
@@ -147,6 +162,19 @@
         append_period_ms=raft_keys.get("append_period_ms", int, 10),
         election_min_ms=election[0],
         election_max_ms=election[1],
+        members=_members(members),
+    )
+
+
+def _members(table: _Fields) -> Members:
+    ttl_ms = table.get("ttl_ms", int, 5_000)
+    if not 200 <= ttl_ms <= 600_000:  # renewals come in a fifth of it, and pass Raft in some 50 ms
+        raise table.fail("ttl_ms", f"{ttl_ms} is not from 200 to 600000")
+    return Members(
+        ttl_ms=ttl_ms,
+        clock_bound_ms=table.get("clock_bound_ms", int, 250),
+        prepare_ms=table.get("prepare_ms", int, 10_000),
+        clock_offset_ms=table.get("clock_offset_ms", int, 0, signed=True),
     )
 
 
--- a/orchidledge/registry/web.py
+++ b/orchidledge/registry/web.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from urllib.parse import parse_qs, urlsplit
 
 import httptools
@@ -42,8 +43,9 @@
 
     def encode(self, close: bool) -> bytes:
         head = [f"HTTP/1.1 {self.status} {REASONS.get(self.status, 'Status')}"]
-        head += [f"{name}: {value}" for name, value in self.headers.items()]
-        head += ["Content-Type: application/json", f"Content-Length: {len(self.body)}"]
+        headers = {"content-type": "application/json", **self.headers}
+        head += [f"{name}: {value}" for name, value in headers.items()]
+        head.append(f"Content-Length: {len(self.body)}")
         if close:
             head.append("Connection: close")
         return ("\r\n".join(head) + "\r\n\r\n").encode() + self.body
@@ -133,27 +135,33 @@
 
 
 async def call(
-    address: Address, method: str, target: str, body: bytes = b"", timeout_s: float = 5.0
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    timeout_s: float = 5.0,
+    headers: Mapping[str, str] = MappingProxyType({}),
 ) -> Reply:
     """One request on a connection of its own; OSError or TimeoutError when it can't be had."""
     async with asyncio.timeout(timeout_s):
         reader, writer = await asyncio.open_connection(*address)
         try:
             head = f"{method} {target} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
+            head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
             head += f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
             writer.write(head.encode() + body)
             status_line = await reader.readline()
             parts = status_line.split(b" ", 2)
             if len(parts) < 2 or not parts[1].isdigit():
                 raise ConnectionError(f"no HTTP status line: {status_line[:60]!r}")
-            headers: dict[str, str] = {}
+            said: dict[str, str] = {}
             while (line := await reader.readline()) not in (b"\r\n", b"\n", b""):
                 name, _, value = line.decode("latin-1").partition(":")
-                headers[name.strip().lower()] = value.strip()
-            size = int(headers.get("content-length", "0"))
+                said[name.strip().lower()] = value.strip()
+            size = int(said.get("content-length", "0"))
             if size > MAX_ANSWER:
                 raise ConnectionError(f"an answer of {size} bytes")
-            return Reply(int(parts[1]), headers, await reader.readexactly(size))
+            return Reply(int(parts[1]), said, await reader.readexactly(size))
         except (ValueError, asyncio.IncompleteReadError) as error:
             raise ConnectionError(str(error)) from error
         finally:
