Add the view: clock offsets as intervals, facts with origins, ages of edges, marks of routes

No node can say how old what it acts on is. orchidledge/view is the sans-I/O core of that: offsets bounded by the four times of a call whatever the asymmetry, own and told facts, ages as intervals, marks with hysteresis. Nothing calls it yet.

--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -59,6 +59,15 @@
     FAILED = "failed"
 
 
+class Mark(Enum):
+    """How sure a node can be of a route: a server as this node may use it; no call is refused for it."""
+
+    SURE = "sure"
+    FAIR = "fair"
+    WEAK = "weak"
+    BLIND = "blind"
+
+
 # ------------------------------------------------------------------ settings
 
 
--- /dev/null
+++ b/orchidledge/view/edges.py
@@ -0,0 +1,62 @@
+"""How old what this process knows at each of its edges is: itself to a server, itself to a sibling.
+
+An age is an interval [least, most] in ms of own time that holds whatever the link's asymmetry: exact where
+this process saw the fact itself, from the offset's bounds where a sibling told it, with no `most` (inf)
+where the sibling's clock is not known yet.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+from orchidledge.view.clock import Interval
+from orchidledge.view.facts import Relayed, View
+
+UNKNOWN: Interval = (math.inf, math.inf)  # nothing was ever heard
+
+
+@dataclass(slots=True, frozen=True)
+class Edge:
+    """`own`: since this process heard of it; `told`: since the sibling `via` did. Either may be UNKNOWN."""
+
+    own: Interval
+    told: Interval
+    via: Hashable | None
+    behind: int  # revisions: this node's list (a server's edge) or the sibling's, behind the newest heard of
+
+    @property
+    def age(self) -> Interval:
+        """Of the freshest that is known, from either."""
+        return (min(self.own[0], self.told[0]), min(self.own[1], self.told[1]))
+
+
+def _freshest(view: View, server: str) -> Relayed | None:
+    """The sibling's fact by which the server was surely heard last; None: no sibling has heard it."""
+    best: Relayed | None = None
+    for fact in view.relayed.get(server, {}).values():
+        if fact.heard is not None and (best is None or best.heard is None or fact.heard[0] > best.heard[0]):
+            best = fact
+    return best
+
+
+def server_edge(view: View, now: float, server: str, newest: int | None = None) -> Edge:
+    """The edge to a server; `newest` spares looking for the newest revision where many edges are asked."""
+    seen = view.seen.get(server)
+    own = UNKNOWN if seen is None else (now - seen.heard, now - seen.heard)
+    behind = (view.newest_revision if newest is None else newest) - view.listing.revision
+    fact = _freshest(view, server)
+    if fact is None or fact.heard is None:
+        return Edge(own, UNKNOWN, None, behind)
+    return Edge(own, (now - fact.heard[1], now - fact.heard[0]), fact.origin, behind)
+
+
+def sibling_edge(view: View, now: float, incarnation: Hashable, newest: int | None = None) -> Edge:
+    """The edge to a sibling: the age of what it last told of itself, its figures and revision."""
+    newest = view.newest_revision if newest is None else newest
+    sibling = view.siblings.get(incarnation)
+    if sibling is None:
+        return Edge(UNKNOWN, UNKNOWN, None, newest)
+    told = (now - sibling.sent[1], now - sibling.sent[0])
+    return Edge(UNKNOWN, told, incarnation, newest - sibling.revision)
--- /dev/null
+++ b/orchidledge/view/facts.py
@@ -0,0 +1,281 @@
+"""What this process knows and from whom: its own facts, and those that siblings told on their calls.
+
+A fact has an origin (an incarnation, or this process), a version that rises at its origin and the origin's
+time. A time of another's clock is turned into an interval of own time as it is told, and ages by the own
+clock alone from then on. Own facts have exact times. All times are in ms.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Collection, Hashable, Iterator
+from dataclasses import dataclass, field, replace
+from itertools import chain, islice
+
+from orchidledge.interface import Result
+from orchidledge.view import wire
+from orchidledge.view.clock import Interval, Offsets, Reading
+
+FLIPPED = 16  # servers in a share that have lately begun or ceased to fail,
+FRESH = 16  # those with the latest facts,
+TURN = 16  # and some of all in turn, so that each is told at some time
+RELAYED = 3  # siblings' facts kept of one server: those heard last
+REORDERED = (
+    64  # a share this many or fewer behind the last came late; one further behind starts the count anew
+)
+_OK, _ERROR, _FULL = Result.OK, Result.ERROR, Result.FULL
+_MUTE = (Result.CANCELLED, Result.MOOT)  # these say nothing of the server
+
+
+class Seen:
+    """Own facts on one server."""
+
+    __slots__ = ("at", "heard", "load", "load_at", "misses", "outcome", "version")
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.at = self.heard = self.load_at = -math.inf
+        self.outcome: Result | None = None
+        self.misses = 0  # failures since the last good answer
+        self.load: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Relayed:
+    """A sibling's fact on a server; intervals are of own time, from -inf where nothing bounds them."""
+
+    origin: Hashable
+    version: int
+    outcome: Result | None
+    tried: Interval  # the last outcome's time
+    heard: Interval | None  # when the server last answered it; None: never
+    load: float | None
+    load_at: Interval | None
+
+    @property
+    def missed(self) -> bool:
+        return self.outcome not in (None, _OK, _FULL)
+
+
+@dataclass(slots=True, frozen=True)
+class Sibling:
+    """What a sibling last told of itself."""
+
+    count: int
+    sent: Interval  # in own time
+    revision: int
+    revision_at: Interval | None
+    pools: tuple[wire.PoolFigures, ...]
+
+
+@dataclass(slots=True)
+class Counts:
+    """What `told` took and turned down."""
+
+    taken: int = 0
+    garbage: int = 0
+    stranger: int = 0
+    late: int = 0
+    future: int = 0
+
+
+@dataclass(slots=True)
+class _List:
+    revision: int = 0
+    at: float = -math.inf
+    servers: frozenset[str] = field(default_factory=frozenset)
+
+
+class View:
+    """Own and told facts; memory is bounded by the server list and the members.
+
+    `offsets` is the one that the process samples its calls into, with the siblings' incarnations as peers.
+    """
+
+    def __init__(self, offsets: Offsets) -> None:
+        self.offsets = offsets
+        self.counts = Counts()
+        self.listing = _List()
+        self.siblings: dict[Hashable, Sibling | None] = {}  # every member but this; None: has told nothing
+        self.seen: dict[str, Seen] = {}  # the one with the latest fact last
+        self.relayed: dict[str, dict[Hashable, Relayed]] = {}
+        self._pools: dict[str, wire.PoolFigures] = {}
+        self._flipped: dict[str, None] = {}  # the latest last
+        self._turn: deque[str] = deque()  # servers with own facts
+        self._version = 0
+        self._shares = 0
+
+    # ------------------------------------------------------------- own facts
+
+    def saw(self, now: float, server: str, outcome: Result) -> None:
+        """An attempt at a server ended. On every call's path, so a few stores and no more."""
+        if outcome in _MUTE:
+            return
+        seen = self._touch(server)
+        if seen is None:
+            return
+        seen.at = now
+        seen.outcome = outcome
+        if outcome is _OK:
+            seen.heard = now
+            if seen.misses:
+                seen.misses = 0
+                self._flip(server)
+            return
+        if outcome is _FULL or outcome is _ERROR:
+            seen.heard = now
+        if outcome is not _FULL:
+            seen.misses += 1
+            if seen.misses == 1:
+                self._flip(server)
+
+    def loaded(self, now: float, server: str, load: float) -> None:
+        """A server reported its load (a share of its capacity); what is no figure is dropped."""
+        if not (isinstance(load, int | float) and 0.0 <= load <= 1e12):
+            return
+        seen = self._touch(server)
+        if seen is not None:
+            seen.load = float(load)
+            seen.load_at = seen.heard = now
+
+    def listed(self, now: float, revision: int, servers: Collection[str] | None = None) -> None:
+        """The list was confirmed at this revision; `servers` are all its names, None: the same as before."""
+        self.listing.at = now
+        self.listing.revision = revision
+        if servers is None:
+            return
+        self.listing.servers = frozenset(servers)
+        for facts in (self.seen, self.relayed, self._flipped):
+            for server in [name for name in facts if name not in self.listing.servers]:
+                del facts[server]
+        self._turn = deque(name for name in self._turn if name in self.listing.servers)
+
+    def figures(self, now: float, in_flight: float, cursor: int, threshold: float, pool: str = "") -> None:
+        """This process's own figures of a pool; pools past MAX_POOLS and names past MAX_NAME are not told."""
+        if pool in self._pools or (len(self._pools) < wire.MAX_POOLS and len(pool) <= wire.MAX_NAME):
+            self._pools[pool] = wire.PoolFigures(pool, now, in_flight, cursor, threshold)
+
+    def members(self, incarnations: Collection[Hashable]) -> None:
+        """All members but this one; what a former one told of itself is dropped."""
+        for gone in self.siblings.keys() - set(incarnations):
+            del self.siblings[gone]
+            self.offsets.forget(gone)
+        for incarnation in incarnations:
+            self.siblings.setdefault(incarnation, None)
+
+    # --------------------------------------------------------------- sharing
+
+    def share(self, now: float) -> bytes:
+        """The `view` entry for a call or an answer that goes out now: at most 48 servers, in under 64 KiB."""
+        self._shares += 1
+        listing = self.listing
+        confirmed = listing.at if listing.at > -math.inf else None
+        servers = [self._fact(name) for name in self._chosen()]
+        pools = list(self._pools.values())
+        return wire.encode(wire.Share(1, self._shares, now, listing.revision, confirmed, pools, servers))
+
+    def told(self, now: float, origin: Hashable, payload: object) -> str | None:
+        """Take the entry of a sibling's call. None: taken; else why not, a code that also names the count."""
+        if origin not in self.siblings:
+            return self._refuse("stranger")
+        share = wire.decode(payload)
+        if share is None:
+            return self._refuse("garbage")
+        before = self.siblings[origin]
+        if before is not None and 0 <= before.count - share.count <= REORDERED:
+            return self._refuse("late")
+        reading = self.offsets.reading(origin, now)
+        sent = _own_time(reading, now, share.sent)
+        if sent is None:
+            return self._refuse("future")
+        confirmed = None if share.revision_at is None else _own_time(reading, now, share.revision_at)
+        self.siblings[origin] = Sibling(share.count, sent, share.revision, confirmed, tuple(share.pools))
+        for fact in share.servers:
+            if fact.name in self.listing.servers:
+                self._relay(fact.name, _relayed(origin, reading, now, fact))
+        self.counts.taken += 1
+        return None
+
+    @property
+    def newest_revision(self) -> int:
+        """Of all that this process and its siblings hold."""
+        heard = (sibling.revision for sibling in self.siblings.values() if sibling is not None)
+        return max(self.listing.revision, max(heard, default=0))
+
+    # ---------------------------------------------------------------- inside
+
+    def _touch(self, server: str) -> Seen | None:
+        """The server's facts, moved to the end of the order; None: no such server is listed."""
+        seen = self.seen.pop(server, None)
+        if seen is None:
+            if server not in self.listing.servers:
+                return None
+            seen = Seen()
+            self._turn.append(server)
+        self.seen[server] = seen
+        self._version += 1
+        seen.version = self._version
+        return seen
+
+    def _flip(self, server: str) -> None:
+        self._flipped.pop(server, None)
+        self._flipped[server] = None
+        if len(self._flipped) > FLIPPED:
+            del self._flipped[next(iter(self._flipped))]
+
+    def _chosen(self) -> Iterator[str]:
+        turn = list(islice(self._turn, TURN))
+        self._turn.rotate(-len(turn))
+        names = chain(self._flipped, islice(reversed(self.seen), FRESH), turn)
+        return (name for name in dict.fromkeys(names) if 0 < len(name) <= wire.MAX_NAME)
+
+    def _fact(self, name: str) -> wire.ServerFact:
+        seen = self.seen[name]
+        at = seen.at if seen.outcome is not None else seen.load_at
+        heard = seen.heard if seen.heard > -math.inf else None
+        load_at = seen.load_at if seen.load is not None else None
+        return wire.ServerFact(name, seen.version, at, seen.outcome, heard, seen.load, load_at)
+
+    def _relay(self, server: str, fact: Relayed) -> None:
+        facts = self.relayed.setdefault(server, {})
+        before = facts.get(fact.origin)
+        facts[fact.origin] = fact if before is None else _narrowed(before, fact)
+        if len(facts) > RELAYED:
+            del facts[min(facts, key=lambda origin: _rank(facts[origin]))]
+
+    def _refuse(self, why: str) -> str:
+        setattr(self.counts, why, getattr(self.counts, why) + 1)
+        return why
+
+
+def _own_time(reading: Reading | None, now: float, stamp: float) -> Interval | None:
+    """The own time of a sibling's stamp, no later than now; None: it would surely lie ahead of now."""
+    if reading is None:
+        return (-math.inf, now)
+    low, high = reading.to_own(stamp)
+    return (low, min(high, now)) if low <= now else None
+
+
+def _relayed(origin: Hashable, reading: Reading | None, now: float, fact: wire.ServerFact) -> Relayed:
+    def own(stamp: float | None) -> Interval | None:
+        return None if stamp is None else _own_time(reading, now, stamp)
+
+    tried = own(fact.at) or (-math.inf, now)
+    load_at = own(fact.load_at)
+    return Relayed(origin, fact.version, fact.outcome, tried, own(fact.heard), fact.load, load_at)
+
+
+def _narrowed(before: Relayed, fact: Relayed) -> Relayed:
+    """The same fact told again, with what is known of its time from both tellings."""
+    if before.version != fact.version or before.heard is None or fact.heard is None:
+        return fact
+    low, high = max(before.heard[0], fact.heard[0]), min(before.heard[1], fact.heard[1])
+    if low > high:  # the origin's clock jumped between the two
+        return fact
+    return replace(fact, heard=(low, high))
+
+
+def _rank(fact: Relayed) -> tuple[float, float]:
+    """By when the server surely was heard or tried: those least known are dropped first."""
+    return (-math.inf if fact.heard is None else fact.heard[0], fact.tried[0])
--- /dev/null
+++ b/orchidledge/view/marks.py
@@ -0,0 +1,202 @@
+"""Marks: how sure this node can be of each route, a server as it may use it.
+
+The bounds, in periods P (a share of the shortest aim, the decision module's), on the oldest that the
+evidence may be: `sure` 16, `fair` 64, `weak` 256, `blind` past that or where there is none. Evidence is an
+answer or a load report that this node had itself; a sibling's answer, by the `most` end of its age, is
+worth `fair` at best. Capped at `fair`: the node is adrift, its list two or more revisions behind or
+unconfirmed for 6 s, two of its calls in a row failed, or a sibling's call failed surely later than the
+server last answered here. Capped at `weak`: the node is alone, or nine or more behind, or four calls in a
+row failed.
+
+A mark is given only if it will still hold at the next update. It worsens at once when the evidence grows
+too old or calls fail (the count is the hysteresis); by the node's own state only once that has lasted 8 P.
+It leaves `blind` at once on any evidence, for a blind route is tried by one call at a time. Further it
+rises one step at a time, when the better mark's bound was kept with a quarter to spare for as long as the
+bound: a route whose evidence comes at intervals around a bound stays below it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Hashable, Sequence
+from typing import Literal
+
+from orchidledge.interface import Mark
+from orchidledge.view.edges import Edge, server_edge, sibling_edge
+from orchidledge.view.facts import Seen, View
+
+Stand = Literal["attached", "adrift", "alone"]
+
+MARKS = (Mark.SURE, Mark.FAIR, Mark.WEAK, Mark.BLIND)
+BOUNDS = (16.0, 64.0, 256.0)  # periods
+SPARE = 0.75  # of a bound, to rise to its mark
+LASTING = 8.0  # periods that a state of the node must last to lower marks
+LIST_MS = 6000.0  # a list confirmed no later is old: discovery may be silent for as long
+MISSES = (2, 4)  # calls in a row that failed: at most fair, weak
+BEHIND = (2, 9)  # revisions behind: the same
+ROUNDS = (2.0, 4.0, 8.0)  # bounds of a sibling's edge, in rounds; a shuffled round may leave one out for two
+_SURE, _FAIR, _WEAK, _BLIND = range(4)
+_Cap = tuple[int, str]
+
+
+class _Route:
+    """A route's mark as it stands, and since when it has earned a better one."""
+
+    __slots__ = ("earning", "given", "level")
+
+    def __init__(self) -> None:
+        self.level = _BLIND
+        self.given = -1  # the level that `update` told last
+        self.earning: float | None = None
+
+
+class Marks:
+    """The marks of every listed server. `update` runs every `every_ms` at most, from the caller's timer.
+
+    `round_ms` is how long a members' round takes, kept up by the caller as the fleet grows or shrinks.
+    """
+
+    def __init__(self, view: View, period_ms: float, every_ms: float, round_ms: float = 0.0) -> None:
+        if not (0.0 < period_ms < math.inf and 0.0 < every_ms < math.inf):
+            raise ValueError(f"period_ms, every_ms: {period_ms!r}, {every_ms!r} are not both over 0")
+        self.round_ms = round_ms
+        self._view = view
+        self._lasting = LASTING * period_ms
+        self._bounds = tuple(bound * period_ms for bound in BOUNDS)
+        self._keeps = tuple(bound - every_ms for bound in self._bounds)
+        self._earns = tuple(bound * SPARE - every_ms for bound in self._bounds)
+        self._listed: frozenset[str] = frozenset()
+        self._routes: dict[str, _Route] = {}
+        self._state: _Cap = (_SURE, "")  # the node's own state as it is,
+        self._cap: _Cap = (_SURE, "")  # and as it caps marks, once it has lasted
+        self._worse_since: float | None = None
+
+    def update(self, now: float, stand: Stand) -> dict[str, Mark]:
+        """Judge every route anew; the marks that changed or are new, by server. Linear in the list."""
+        self._weigh_node(now, stand)
+        if self._view.listing.servers is not self._listed:
+            self._listed = self._view.listing.servers
+            self._routes = {server: self._routes.get(server) or _Route() for server in self._listed}
+        changed = {}
+        for server, route in self._routes.items():
+            self._step(now, server, route)
+            if route.level != route.given:
+                route.given = route.level
+                changed[server] = MARKS[route.level]
+        return changed
+
+    @property
+    def marks(self) -> dict[str, Mark]:
+        """All marks as they stand."""
+        return {server: MARKS[route.level] for server, route in self._routes.items()}
+
+    def routes_status(self, now: float) -> list[dict[str, object]]:
+        """Every edge, for the door: mark, age in ms (`most_ms` None: no bound), revisions behind, reason."""
+        newest = self._view.newest_revision
+        rows = []
+        for server, route in sorted(self._routes.items()):
+            edge = server_edge(self._view, now, server, newest)
+            rows.append(_row("server", server, route.level, edge, self._reason(now, server, route.level)))
+        for incarnation in sorted(self._view.siblings, key=str):
+            edge = sibling_edge(self._view, now, incarnation, newest)
+            level = _level(edge.age[1], [bound * self.round_ms for bound in ROUNDS])
+            why = "unheard" if edge.age[0] == math.inf else "unsampled" if edge.age[1] == math.inf else "told"
+            rows.append(_row("sibling", incarnation, level, edge, why))
+        return rows
+
+    # ---------------------------------------------------------------- inside
+
+    def _weigh_node(self, now: float, stand: Stand) -> None:
+        listing = self._view.listing
+        behind = self._view.newest_revision - listing.revision
+        caps: list[_Cap] = [
+            (_SURE, ""),
+            {"attached": (_SURE, ""), "adrift": (_FAIR, stand)}.get(stand, (_WEAK, stand)),
+        ]
+        if behind >= BEHIND[0]:
+            caps.append((_FAIR if behind < BEHIND[1] else _WEAK, "behind"))
+        if now - listing.at > LIST_MS:
+            caps.append((_FAIR, "list-old"))
+        self._state = max(caps, key=lambda cap: cap[0])
+        if self._state[0] <= self._cap[0]:
+            self._cap, self._worse_since = self._state, None
+        elif self._worse_since is None:
+            self._worse_since = now
+        elif now - self._worse_since >= self._lasting:
+            self._cap, self._worse_since = self._state, None
+
+    def _step(self, now: float, server: str, route: _Route) -> None:
+        """Move a route's mark as the module's docstring says."""
+        seen = self._view.seen.get(server)
+        own, told, missed = self._ages(now, server, seen)
+        cap = _missing(seen, missed)[0]
+        keep = max(min(_level(own, self._keeps), max(_level(told, self._keeps), _FAIR)), cap, self._cap[0])
+        if keep > route.level:
+            route.level, route.earning = keep, None
+            return
+        earn = max(min(_level(own, self._earns), max(_level(told, self._earns), _FAIR)), cap, self._state[0])
+        if earn >= route.level:
+            route.earning = None
+        elif route.level == _BLIND:
+            route.level, route.earning = _WEAK, now
+        elif route.earning is None:
+            route.earning = now
+        elif now - route.earning >= self._bounds[route.level - 1]:
+            route.level, route.earning = route.level - 1, now
+
+    def _ages(self, now: float, server: str, seen: Seen | None) -> tuple[float, float, bool]:
+        """The most that the own and the told evidence may be old; whether a sibling's call failed since."""
+        heard = -math.inf if seen is None else seen.heard
+        told, missed = -math.inf, False
+        for fact in self._view.relayed.get(server, {}).values():
+            if fact.heard is not None and fact.heard[0] > told:
+                told = fact.heard[0]
+            if fact.missed and fact.tried[0] > heard:
+                missed = True
+        return now - heard, now - told, missed
+
+    def _reason(self, now: float, server: str, level: int) -> str:
+        """Why the mark is no better, or what it rests on."""
+        seen = self._view.seen.get(server)
+        own, told, missed = self._ages(now, server, seen)
+        if own == told == math.inf:
+            return "unheard"
+        cap = max(self._cap, _missing(seen, missed), key=lambda cap: cap[0])
+        by_own = _level(own, self._keeps)
+        by_age = min(by_own, max(_level(told, self._keeps), _FAIR))
+        if max(by_age, cap[0]) < level:
+            return "settling"
+        if cap[0] >= by_age and cap[0] > _SURE:
+            return cap[1]
+        if by_age < by_own or (told < own and by_age > _SURE):
+            return "told"
+        return "aged" if by_age > _SURE else "heard"
+
+
+def _missing(seen: Seen | None, by_sibling: bool) -> _Cap:
+    """The cap of failed calls."""
+    misses = 0 if seen is None else seen.misses
+    if misses >= MISSES[0]:
+        return (_FAIR if misses < MISSES[1] else _WEAK, "missing")
+    return (_FAIR, "missing-for-sibling") if by_sibling else (_SURE, "")
+
+
+def _level(age: float, bounds: Sequence[float]) -> int:
+    for level, bound in enumerate(bounds):
+        if age <= bound:
+            return level
+    return _BLIND
+
+
+def _row(kind: str, to: Hashable, level: int, edge: Edge, reason: str) -> dict[str, object]:
+    least, most = (age if age < math.inf else None for age in edge.age)
+    return {
+        "kind": kind,
+        "to": to,
+        "mark": MARKS[level].value,
+        "least_ms": least,
+        "most_ms": most,
+        "behind": edge.behind,
+        "via": edge.via if edge.told[1] < edge.own[1] else None,
+        "reason": reason,
+    }
--- /dev/null
+++ b/orchidledge/view/wire.py
@@ -0,0 +1,80 @@
+"""The `view` entry of the members' calls: what one process tells of itself, as msgpack, strictly read."""
+
+from __future__ import annotations
+
+import math
+from typing import Annotated, Literal
+
+import msgspec
+
+from orchidledge.interface import Result
+from orchidledge.view.clock import MAX_TIME_MS
+
+MAX_BYTES = 65_536  # of one entry; the largest that `share` makes is under this
+MAX_NAME = 256  # characters of a server's or a pool's name
+MAX_SERVERS = 64  # in one entry
+MAX_POOLS = 8
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME)]
+_Pool = Annotated[str, msgspec.Meta(max_length=MAX_NAME)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Time = Annotated[float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
+_Figure = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+
+
+class ServerFact(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """What the origin last saw of a server; times in ms on the origin's clock."""
+
+    name: _Name
+    version: _Count  # rises with every fact of the origin's
+    at: _Time  # of the last outcome
+    outcome: Result | None  # None: only reports have come
+    heard: _Time | None  # when the server last answered anything
+    load: _Figure | None
+    load_at: _Time | None
+
+
+class PoolFigures(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """A pool at the origin: calls in flight, cursor and threshold."""
+
+    pool: _Pool
+    at: _Time
+    in_flight: _Figure
+    cursor: Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
+    threshold: _Figure
+
+
+class Share(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    form: Literal[1]
+    count: _Count  # rises with each that the origin makes
+    sent: _Time
+    revision: _Count  # of the server list it holds,
+    revision_at: _Time | None  # last confirmed then; None: it has none yet
+    pools: Annotated[list[PoolFigures], msgspec.Meta(max_length=MAX_POOLS)]
+    servers: Annotated[list[ServerFact], msgspec.Meta(max_length=MAX_SERVERS)]
+
+
+encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Share).decode
+
+
+def decode(payload: object) -> Share | None:
+    """The entry, or None where it is anything else: too long, not msgpack, of the wrong shape, absurd."""
+    if not isinstance(payload, bytes) or len(payload) > MAX_BYTES:
+        return None
+    try:
+        share = _decode(payload)
+    except (ValueError, RecursionError):  # msgspec's errors are ValueErrors, as is text that is not UTF-8
+        return None
+    return share if _sound(share) else None
+
+
+def _sound(share: Share) -> bool:
+    """No time is past the sending, and no figure is NaN, which passes msgspec's bounds."""
+    times = [share.revision_at, *(pool.at for pool in share.pools)]
+    figures = [figure for pool in share.pools for figure in (pool.in_flight, pool.threshold)]
+    for fact in share.servers:
+        times += (fact.at, fact.heard, fact.load_at)
+        figures.append(fact.load or 0.0)
+    in_past = all(time is None or time <= share.sent for time in times)
+    return in_past and not any(map(math.isnan, figures))
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,418 @@
+"""The view: offsets and ages that hold on any link, marks within their bounds, garbage turned down."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidledge.interface import Mark, Result
+from orchidledge.view import Marks, Offsets, View, server_edge, sibling_edge
+from orchidledge.view.clock import DRIFT_PPM, PEERS, SAMPLES
+from orchidledge.view.facts import FLIPPED, FRESH, RELAYED, TURN
+from orchidledge.view.marks import BOUNDS, LASTING, SPARE
+
+P, EVERY = 15.0, 30.0
+delays = st.floats(0.0, 500.0)
+calls = st.lists(st.tuples(st.floats(0.0, 20_000.0), delays, delays, delays), min_size=1, max_size=24)
+skews = st.floats(-2000.0, 2000.0) | st.floats(1.7e12, 1.8e12)
+drifts = st.floats(-DRIFT_PPM, DRIFT_PPM).map(lambda ppm: ppm / 1e6)
+
+
+class Peer:
+    """A clock that is off by a skew and a constant drift from own time, and what its calls take."""
+
+    def __init__(self, skew: float, drift: float, start: float) -> None:
+        self.skew, self.drift, self.start, self.now = skew, drift, start, start
+
+    def shows(self, own: float) -> float:
+        return own + self.skew + (own - self.start) * self.drift
+
+    def call(self, offsets: Offsets, wait: float, there: float, held: float, back: float) -> bool:
+        t1 = self.now + wait
+        self.now = t1 + there + held + back
+        times = (self.shows(t1 + there), self.shows(t1 + there + held))
+        return offsets.sample("peer", t1, *times, self.now)
+
+
+def view_of(*servers: str, offsets: Offsets | None = None, members: tuple[int, ...] = (7,)) -> View:
+    view = View(offsets or Offsets())
+    view.listed(0.0, 1, servers)
+    view.members(members)
+    return view
+
+
+# ------------------------------------------------------------------- clock
+
+
+@given(skews, drifts, st.floats(0.0, 1e9), calls, st.floats(0.0, 1e5))
+def test_the_true_offset_lies_within_the_interval(skew, drift, start, plan, later):
+    offsets, peer = Offsets(), Peer(skew, drift, start)
+    for wait, there, held, back in plan:
+        assert peer.call(offsets, wait, there, held, back)
+        for now in (peer.now, peer.now + later):
+            low, high = offsets.best("peer", now)
+            assert low <= peer.shows(now) - now <= high
+            drifted = 3.2 * DRIFT_PPM / 1e6 * (now - peer.now + there + held + back)  # allowed, and true
+            assert high - low <= there + back + drifted + 0.1
+    assert offsets.refusals.jumps == offsets.refusals.absurd == 0
+
+
+@given(skews, drifts, calls, st.floats(-1e5, 1e5))
+def test_times_of_either_clock_turn_into_intervals_that_hold_the_other(skew, drift, plan, span):
+    offsets, peer = Offsets(), Peer(skew, drift, 1e6)
+    for call in plan:
+        peer.call(offsets, *call)
+    now, own = peer.now + 10.0, peer.now + span
+    low, high = offsets.to_own("peer", now, peer.shows(own))
+    assert low <= own <= high
+    low, high = offsets.to_peer("peer", now, own)
+    assert low <= peer.shows(own) <= high
+
+
+def test_a_jump_drops_the_samples_before_it_and_is_counted_once():
+    offsets, peer = Offsets(), Peer(0.0, 0.0, 0.0)
+    for _ in range(SAMPLES):
+        peer.call(offsets, 100.0, 5.0, 1.0, 80.0)
+    peer.skew = 2000.0
+    for _ in range(3):
+        peer.call(offsets, 100.0, 5.0, 1.0, 80.0)
+    low, high = offsets.best("peer", peer.now)
+    assert offsets.refusals.jumps == 1
+    assert low <= 2000.0 <= high
+    assert high - low < 86.0
+
+
+@pytest.mark.parametrize(
+    "times",
+    [
+        (10.0, 0.0, 0.0, 9.0),  # back before it was sent
+        (0.0, 5.0, 4.0, 9.0),  # answered before it came
+        (0.0, 0.0, 20.0, 10.0),  # held for longer than the call took
+        (0.0, math.nan, 0.0, 1.0),
+        (0.0, 1e300, 1e300, 1.0),
+        (0.0, 10**400, 10**400, 1.0),
+        (0.0, 0.0, 0.0, 1e6),
+        (0.0, "0", None, 1.0),
+    ],
+)
+def test_absurd_samples_are_counted_and_change_nothing(times):
+    offsets = Offsets()
+    assert offsets.sample("peer", 0.0, 0.0, 0.0, 0.0)
+    before = offsets.best("peer", 0.0)
+    assert not offsets.sample("peer", *times)
+    assert offsets.refusals.absurd == 1
+    assert offsets.best("peer", 0.0) == before
+
+
+def test_peers_are_bounded_and_the_one_sampled_longest_ago_goes():
+    offsets = Offsets()
+    for peer in range(PEERS):
+        offsets.sample(peer, 0.0, 0.0, 0.0, 0.0)
+    offsets.sample(0, 1.0, 1.0, 1.0, 1.0)
+    offsets.sample("one more", 1.0, 1.0, 1.0, 1.0)
+    assert offsets.best(0, 1.0)
+    assert offsets.best(1, 1.0) is None
+
+
+# -------------------------------------------------------------------- ages
+
+
+@given(skews, drifts, calls, st.floats(0.0, 5000.0), delays, st.floats(0.0, 5000.0))
+def test_a_told_fact_s_true_age_lies_within_least_and_most(skew, drift, plan, old, way, later):
+    offsets, peer = Offsets(), Peer(skew, drift, 1e6)
+    for call in plan:
+        peer.call(offsets, *call)
+    view, there = view_of("s", offsets=offsets, members=("peer",)), view_of("s")
+    seen, sent = peer.now, peer.now + old
+    there.saw(peer.shows(seen), "s", Result.OK)
+    assert view.told(sent + way, "peer", there.share(peer.shows(sent))) is None
+    now = sent + way + later
+    for edge, true in (
+        (server_edge(view, now, "s"), now - seen),
+        (sibling_edge(view, now, "peer"), now - sent),
+    ):
+        least, most = edge.age
+        assert least <= true + 0.01
+        assert most >= true - 0.01
+        assert least >= later - 0.01
+
+
+def test_without_a_sample_a_told_age_has_no_bound_and_gets_one_as_it_is_told_again():
+    view, there = view_of("s"), view_of("s")
+    there.saw(100.0, "s", Result.OK)
+    view.told(200.0, 7, there.share(150.0))
+    assert server_edge(view, 260.0, "s").age == (60.0, math.inf)
+    view.offsets.sample(7, 300.0, 300.0, 300.0, 301.0)
+    view.told(301.0, 7, there.share(300.0))
+    least, most = server_edge(view, 301.0, "s").age
+    assert least >= 101.0  # 200 from the first telling, 1 from the second
+    assert most < 204.0
+
+
+def test_revisions_behind_count_from_the_newest_that_a_present_member_holds():
+    view, there = view_of("s"), view_of("s")
+    there.listed(0.0, 5)
+    view.told(1.0, 7, there.share(1.0))
+    assert server_edge(view, 1.0, "s").behind == 4
+    assert sibling_edge(view, 1.0, 7).behind == 0
+    view.members(())
+    assert server_edge(view, 1.0, "s").behind == 0
+
+
+# ------------------------------------------------------------------- facts
+
+
+def test_a_share_is_bounded_and_tells_new_failures_first_and_all_servers_in_turn():
+    names = [f"s{at}" for at in range(200)]
+    there = view_of(*names)
+    for at, name in enumerate(names):
+        there.saw(float(at), name, Result.RESET if name == "s3" else Result.OK)
+    told: set[str] = set()
+    for _ in range(math.ceil(200 / TURN)):
+        facts = msgspec.msgpack.decode(there.share(300.0))[6]
+        assert len(facts) <= FLIPPED + FRESH + TURN
+        assert facts[0][0] == "s3"
+        assert facts[1][0] == "s199"
+        told.update(fact[0] for fact in facts)
+    assert told == set(names)
+
+
+def test_what_siblings_tell_is_bounded_by_the_list_and_the_members():
+    members = tuple(range(20))
+    view, there = view_of("s", "t", members=members), view_of("s", "t", "unlisted")
+    for name in ("s", "t", "unlisted"):
+        there.saw(1.0, name, Result.OK)
+    for member in members:
+        view.told(2.0, member, there.share(2.0))
+    assert set(view.relayed) == {"s", "t"}
+    assert {len(facts) for facts in view.relayed.values()} == {RELAYED}
+    assert view.told(2.0, "stranger", there.share(2.0)) == "stranger"
+    view.listed(3.0, 2, ("t",))
+    view.saw(3.0, "s", Result.OK)  # an attempt that outlived its server's line
+    assert set(view.relayed) == {"t"}
+    assert not view.seen
+
+
+def test_a_share_that_comes_late_or_from_the_future_is_not_taken_and_a_forged_count_does_not_last():
+    view, there = view_of("s"), view_of("s")
+    view.offsets.sample(7, 0.0, 0.0, 0.0, 0.0)
+    first, second = there.share(1.0), there.share(2.0)
+    assert view.told(3.0, 7, second) is None
+    assert view.told(3.0, 7, first) == "late"
+    assert view.told(3.0, 7, there.share(500.0)) == "future"
+    assert view.told(4.0, 7, msgspec.msgpack.encode([1, 2**53, 4.0, 1, None, [], []])) is None
+    assert view.told(5.0, 7, there.share(5.0)) is None
+    assert (view.counts.late, view.counts.future, view.counts.taken) == (1, 1, 3)
+
+
+def good() -> list[object]:
+    return [1, 9, 1.0, 1, 0.0, [["", 0.0, 1.0, 2, 3.0]], [["s", 1, 0.5, "ok", 0.5, 0.5, 0.5]]]
+
+
+def bad(path: tuple[int, ...], value: object) -> list[object]:
+    entry = row = good()
+    for at in path[:-1]:
+        row = row[at]
+    row[path[-1]] = value
+    return entry
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        bad((0,), 2),
+        bad((1,), -1),
+        bad((2,), math.nan),
+        bad((2,), 1e300),
+        bad((3,), 2**60),
+        bad((4,), 1.5),  # confirmed after it was sent
+        bad((5, 0, 2), math.inf),
+        bad((5, 0, 4), math.nan),
+        bad((5,), [["", 0.0, 1.0, 2, 3.0]] * 9),
+        bad((6, 0, 0), "x" * 257),
+        bad((6, 0, 3), "perhaps"),
+        bad((6, 0, 4), 1.5),
+        bad((6, 0, 5), math.nan),
+        bad((6,), [["s", 1, 0.5, "ok", 0.5, 0.5, 0.5]] * 65),
+        [*good(), "more"],
+        {"form": 1},
+        None,
+    ],
+)
+def test_an_entry_that_is_absurd_in_one_place_is_garbage(entry):
+    view = view_of("s")
+    assert view.told(1.0, 7, msgspec.msgpack.encode(good())) is None
+    assert view.told(1.0, 7, msgspec.msgpack.encode(entry)) == "garbage"
+    assert view.counts.garbage == 1
+    assert view.relayed["s"][7].load == 0.5
+
+
+@given(st.binary(max_size=200) | st.none() | st.text() | st.integers())
+def test_any_other_payload_is_garbage_too(payload):
+    assert view_of("s").told(1.0, 7, payload) == "garbage"
+
+
+def test_deep_or_long_payloads_are_garbage():
+    view = view_of("s")
+    assert view.told(1.0, 7, b"\x91" * 60_000) == "garbage"
+    assert view.told(1.0, 7, bytes(70_000)) == "garbage"
+
+
+# ------------------------------------------------------------------- marks
+
+
+class Ticker:
+    """A view of one server "s", with marks updated every 30 ms."""
+
+    def __init__(self) -> None:
+        self.view, self.now, self.last, self.stand = view_of("s"), 0.0, 0.0, "attached"
+        self.marks = Marks(self.view, P, EVERY, round_ms=1000.0)
+        self.changes: list[Mark] = []
+
+    @property
+    def mark(self) -> Mark:
+        return self.marks.marks["s"]
+
+    def run(self, span: float, gap: float = math.inf, outcome: Result = Result.OK) -> None:
+        """Let time pass, with a call that ends so `gap` ms after the last."""
+        end = self.now + span
+        while self.now < end:
+            while self.last + gap <= self.now:
+                self.last += gap
+                self.view.saw(self.last, "s", outcome)
+            self.view.listed(self.now, 1)
+            self.changes += self.marks.update(self.now, self.stand).values()
+            self.now += EVERY
+
+    def reason(self) -> object:
+        return self.marks.routes_status(self.now)[0]["reason"]
+
+
+def test_a_route_rises_step_by_step_on_steady_answers_and_falls_step_by_step_without():
+    ticker = Ticker()
+    ticker.run(EVERY)
+    assert (ticker.changes, ticker.reason()) == ([Mark.BLIND], "unheard")
+    ticker.run(3000.0, gap=60.0)
+    assert (ticker.mark, ticker.reason()) == (Mark.SURE, "heard")
+    ticker.run(5000.0)
+    assert ticker.mark is Mark.BLIND
+    assert ticker.changes[-6:] == [Mark.WEAK, Mark.FAIR, Mark.SURE, Mark.FAIR, Mark.WEAK, Mark.BLIND]
+    ticker.view.saw(ticker.now, "s", Result.OK)
+    ticker.run(EVERY)
+    assert (ticker.mark, ticker.reason()) == (Mark.WEAK, "settling")
+
+
+@given(st.integers(0, 2**32))
+def test_no_sure_or_fair_mark_outlives_its_bound_and_none_flaps(seed):
+    draw, ticker, sures, last = random.Random(seed), Ticker(), 0, -math.inf
+    for _ in range(150):
+        if draw.random() < 0.5:
+            ticker.view.saw(ticker.now, "s", draw.choice([Result.OK, Result.OK, Result.FULL, Result.RESET]))
+        before = ticker.mark if ticker.changes else Mark.BLIND
+        ticker.run(draw.choice([EVERY, EVERY, 8 * EVERY]))
+        age = ticker.now - ticker.view.seen["s"].heard if ticker.view.seen else math.inf
+        assert ticker.mark is not Mark.SURE or age <= BOUNDS[0] * P
+        assert ticker.mark is not Mark.FAIR or age <= BOUNDS[1] * P
+        if ticker.mark is Mark.SURE and before is not Mark.SURE:
+            assert ticker.now - last >= BOUNDS[0] * P
+            last, sures = ticker.now, sures + 1
+
+
+@pytest.mark.parametrize(("bound", "better"), [(0, Mark.SURE), (1, Mark.FAIR)])
+def test_answers_at_intervals_around_a_bound_do_not_make_a_mark_flap(bound, better):
+    ticker = Ticker()
+    for times in (0.9, 1.1):  # of the bound
+        ticker.run(8000.0, gap=times * BOUNDS[bound] * P)
+        ticker.changes.clear()
+        ticker.run(20_000.0, gap=times * BOUNDS[bound] * P)
+        assert ticker.changes == []
+        assert ticker.mark is not better
+    ticker.run(8000.0, gap=0.5 * SPARE * BOUNDS[bound] * P)
+    assert ticker.mark is better
+
+
+def test_failed_calls_lower_a_mark_at_once_and_one_alone_does_not():
+    ticker = Ticker()
+    ticker.run(3000.0, gap=EVERY)
+    ticker.changes.clear()
+    for _ in range(5):
+        ticker.view.saw(ticker.now, "s", Result.ERROR)
+        ticker.run(EVERY)
+    assert ticker.changes == [Mark.FAIR, Mark.WEAK]
+    assert ticker.reason() == "missing"
+    ticker.run(3000.0, gap=EVERY)
+    ticker.view.saw(ticker.now, "s", Result.RESET)
+    ticker.run(EVERY)
+    assert ticker.mark is Mark.SURE
+
+
+@pytest.mark.parametrize(("stand", "mark"), [("adrift", Mark.FAIR), ("alone", Mark.WEAK)])
+def test_a_stand_lowers_marks_only_once_it_lasts(stand, mark):
+    ticker = Ticker()
+    ticker.run(3000.0, gap=EVERY)
+    ticker.changes.clear()
+    for ticker.stand in (stand, "attached") * 4:
+        ticker.run(LASTING * P / 2, gap=EVERY)
+    assert ticker.changes == []
+    ticker.stand = stand
+    ticker.run(2 * LASTING * P, gap=EVERY)
+    assert (ticker.mark, ticker.reason()) == (mark, stand)
+
+
+def test_a_sibling_s_answers_make_a_route_fair_and_its_failures_lower_a_sure_one():
+    ticker = Ticker()
+    ticker.view.offsets.sample(7, 0.0, 0.0, 0.0, 0.0)
+    there = view_of("s")
+    for _ in range(60):
+        there.saw(ticker.now - 5.0, "s", Result.OK)
+        ticker.view.told(ticker.now, 7, there.share(ticker.now - 1.0))
+        ticker.run(EVERY)
+    assert (ticker.mark, ticker.reason()) == (Mark.FAIR, "told")
+    ticker.run(600.0, gap=EVERY)
+    assert ticker.mark is Mark.SURE
+    there.saw(ticker.now, "s", Result.CONNECT_FAILED)
+    ticker.view.told(ticker.now + 20.0, 7, there.share(ticker.now + 20.0))
+    ticker.now += EVERY
+    ticker.run(EVERY)
+    assert (ticker.mark, ticker.reason()) == (Mark.FAIR, "missing-for-sibling")
+
+
+def test_an_old_list_or_one_far_behind_lowers_marks():
+    ticker = Ticker()
+    ticker.run(3000.0, gap=EVERY)
+    there = view_of("s")
+    there.listed(0.0, 4)
+    ticker.view.told(ticker.now, 7, there.share(1.0))
+    ticker.run(300.0, gap=EVERY)
+    assert (ticker.mark, ticker.reason()) == (Mark.FAIR, "behind")
+    ticker.view.members(())
+    ticker.run(600.0, gap=EVERY)
+    assert ticker.mark is Mark.SURE
+    at = ticker.now + 7000.0
+    ticker.view.saw(at, "s", Result.OK)
+    ticker.marks.update(at, "attached")
+    ticker.view.saw(at + 200.0, "s", Result.OK)
+    assert ticker.marks.update(at + 200.0, "attached") == {"s": Mark.FAIR}
+
+
+def test_the_status_shows_every_edge():
+    ticker = Ticker()
+    ticker.run(EVERY)
+    ticker.view.saw(0.0, "s", Result.OK)
+    row, sibling = ticker.marks.routes_status(ticker.now)
+    assert row["to"] == "s"
+    assert row["least_ms"] == row["most_ms"] == EVERY
+    assert (sibling["kind"], sibling["mark"], sibling["most_ms"], sibling["reason"]) == (
+        "sibling",
+        "blind",
+        None,
+        "unheard",
+    )
+    ticker.view.offsets.sample(7, 0.0, 0.0, 0.0, 0.0)
+    ticker.view.told(ticker.now, 7, view_of("s").share(0.0))
+    assert ticker.marks.routes_status(ticker.now)[1]["mark"] == "sure"
