Put the fleet's cores into the node: lease, hearing, view and routes, off without `members`

Need: members, view and routes are cores without I/O; a node has to carry them out.

Change: net/fleet/, a part of the node where the configuration names `members`: calls to the list service through the agent, an address where siblings ask, marks on a period, route versions on disk (fsync in a worker thread) and the switch by a timer at its moment. The module hears of it by the typed events Siblings, Marks and RouteVersion. The door gets GET /status/members and /status/routes, PUT /routes/halt and /routes/rollback, whose yes is the list service's. An agent tells the service's own revision beside its own, so that nodes can compare lists. Without `members` none of it is imported.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -53,7 +53,7 @@
             began = time.perf_counter()
             data = snapshot.encode("n0", time.time() * 1000.0, learned, {}, listing)
             encoded = time.perf_counter()
-            snapshot._put(path, data)
+            snapshot.put(path, data)
             encodes.append(encoded - began)
             puts.append(time.perf_counter() - encoded)
         began = time.perf_counter()
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -27,7 +27,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from orchidledge.registry.web import call
+from orchidledge.net.web import call
 from tests.fleet import Registry, listed_at, until
 
 
--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -250,6 +250,11 @@
             slow=slow,
         )
 
+    def pool(self) -> tuple[float, int, float]:
+        """The pool as it stands here: calls in flight, the cursor and the threshold of the highest worth."""
+        held = sum(peer.held for peer in self.ready)
+        return held, self.cursor, self.threshold(1.0, len(self.ready))
+
     def held(self) -> dict[str, float]:
         """The calls in flight from here, by server."""
         return {address: peer.load for address, peer in self.peers.items() if peer.load > 0.0}
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -288,6 +288,24 @@
         return self.model in (None, server.model) and self.zone in (None, server.zone)
 
 
+@dataclass(slots=True, frozen=True)
+class Siblings:
+    """What this balancer may take of all that its siblings share, T1's shared parts and tenants' quotas:
+    `share` (0 to 1) before `until_ms`, 0 from then on (docs/fleet.md). It takes the place of the settings'
+    `siblings`."""
+
+    share: float
+    rows: int  # processes that share, this one included
+    until_ms: float
+
+
+@dataclass(slots=True)
+class Marks:
+    """How sure the routes to these servers are; of those not named nothing has changed."""
+
+    marks: dict[str, Mark]
+
+
 @dataclass(slots=True)
 class RouteVersion:
     """The version from now on: requests admitted after it are ranked by it, earlier ones by their own."""
@@ -311,6 +329,8 @@
     | Beside
     | Restored
     | RouteVersion
+    | Siblings
+    | Marks
 )
 
 
--- a/orchidledge/members/__init__.py
+++ b/orchidledge/members/__init__.py
@@ -11,13 +11,18 @@
    count wins over any accusation of an earlier one, so a sibling that comes back is heard again.
 4. A sibling that others reach while its direct asks fail is `bridged`: the link is at fault, not the sibling.
 5. A node that was itself late does not accuse for that time, and accuses more slowly after it.
-6. The verdict on a sibling is read from a table (`VERDICTS`), never worked out elsewhere.
+6. What a process may take is granted by the list service's log out of what is free, and kept past a lease
+   only while a majority says that it is cut off too (`Ledger`, `LeaseClock`, `Enrolment`; docs/fleet.md).
+7. The verdict on a sibling is read from a table (`VERDICTS`), never worked out elsewhere.
 
 Sources: Das, Gupta, Motivala, "SWIM", 2002; Dadgar, Phillips, Currey, "Lifeguard", 2017.
 """
 
 from .actions import Action, Ask, AskThrough, Changed, Config, Reply, Sibling, Viewed
+from .enrolment import Call, Enrolment, Member, Share, Word
 from .hearing import Hearing
+from .leases import LeaseClock
+from .ledger import Ledger, Row, State
 from .payload import Standing
 from .verdict import VERDICTS, Heard, Lease, Stand, Verdict, stand, verdict
 
@@ -26,17 +31,26 @@
     "Action",
     "Ask",
     "AskThrough",
+    "Call",
     "Changed",
     "Config",
+    "Enrolment",
     "Heard",
     "Hearing",
     "Lease",
+    "LeaseClock",
+    "Ledger",
+    "Member",
     "Reply",
+    "Row",
+    "Share",
     "Sibling",
     "Stand",
     "Standing",
+    "State",
     "Verdict",
     "Viewed",
+    "Word",
     "stand",
     "verdict",
 ]
--- a/orchidledge/members/enrolment.py
+++ b/orchidledge/members/enrolment.py
@@ -21,12 +21,12 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import StrEnum
 from random import Random
 from typing import Any
 
 from orchidledge.members.leases import LATE, SUPPORT
 from orchidledge.members.ledger import is_majority
+from orchidledge.members.payload import Standing
 
 RENEW = 0.2  # of the term: from one renewal to the next
 RETRY = 0.1  # after a failure, drawn from half of it up
@@ -40,14 +40,6 @@
 LEAST = 1e-9  # shares nearer than this are the same
 
 
-class Standing(StrEnum):
-    """What a node says of itself to its siblings."""
-
-    ATTACHED = "attached"
-    HOLDING = "holding"
-    YIELDED = "yielded"
-
-
 @dataclass(slots=True, frozen=True)
 class Call:
     """A call to the list service, which `answered` or `failed` has to follow with the same number."""
--- a/orchidledge/net/clock.py
+++ b/orchidledge/net/clock.py
@@ -15,3 +15,7 @@
 
     def ms(self, at: float | None = None) -> float:
         return ((self._time() if at is None else at) + self._anchor) * 1000.0
+
+    def loop_time(self, ms: float) -> float:
+        """The event loop's time at this moment."""
+        return ms / 1000.0 - self._anchor
--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import orjson
 
@@ -14,6 +15,9 @@
 from orchidledge.net.upstream import Address
 from orchidledge.settings import Row, settings_from
 
+if TYPE_CHECKING:
+    from orchidledge.net.fleet import FleetSettings
+
 
 @dataclass(slots=True, frozen=True)
 class Config:
@@ -29,6 +33,7 @@
     handover: Path | None = None  # and of what they tell each other
     state: Path | None = None  # the state file, kept across a crash; None: nothing is kept
     state_every_ms: float = 1000.0  # how often it is written
+    members: FleetSettings | None = None  # the fleet's part; None: the node knows no other
     memory_mb: float = 2048.0
     sockets: int = 1024  # descriptors for everything
     max_open: int = 20_000  # requests open at once
@@ -41,6 +46,15 @@
     return Path(tmpdir) / name if tmpdir else None
 
 
+def _members(row: Row | None) -> FleetSettings | None:
+    if row is None:
+        return None
+    # Only a node that is told of members pays for the libraries that it needs for them.
+    from orchidledge.net.fleet.settings import parse_settings
+
+    return parse_settings(row)
+
+
 def parse_config(data: bytes, environment: Mapping[str, str] | None = None) -> Config:
     """The configuration; ValueError says in one line what is wrong with it. What the environment tells
     comes first, as the second process of an upgrade may share the file with the first."""
@@ -76,6 +90,7 @@
             handover=_folder(told.get("TMPDIR"), handover.FOLDER),
             accept_fd=told.get("PROXY_ACCEPT_FD") or None,
             state=Path(state) if state else None,
+            members=_members(row.get("members")),
             **{key: value for key, value in given.items() if value is not None},
         )
     except KeyError as error:
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -39,6 +39,7 @@
     whole: bool
     servers: tuple[Server, ...]
     endpoints: dict[str, Address]
+    origin_rev: int = 0  # the list service's revision, alike at all nodes, where the agent tells it
 
 
 def parse_address(text: object) -> Address:
@@ -60,7 +61,8 @@
         endpoints = {target["uid"]: parse_address(target["endpoint"]) for target in targets}
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed list: {type(error).__name__}: {error}") from error
-    return Listing(revision, whole, servers, endpoints)
+    origin = row.get("origin_rev")
+    return Listing(revision, whole, servers, endpoints, origin if isinstance(origin, int) else 0)
 
 
 def _server(target: dict[str, Any]) -> Server:
@@ -132,6 +134,11 @@
         if self._task is None:
             self._task = asyncio.create_task(self._follow())
 
+    @property
+    def address(self) -> Address:
+        """Where the list is followed now."""
+        return self._address
+
     def told(self, revision: int) -> None:
         """The node knows the list at this rev from elsewhere (its state file): ask for what came since."""
         self._revision = max(self._revision, revision)
--- /dev/null
+++ b/orchidledge/net/fleet/hearing.py
@@ -0,0 +1,145 @@
+"""Hearing, carried out: the address where siblings ask, the calls that ask them, and the pulse of the
+core."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from itertools import count
+
+import tenacity
+
+from orchidledge.members import Action, Ask, AskThrough, Changed, Hearing, Reply, Viewed
+from orchidledge.net import web
+from orchidledge.net.discovery import parse_address
+from orchidledge.net.fleet.times import Alarm, FleetClock, Tasks
+from orchidledge.net.upstream import Address
+
+log = logging.getLogger("orchidledge")
+
+ASK, THROUGH = "/members/ask", "/members/ask-through"
+LONGEST_S = 3.0  # an indirect call that the core has not answered by then is refused
+LISTEN_PAUSE_S = 0.2
+UNDER_WAY = 128  # indirect calls of siblings at once; a further one is refused
+
+
+class HearingShell:
+    """`before_tick(now)` puts in what goes out with the next calls, `on_view` and `on_change` take what
+    comes."""
+
+    def __init__(self, core: Hearing, clock: FleetClock) -> None:
+        self.core = core
+        self.before_tick: Callable[[float], None] = lambda now: None
+        self.on_view: Callable[[Viewed], None] = lambda viewed: None
+        self.on_change: Callable[[Changed], None] = lambda changed: None
+        self.asks = self.asked = 0
+        self._clock = clock
+        self._alarm = Alarm(self._tick)
+        self._tasks = Tasks()
+        self._server: asyncio.Server | None = None
+        self._numbers = count(1)
+        self._waiting: dict[int, asyncio.Future[bytes | None]] = {}
+        self._refused = 0
+
+    def listen(self, address: Address, then: Callable[[], None]) -> None:
+        """Listen there as soon as it can be: in an upgrade the old process of this node has to end first."""
+        self._tasks.run(self._listen(address, then))
+
+    async def _listen(self, address: Address, then: Callable[[], None]) -> None:
+        retrying = tenacity.AsyncRetrying(
+            wait=tenacity.wait_fixed(LISTEN_PAUSE_S),
+            retry=tenacity.retry_if_exception_type(OSError),
+            before_sleep=self._not_yet,
+        )
+        async for attempt in retrying:
+            with attempt:
+                self._server = await web.serve(address, self._handle)
+        self._tick()
+        then()
+
+    def _not_yet(self, state: tenacity.RetryCallState) -> None:
+        if state.attempt_number == 1 and state.outcome is not None:
+            log.warning("members: not enrolled until this can be listened at: %s", state.outcome.exception())
+
+    def close(self) -> None:
+        self._alarm.cancel()
+        self._tasks.close()
+        if self._server is not None:
+            self._server.close()
+
+    def carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Ask():
+                    self._tasks.run(self._ask(action, ASK))
+                case AskThrough():
+                    self._tasks.run(self._ask(action, THROUGH))
+                case Reply():
+                    waiting = self._waiting.pop(action.call, None)
+                    if waiting is not None and not waiting.done():
+                        waiting.set_result(action.payload)
+                case Viewed():
+                    self.on_view(action)
+                case Changed():
+                    self.on_change(action)
+
+    def _tick(self) -> None:
+        now = self._clock.ms()
+        self.before_tick(now)
+        self.carry_out(self.core.tick(now))
+        self._alarm.at(self._clock.loop_time(max(now + 1.0, self.core.due or now)))
+
+    async def _ask(self, action: Ask | AskThrough, path: str) -> None:
+        self.asks += 1
+        try:
+            address = parse_address(action.address)
+            reply = await web.call(address, "POST", path, action.payload, action.timeout_ms / 1000.0)
+        except (OSError, TimeoutError, ValueError) as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            self.carry_out(self.core.failed(self._clock.ms(), action.id, refused))
+            return
+        if reply.status == 200:
+            self.carry_out(self.core.answered(self._clock.ms(), action.id, reply.body))
+        else:
+            self.carry_out(self.core.failed(self._clock.ms(), action.id, refused=False))
+
+    # ------------------------------------------------------------------- being asked
+
+    async def _handle(self, call: web.Call) -> web.Answer:
+        """Nothing that comes in here raises or is held for long; what is refused is counted, with a line
+        now and then."""
+        self.asked += 1
+        if call.method != "POST" or call.path not in (ASK, THROUGH):
+            return self._refuse(404, f"no {call.method[:20]} {call.path[:60]}")
+        now = self._clock.ms()
+        if call.path == ASK:
+            payload, actions = self.core.asked(now, call.body)
+            self.carry_out(actions)
+            return self._refuse(400, "unreadable ask") if payload is None else web.Answer(200, payload)
+        if len(self._waiting) >= UNDER_WAY:
+            return self._refuse(503, "too many indirect asks")
+        return await self._ask_for(now, call.body)
+
+    async def _ask_for(self, now: float, body: bytes) -> web.Answer:
+        number = next(self._numbers)
+        waiting = self._waiting[number] = asyncio.get_running_loop().create_future()
+        try:
+            self.carry_out(self.core.asked_for(now, number, body))
+            async with asyncio.timeout(LONGEST_S):
+                payload = await waiting
+        except TimeoutError:
+            return self._refuse(503, "an indirect ask took too long")
+        finally:
+            self._waiting.pop(number, None)
+        return self._refuse(400, "unreadable ask") if payload is None else web.Answer(200, payload)
+
+    def _refuse(self, status: int, why: str) -> web.Answer:
+        self._refused += 1
+        if self._refused % 100 == 1:  # one line for the first, then now and then
+            log.warning("members: a call refused (%d so far): %s", self._refused, why)
+        return web.Answer(status, b"")
+
+    @property
+    def refused(self) -> int:
+        return self._refused
--- /dev/null
+++ b/orchidledge/net/fleet/part.py
@@ -0,0 +1,271 @@
+"""The fleet's part of a node: its cores put together, and what operators see of them."""
+
+from __future__ import annotations
+
+import os
+import secrets
+from collections import Counter
+from random import Random
+from typing import Any
+
+import orjson
+
+from orchidledge import interface as api
+from orchidledge.members import (
+    Changed,
+    Config,
+    Enrolment,
+    Hearing,
+    Lease,
+    Sibling,
+    Stand,
+    Verdict,
+    Viewed,
+    Word,
+    stand,
+    verdict,
+)
+from orchidledge.net.clock import Clock
+from orchidledge.net.config import Config as NodeConfig
+from orchidledge.net.discovery import Watcher
+from orchidledge.net.driver import Driver
+from orchidledge.net.fleet import lease as lease_shell
+from orchidledge.net.fleet.agent import Agent, LeaseAnswer
+from orchidledge.net.fleet.hearing import HearingShell, log
+from orchidledge.net.fleet.routing import Routing
+from orchidledge.net.fleet.sight import Sight
+from orchidledge.net.fleet.store import RouteStore
+from orchidledge.net.fleet.times import FleetClock
+from orchidledge.net.operator import Answer, Calls
+from orchidledge.net.serverlist import ServerList
+from orchidledge.routes import Follower
+from orchidledge.view import Offsets
+
+ORDER_MS = 3_000.0  # an operator's word that the list service has not answered by then is a no
+HEARD_MS = 3_000.0  # a node that no sibling has answered for so long, nor the list service, is alone
+
+
+class FleetPart:
+    """A part of the node (net/part.py) where the configuration names `members`."""
+
+    def __init__(
+        self,
+        config: NodeConfig,
+        clock: Clock,
+        servers: ServerList,
+        watcher: Watcher,
+        driver: Driver,
+    ) -> None:
+        """`config.members` is there."""
+        assert config.members is not None
+        name, tell, self.settings = config.name, driver.tell, config.members
+        settings = self.settings
+        classes = tuple(kind.name for kind in config.settings.classes)
+        self.clock = FleetClock(clock, settings.clock_offset_ms)
+        self._name, self._tell = name, tell
+        self._shared: api.Siblings | None = None  # as last told to the module
+        self.offsets = Offsets()
+        agent = Agent(lambda: watcher.address)
+        random = Random(int.from_bytes(os.urandom(8), "big"))  # apart from the module's, which stays as it is
+        start = secrets.token_hex(8)
+        self.lease = lease_shell.Lease(
+            Enrolment(name, settings.listen, settings.zone, start, random), agent, self.clock, self.offsets
+        )
+        asking = Config(period_ms=settings.ask_every_ms, ask_timeout_ms=settings.ask_timeout_ms)
+        self.hearing = HearingShell(Hearing(0, random, asking), self.clock)
+        folder = settings.folder
+        store = RouteStore(folder) if folder is not None else None
+        follower = Follower(classes, settings.clock_bound_ms)
+        self.routing = Routing(follower, agent, self.clock, store, tell)
+        self.sight = Sight(settings, self.clock, self.offsets, servers, driver, self._on_marks)
+        self.sight.stand = lambda: self.stand(self.clock.ms()).value
+        self._agent = agent
+        self._servers = servers
+        self.lease.on_answer = self._on_answer
+        self.lease.on_gone = self._on_gone
+        self.lease.on_share = self._on_share
+        self.hearing.before_tick = self._before_tick
+        self.hearing.on_view = self._on_view
+        self.hearing.on_change = self._on_change
+
+    # -------------------------------------------------------------- as a part of the node
+
+    async def start(self) -> None:
+        """Listening comes before enrolment: it shows that no other process of this node lives
+        (members/ledger.py)."""
+        self.routing.start()
+        self._on_share()
+        self.sight.start()
+        self.hearing.listen(self.settings.address, self.lease.start)
+
+    def drains(self) -> None:
+        self.lease.leaving()
+
+    async def stop(self) -> None:
+        await self.lease.leave()
+
+    def close(self) -> None:
+        self.lease.close()
+        self.hearing.close()
+        self.routing.close()
+        self.sight.close()
+
+    def metrics(self) -> str:
+        now = self.clock.ms()
+        counts = Counter(self.verdicts(now).values())
+        lines: dict[str, float] = {f"members_{kind.value}": counts[kind] for kind in Verdict}
+        lines |= {
+            "members_asks": self.hearing.asks,
+            "members_asked": self.hearing.asked,
+            "members_refused": self.hearing.refused,
+            "members_ignored": self.hearing.core.counts.total(),
+            "lease_failures": self.lease.failures,
+            "share": round(self.lease.core.taking(now), 6),
+            "route_version": self.routing.core.running,
+            "route_switches": self.routing.switches,
+            "route_late_ms": round(self.routing.latest_ms, 3),
+        }
+        return "".join(f"proxy.{name}={value}\n" for name, value in lines.items())
+
+    # --------------------------------------------------------------- what passes between the cores
+
+    def _on_answer(self, now: float, answer: LeaseAnswer) -> None:
+        core = self.lease.core
+        self.hearing.core.enrolled(answer.incarnation)
+        siblings = [
+            Sibling(member.incarnation, member.name, member.address)
+            for member in core.members
+            if member.state != "left"
+        ]
+        self.hearing.carry_out(self.hearing.core.know(now, siblings))
+        others = [sibling.incarnation for sibling in siblings if sibling.incarnation != answer.incarnation]
+        self.sight.members(others)
+        service = self.lease.service_ms(now)
+        if service is not None:
+            self.routing.answered(now, core.lease_end, service, answer)
+        self.lease.told(answer.rev, int(answer.routes.get("rev", 0)))
+
+    def _on_gone(self, now: float) -> None:
+        self.routing.carry_out(self.routing.core.gone(now))
+
+    def _on_share(self) -> None:
+        """The module is told of the share with its end, so that no timer of this shell has to end it in
+        time."""
+        share = self.lease.core.share(self.clock.ms())
+        event = api.Siblings(share.share, share.rows, self.clock.of_module(share.until_ms))
+        if event != self._shared:
+            self._shared = event
+            self._tell(event)
+
+    def _before_tick(self, now: float) -> None:
+        core, service = self.lease.core, self.lease.service_ms(now)
+        if service is not None and core.incarnation is not None:
+            self.hearing.core.stand(now, core.standing(now), max(0.0, service[0]))
+        if not core.attached(now):
+            core.heard(now, self._words(now))
+            self._on_share()
+        self.hearing.core.show(self.sight.share(now))
+
+    def _words(self, now: float) -> dict[int, Word]:
+        """What siblings said of themselves, each no later than it may have been said by this node's clock."""
+        words = {}
+        for incarnation, (standing, said) in self.hearing.core.standings().items():
+            span = self.offsets.to_own(lease_shell.SERVICE, now, said)
+            if span is not None:
+                words[incarnation] = Word(standing, span[0])
+        return words
+
+    def _on_view(self, viewed: Viewed) -> None:
+        if viewed.sent is not None:
+            self.offsets.sample(viewed.incarnation, viewed.sent, viewed.at, viewed.at, viewed.now)
+        self.sight.told(viewed)
+
+    def _on_change(self, changed: Changed) -> None:
+        log.info(
+            "members: incarnation %d is %s, was %s", changed.incarnation, changed.new.value, changed.old.value
+        )
+
+    def _on_marks(self, marks: dict[str, api.Mark]) -> None:
+        self._tell(api.Marks(marks))
+        now = self.clock.ms()
+        blind = [name for name, mark in self.sight.marks().items() if mark is api.Mark.BLIND]
+        listed = tuple(server for server, _ in self._servers.listed.values())
+        self.routing.carry_out(self.routing.core.seen(now, listed, blind))
+
+    # -------------------------------------------------------------------------- for operators
+
+    def stand(self, now: float) -> Stand:
+        core = self.lease.core
+        renewed = now if core.attached(now) else None
+        return stand(now, core.ttl_ms, renewed, self.hearing.core.last_heard, HEARD_MS)
+
+    def verdicts(self, now: float) -> dict[int, Verdict]:
+        core = self.lease.core
+        attached, heard = core.attached(now), self.hearing.core.states()
+        found = {}
+        for member in core.members:
+            if member.incarnation in heard:
+                lease = Lease.LAPSED if member.state == "lapsed" else Lease.LIVE
+                leaving = member.state in ("leaving", "left")
+                known = lease if attached else Lease.UNKNOWN
+                found[member.incarnation] = verdict(known, heard[member.incarnation], leaving)
+        return found
+
+    def status(self) -> dict[str, Any]:
+        """The body of GET /status/members."""
+        now, core = self.clock.ms(), self.lease.core
+        share, service = core.share(now), self.lease.service_ms(now)
+        heard, verdicts = self.hearing.core.states(), self.verdicts(now)
+        siblings = [
+            {
+                "name": member.name,
+                "incarnation": member.incarnation,
+                "address": member.address,
+                "state": member.state,
+                "hearing": heard[member.incarnation].value,
+                "verdict": verdicts[member.incarnation].value,
+            }
+            for member in core.members
+            if member.incarnation in verdicts
+        ]
+        return {
+            "name": self._name,
+            "incarnation": core.incarnation,
+            "stand": self.stand(now).value,
+            "standing": core.standing(now).name.lower(),
+            "share": core.taking(now),
+            "rows": share.rows,
+            "elector": core.elector,
+            "lease_ms": max(0.0, core.lease_end - now) if core.incarnation is not None else 0.0,
+            "now_ms": now,
+            "service_ms": service,
+            "routes": self.routing.core.status(now),
+            "health": self.hearing.core.health,
+            "ignored": dict(self.hearing.core.counts),
+            "siblings": siblings,
+        }
+
+    def routes_status(self) -> dict[str, Any]:
+        """The body of GET /status/routes."""
+        now = self.clock.ms()
+        return {"stand": self.stand(now).value, "edges": self.sight.status(now)}
+
+    def calls(self) -> Calls:
+        """The door's calls on the fleet."""
+        return {
+            (b"GET", b"/status/members"): lambda _: Answer(200, orjson.dumps(self.status())),
+            (b"GET", b"/status/routes"): lambda _: Answer(200, orjson.dumps(self.routes_status())),
+            (b"PUT", b"/routes/halt"): lambda body: self._order("routes/halt", body),
+            (b"PUT", b"/routes/rollback"): lambda body: self._order("routes/rollback", body),
+        }
+
+    async def _order(self, path: str, body: bytes) -> Answer:
+        """Pass an operator's word on to the list service: its yes is this call's."""
+        text = body.decode("ascii", "replace").strip()
+        if text and not (text.isdigit() and len(text) < 16):
+            return Answer(400, b"a version's number")
+        try:
+            reply = await self._agent.post(path, {"number": int(text)} if text else {}, ORDER_MS)
+        except (OSError, TimeoutError) as error:
+            return Answer(503, f"list service not reached: {error}".encode())
+        return Answer(reply.status, reply.body)
--- /dev/null
+++ b/orchidledge/net/fleet/sight.py
@@ -0,0 +1,90 @@
+"""The view, carried out: own facts go in as they happen, marks come out on a period, facts go to siblings
+and back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from orchidledge import interface as api
+from orchidledge.members import Viewed
+from orchidledge.net.driver import Driver
+from orchidledge.net.fleet.settings import FleetSettings
+from orchidledge.net.fleet.times import Alarm, FleetClock
+from orchidledge.net.serverlist import ServerList
+from orchidledge.view import Marks, Offsets, Stand, View
+
+
+class Sight:
+    """`on_marks` hears of the marks that have changed."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        clock: FleetClock,
+        offsets: Offsets,
+        servers: ServerList,
+        driver: Driver,
+        on_marks: Callable[[dict[str, api.Mark]], None],
+    ) -> None:
+        self.stand: Callable[[], Stand] = lambda: "alone"
+        self.view = View(offsets)
+        self._settings, self._clock, self._servers = settings, clock, servers
+        self._driver, self._on_marks = driver, on_marks
+        self._marks = Marks(self.view, driver.balancer.period_ms, settings.marks_every_ms)
+        self._alarm = Alarm(self._update)
+        self._listed: tuple[int, float] | None = None  # the revision and confirmation last taken over
+        self._shown = (-settings.ask_every_ms, b"")
+
+    def start(self) -> None:
+        self._update()
+
+    def close(self) -> None:
+        self._alarm.cancel()
+
+    def marks(self) -> dict[str, api.Mark]:
+        return self._marks.marks
+
+    def saw(self, outcome: api.Outcome) -> None:
+        """An attempt has ended: on every call's path."""
+        now = self._clock.ms()
+        self.view.saw(now, outcome.server, outcome.result)
+        if outcome.report:
+            load = outcome.report.get("util", outcome.report.get("queue"))
+            if load is not None:
+                self.view.loaded(now, outcome.server, load)
+
+    def members(self, incarnations: Collection[int]) -> None:
+        self.view.members(incarnations)
+        self._marks.round_ms = self._settings.ask_every_ms * max(1, len(incarnations))
+
+    def told(self, viewed: Viewed) -> None:
+        self.view.told(viewed.now, viewed.incarnation, viewed.view)
+
+    def share(self, now: float) -> bytes:
+        """What goes with the next calls; made anew once a period."""
+        if now - self._shown[0] >= self._settings.ask_every_ms:
+            in_flight, cursor, threshold = self._driver.balancer.pool()
+            self.view.figures(now, in_flight, cursor, threshold)
+            self._shown = now, self.view.share(now)
+        return self._shown[1]
+
+    def status(self, now: float) -> list[dict[str, object]]:
+        return self._marks.routes_status(now)
+
+    def _update(self) -> None:
+        now = self._clock.ms()
+        self._follow_list()
+        changed = self._marks.update(now, self.stand())
+        if changed:
+            self._on_marks(changed)
+        self._alarm.at(self._clock.loop_time(now + self._settings.marks_every_ms))
+
+    def _follow_list(self) -> None:
+        servers = self._servers
+        heard = servers.listed_rev, servers.confirmed_ms
+        if heard == self._listed:
+            return
+        same = self._listed is not None and heard[0] == self._listed[0]
+        self._listed = heard
+        at = self._clock.ms() if heard[1] < 0.0 else self._clock.of_fleet(heard[1])
+        self.view.listed(at, servers.origin_rev, None if same else list(servers.listed))
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable
 from random import Random
+from typing import TYPE_CHECKING
 
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
@@ -28,6 +29,9 @@
 from orchidledge.net.sharing import Sharing
 from orchidledge.net.upstream import Pool
 
+if TYPE_CHECKING:
+    from orchidledge.net.fleet import FleetPart
+
 SPARE_SOCKETS = 32  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.45  # of the other descriptors: callers' connections;
 UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before idle ones have been closed
@@ -68,11 +72,13 @@
         self.driver = Driver(balancer, self.clock, self.jobs, self.attempts, self.watcher, self.counts)
         self.sharing = self._sharing()
         self.keeper = self._keeper()
-        self.parts: list[Part] = [] if self.keeper is None else [self.keeper]
+        self.fleet = self._fleet()
+        self.parts: list[Part] = [part for part in (self.keeper, self.fleet) if part is not None]
         self.clockwork = Clockwork(
             config.name, self._each_beat(), self.counts, self.jobs, self.server, self.pool, self.driver
         )
-        self.door = Door({**self._calls(), **self.servers.calls()})
+        fleet = {} if self.fleet is None else self.fleet.calls()
+        self.door = Door({**self._calls(), **self.servers.calls(), **fleet})
 
     def _sharing(self) -> Sharing | None:
         folder = self.config.handover
@@ -86,6 +92,16 @@
             return None
         return Keeper(path, self.config, self.clock, self.servers, self.watcher, self.driver)
 
+    def _fleet(self) -> FleetPart | None:
+        if self.config.members is None:
+            return None
+        # Only a node that is told of members pays for the libraries that it needs for them.
+        from orchidledge.net.fleet import FleetPart
+
+        part = FleetPart(self.config, self.clock, self.servers, self.watcher, self.driver)
+        self.attempts.on_outcome.append(part.sight.saw)
+        return part
+
     def _each_beat(self) -> list[Callable[[], None]]:
         acts: list[Callable[[], None]] = []
         if self.config.operator is not None:  # another process of this node may have changed them
@@ -132,6 +148,8 @@
         """Leave service: take what still comes, finish what is held, and end in time."""
         began = self.loop.time()
         self.stopping = True
+        if self.fleet is not None:
+            self.fleet.drains()
         self.server.resume()  # a standby before it has other times
         if self.server.shares_socket:
             self.server.stop_accepting()
--- a/orchidledge/net/operator.py
+++ b/orchidledge/net/operator.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -30,7 +30,8 @@
     return Answer(200 if yes else 503)
 
 
-Calls = Mapping[tuple[bytes, bytes], Callable[[bytes], Answer]]  # by method and path, each given the body
+# By method and path, each given the body; an answer that others have to give first may be awaited.
+Calls = Mapping[tuple[bytes, bytes], Callable[[bytes], Answer | Awaitable[Answer]]]
 
 
 class _Visit(asyncio.Protocol):
@@ -45,6 +46,8 @@
         self._size = 0
         self._whole = False
         self._over = False
+        self._answered = False
+        self._waits: asyncio.Future[Answer] | None = None  # of a call that others have to answer first
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -66,7 +69,13 @@
         if self._size > MAX_CALL:
             self._answer(Answer(413))
         elif self._whole:
-            self._answer(self._door.call(self._parser.get_method(), bytes(self._target), bytes(self._body)))
+            answer = self._door.call(self._parser.get_method(), bytes(self._target), bytes(self._body))
+            if isinstance(answer, Answer):
+                self._answer(answer)
+            else:
+                self._over = True
+                self._waits = asyncio.ensure_future(answer)
+                self._waits.add_done_callback(lambda done: self._answer(done.result()))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._over = True
@@ -78,7 +87,9 @@
         self._transport.abort()
 
     def _answer(self, answer: Answer) -> None:
-        self._over = True
+        if self._answered or self._transport.is_closing():
+            return  # too late, or nobody waits for it any more
+        self._over = self._answered = True
         head = (
             f"HTTP/1.1 {answer.status} {HTTPStatus(answer.status).phrase}\r\n"
             f"Content-Type: text/plain; charset=utf-8\r\nContent-Length: {len(answer.text)}\r\n"
@@ -142,8 +153,8 @@
     def closed(self, visit: _Visit) -> None:
         self._visits.pop(visit, None)
 
-    def call(self, method: bytes, target: bytes, body: bytes) -> Answer:
-        """What the node says to a call; only calls that change something are worth a line in the log."""
+    def call(self, method: bytes, target: bytes, body: bytes) -> Answer | Awaitable[Answer]:
+        """What the node says to a call, now or later; only calls that change something are worth a line."""
         path = target.partition(b"?")[0]
         method_of = self._calls.get((method, path))
         if method_of is None:
@@ -151,9 +162,23 @@
         try:
             answer = method_of(body)
         except Exception:
-            # Guard: a fault behind one call is a no to its caller, and no end of the others.
-            log.exception("operators' call %s failed", path.decode("latin-1"))
-            answer = Answer(500)
+            answer = self._fault(path)
+        if isinstance(answer, Answer):
+            return self._said(method, path, body, answer)
+        return self._later(method, path, body, answer)
+
+    async def _later(self, method: bytes, path: bytes, body: bytes, answer: Awaitable[Answer]) -> Answer:
+        try:
+            return self._said(method, path, body, await answer)
+        except Exception:
+            return self._said(method, path, body, self._fault(path))
+
+    def _fault(self, path: bytes) -> Answer:
+        # Guard: a fault behind one call is a no to its caller, and no end of the others.
+        log.exception("operators' call %s failed", path.decode("latin-1"))
+        return Answer(500)
+
+    def _said(self, method: bytes, path: bytes, body: bytes, answer: Answer) -> Answer:
         if method != b"GET":
             said = body[:80].decode("utf-8", "replace").strip()
             log.info("operators: %s %r: %d", path.decode("latin-1"), said, answer.status)
--- a/orchidledge/net/serverlist.py
+++ b/orchidledge/net/serverlist.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -35,6 +36,8 @@
         self._tell = tell
         self.listed: dict[str, tuple[api.Server, Address]] = {}  # by name, whatever their state
         self.listed_rev = 0  # discovery's version of that list
+        self.origin_rev = 0  # the list service's own revision of it; 0 where the agent tells none
+        self.confirmed_ms = -math.inf  # when discovery last said that this list holds
         self.up: set[str] = set()  # those that the pool may reach
 
     def on_list(self, form: api.ListForm, listing: Listing | None) -> None:
@@ -43,7 +46,9 @@
         if listing is None:
             self._tell(api.Membership(form))
             return
-        self.listed_rev = listing.revision
+        self.listed_rev, self.origin_rev = listing.revision, listing.origin_rev
+        if form is not api.ListForm.CACHED:
+            self.confirmed_ms = self._clock.ms()
         if form is not api.ListForm.DELTA:
             self.listed = {}
         for server in listing.servers:
--- a/orchidledge/net/snapshot.py
+++ b/orchidledge/net/snapshot.py
@@ -199,7 +199,7 @@
     return Listing(revision, True, servers, {name: endpoint for name, (_, endpoint) in listed.items()})
 
 
-def _put(path: Path, data: bytes) -> None:
+def put(path: Path, data: bytes) -> None:
     """Write whole or not at all: the rename is atomic, the fsyncs make it outlive a power loss."""
     draft = path.with_name(f"{path.name}.draft")
     with draft.open("wb") as opened:
@@ -207,7 +207,12 @@
         opened.flush()
         os.fsync(opened.fileno())
     os.replace(draft, path)
-    folder = os.open(path.parent, os.O_RDONLY)
+    sync_folder(path.parent)
+
+
+def sync_folder(path: Path) -> None:
+    """Make a rename or a removal in this folder outlive a power loss."""
+    folder = os.open(path, os.O_RDONLY)
     try:
         os.fsync(folder)
     finally:
@@ -272,7 +277,7 @@
 
     def _make_and_put(self, make: Callable[[], bytes]) -> int:
         data = make()
-        _put(self.path, data)
+        put(self.path, data)
         return len(data)
 
     def close(self) -> None:
--- a/orchidledge/registry/web.py
+++ b/orchidledge/net/web.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 for the list service's programs: a small server over httptools, and a client call.
+"""HTTP/1.1 for programs that talk to each other: a small server over httptools, and a client call.
 
 The server reads one request at a time on a connection and answers it in order, as PROTOCOL's
 discovery wire wants; a request it can't read gets 400 and a close.
--- a/orchidledge/registry/__main__.py
+++ b/orchidledge/registry/__main__.py
@@ -18,9 +18,9 @@
 
 import orjson
 
+from orchidledge.net.web import call
 from orchidledge.registry import agent, local, service
 from orchidledge.registry.settings import ConfigError, address, load_agent, load_instance, start_logs
-from orchidledge.registry.web import call
 
 
 def _parser() -> argparse.ArgumentParser:
--- a/orchidledge/registry/agent.py
+++ b/orchidledge/registry/agent.py
@@ -30,11 +30,11 @@
 import tenacity
 
 from orchidledge.net.upstream import Address
+from orchidledge.net.web import Answer, Call, call, serve
 from orchidledge.registry import watch
 from orchidledge.registry.passing import Passing
 from orchidledge.registry.settings import Agent
 from orchidledge.registry.store import Page, Target
-from orchidledge.registry.web import Answer, Call, call, serve
 
 KEEP_GONE = 10_000
 
@@ -205,7 +205,8 @@
             return Answer(400, b'{"error":"since and timeout_ms are whole numbers"}')
         while not self.cache.have:  # silent until there is a list
             await asyncio.shield(self.news)
-        return watch.answer(await watch.page_when_news(self.cache.page, since, wait_s, lambda: self.news))
+        page = await watch.page_when_news(self.cache.page, since, wait_s, lambda: self.news)
+        return watch.answer(page, origin_rev=self.source_rev)
 
     def status(self) -> dict[str, Any]:
         return {
--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -15,12 +15,12 @@
 import structlog
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from orchidledge.net.web import Answer, Call
 from orchidledge.registry import watch
 from orchidledge.registry.fleet import FleetCatalog, Told
 from orchidledge.registry.fleet_leader import FleetLeader
 from orchidledge.registry.passing import HOP, pass_on
 from orchidledge.registry.settings import address
-from orchidledge.registry.web import Answer, Call
 from orchidledge.routes.activation import Ruling
 from orchidledge.routes.table import MAX_TEXT, parse
 
--- a/orchidledge/registry/local.py
+++ b/orchidledge/registry/local.py
@@ -21,8 +21,8 @@
 import orjson
 import structlog
 
+from orchidledge.net.web import Answer, Call, call, serve
 from orchidledge.registry import watch
-from orchidledge.registry.web import Answer, Call, call, serve
 
 # The node's settings: three classes of worth, as a small shop has; see BRIEF for the keys.
 NODE_SETTINGS: dict[str, Any] = {
--- a/orchidledge/registry/passing.py
+++ b/orchidledge/registry/passing.py
@@ -12,8 +12,8 @@
 import structlog
 
 from orchidledge.net.upstream import Address
+from orchidledge.net.web import Answer, Call, call
 from orchidledge.registry.watch import query
-from orchidledge.registry.web import Answer, Call, call
 
 HOP = "fleet-hop"  # marks a call that an instance passed on: the next one answers it or says 503
 KEPT = ("content-type",)  # of the answer's headers
--- a/orchidledge/registry/service.py
+++ b/orchidledge/registry/service.py
@@ -19,6 +19,7 @@
 import structlog
 from pysyncobj import SyncObj, SyncObjConf, SyncObjConsumer
 
+from orchidledge.net.web import Answer, Call, serve
 from orchidledge.registry import watch
 from orchidledge.registry.clock_file import ClockFile, Clocks
 from orchidledge.registry.dump import Dump
@@ -29,7 +30,6 @@
 from orchidledge.registry.service_clock import ServiceClock
 from orchidledge.registry.settings import Instance
 from orchidledge.registry.store import Catalog, clean_target
-from orchidledge.registry.web import Answer, Call, serve
 
 COMMIT_S = 2.0  # a write not committed in this time is refused; the caller tries again
 
--- a/orchidledge/registry/watch.py
+++ b/orchidledge/registry/watch.py
@@ -8,8 +8,8 @@
 
 import orjson
 
+from orchidledge.net.web import Answer, Call
 from orchidledge.registry.store import Page
-from orchidledge.registry.web import Answer, Call
 
 CAP_MS = 60_000  # PROTOCOL: a watch waits 60,000 ms at the most
 
@@ -41,9 +41,12 @@
     return page
 
 
-def answer(page: Page, headers: dict[str, str] | None = None) -> Answer:
-    body = orjson.dumps({"rev": page.revision, "all": page.whole, "targets": page.targets})
-    return Answer(200, body, headers or {})
+def answer(page: Page, headers: dict[str, str] | None = None, origin_rev: int | None = None) -> Answer:
+    """`origin_rev`: the service's own revision of the page, which an agent tells beside its own."""
+    body = {"rev": page.revision, "all": page.whole, "targets": page.targets}
+    if origin_rev is not None:
+        body["origin_rev"] = origin_rev
+    return Answer(200, orjson.dumps(body), headers or {})
 
 
 async def until_signalled() -> None:
--- a/tests/test_members_shares.py
+++ b/tests/test_members_shares.py
@@ -14,9 +14,10 @@
 
 import pytest
 
-from orchidledge.members.enrolment import Enrolment, Standing, Word
+from orchidledge.members.enrolment import Enrolment, Word
 from orchidledge.members.leases import LATE, LeaseClock
 from orchidledge.members.ledger import Ledger, Row, State, is_majority
+from orchidledge.members.payload import Standing
 
 TTL = 1000.0
 STEP = 10.0
--- a/tests/test_registry_parts.py
+++ b/tests/test_registry_parts.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from orchidledge.net.web import Answer, Call, serve
 from orchidledge.registry.settings import ConfigError, load_agent, load_instance
 from orchidledge.registry.store import Catalog, clean_target
-from orchidledge.registry.web import Answer, Call, serve
 
 GOOD = '[instance]\nname = "r0"\nlisten = "127.0.0.1:7401"\nraft = "127.0.0.1:7501"\npeers = []\ndata = "d"\n'
 
@@ -57,7 +57,7 @@
 
 
 def test_a_peer_that_sends_nothing_or_garbage_is_closed_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("orchidledge.registry.web.IDLE_S", 0.05)
+    monkeypatch.setattr("orchidledge.net.web.IDLE_S", 0.05)
 
     async def main() -> tuple[bytes, bytes]:
         async def never(call: Call) -> Answer:
