--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -59,6 +59,15 @@
     FAILED = "failed"
 
 
+class Mark(Enum):
+    """How sure a node can be of a route: a server as this node may use it; no call is refused for it."""
+
+    SURE = "sure"
+    FAIR = "fair"
+    WEAK = "weak"
+    BLIND = "blind"
+
+
 # ------------------------------------------------------------------ settings
 
 
@@ -151,6 +160,7 @@
     cell: int = 0
     state: ServerState = ServerState.UP
     launched_ms: float | None = None  # None: long ago
+    model: str = ""
 
 
 @dataclass(slots=True)
@@ -263,6 +273,47 @@
     age_ms: float
 
 
+@dataclass(slots=True, frozen=True)
+class Group:
+    """Servers of one model, one zone or both (None: any), and their part of a class's calls.
+
+    A server belongs to the first group of its class that takes it; one that none takes gets no call.
+    """
+
+    model: str | None
+    zone: str | None
+    weight: float  # against the sum over the class's groups; 0: no call
+
+    def takes(self, server: Server) -> bool:
+        return self.model in (None, server.model) and self.zone in (None, server.zone)
+
+
+@dataclass(slots=True, frozen=True)
+class Siblings:
+    """What this balancer may take of all that its siblings share, T1's shared parts and tenants' quotas:
+    `share` (0 to 1) before `until_ms`, 0 from then on (docs/fleet.md). It takes the place of the settings'
+    `siblings`."""
+
+    share: float
+    rows: int  # processes that share, this one included
+    until_ms: float
+
+
+@dataclass(slots=True)
+class Marks:
+    """How sure the routes to these servers are; of those not named nothing has changed."""
+
+    marks: dict[str, Mark]
+
+
+@dataclass(slots=True)
+class RouteVersion:
+    """The version from now on: requests admitted after it are ranked by it, earlier ones by their own."""
+
+    number: int  # 0 is neutral
+    classes: dict[str, tuple[Group, ...]]  # a class that is not here is ranked as under version 0
+
+
 Event = (
     Membership
     | Request
@@ -277,6 +328,9 @@
     | Learned
     | Beside
     | Restored
+    | RouteVersion
+    | Siblings
+    | Marks
 )
 
 
