--- a/orchidledge/registry/fleet.py
+++ b/orchidledge/registry/fleet.py
@@ -207,10 +207,10 @@
         if self._serving == self.state.term:
             self._renewed.append(Renewed(self._mono(), incarnation, seq, answered))
 
-    def _told(self, rows: list[tuple[Row | None, int]]) -> list[Told | None]:
+    def _told(self, rows: list[tuple[Row | None, int]]) -> list[Told | None] | None:
         """For each row, with the revision its process acts on, what it is told."""
         if self._serving != self.state.term:
-            return []
+            return None
         ledger, routes = self.state.ledger, self.state.routes.answer()
         answers: list[Told | None] = []
         for row, acked in rows:
--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -244,7 +244,10 @@
         return reply(200, self._fleet.read(lambda state: state.routes.status()))
 
     async def _text(self, call: Call) -> Answer:
-        number = int(call.path.removeprefix("/fleet/routes/"))
+        said = call.path.removeprefix("/fleet/routes/")
+        if not (said.isascii() and said.isdigit() and len(said) < 16):
+            raise ValueError("version: not a whole number")
+        number = int(said)
         text = self._fleet.read(lambda state: state.routes.text(number))
         if text is None:
             return error(404, f"no version {number}")
