Let a kept connection settle for 50 ms before it carries another request

Change: a connection that has just answered is passed over for SETTLE_S; bytes that come meanwhile find no exchange and close it. The cost is a further connection where a node sends to one server twice within 50 ms.

--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -14,6 +14,7 @@
 
 SILENT_S = 10.0  # a long answer of which nothing has come for so long will not be finished
 IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
+SETTLE_S = 0.05  # a connection carries no other request so soon after an answer
 
 
 def result_of(response: Response) -> Result:
@@ -272,8 +273,12 @@
 
     def take_idle(self, server: _Server) -> ClientConnection | None:
         now = asyncio.get_running_loop().time()
-        while server.idle:
-            connection = server.idle.pop()
+        # Guard: a second answer that came some milliseconds after the first passed for the next request's.
+        # One that comes while a connection settles ends it.
+        settled = sum(now - connection.idle_since >= SETTLE_S for connection in server.idle)
+        while settled:
+            settled -= 1
+            connection = server.idle.pop(settled)
             if now - connection.idle_since < self._idle_s and connection.usable:
                 return connection
             connection.abort()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -162,7 +162,9 @@
         ),
     ],
 )
-def test_a_long_answer_is_passed_on_whole_and_the_connections_are_kept(serve):
+def test_a_long_answer_is_passed_on_whole_and_the_connections_are_kept(serve, monkeypatch):
+    monkeypatch.setattr("orchidledge.net.upstream.SETTLE_S", 0.0)
+
     async def main():
         async with behind(serve) as node:
             caller = await Caller.to(node)
@@ -426,7 +428,9 @@
 
 
 @pytest.mark.parametrize("data", [request("post", "q1", LONG), chunked(LONG)])
-def test_a_long_request_reaches_the_server_whole_and_the_connections_are_kept(data):
+def test_a_long_request_reaches_the_server_whole_and_the_connections_are_kept(data, monkeypatch):
+    monkeypatch.setattr("orchidledge.net.upstream.SETTLE_S", 0.0)
+
     async def main():
         server = Taking()
         async with behind(server.serve) as node:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -93,7 +93,9 @@
 
 
 @pytest.mark.parametrize("kind", ["post", "read"])
-def test_nothing_is_sent_again_but_by_the_module(kind):
+def test_nothing_is_sent_again_but_by_the_module(kind, monkeypatch):
+    monkeypatch.setattr("orchidledge.net.upstream.SETTLE_S", 0.0)
+
     async def main():
         async def script(message):
             return None if len(server.seen) == 2 else reply()
@@ -750,7 +752,9 @@
     asyncio.run(main())
 
 
-def test_connections_from_before_a_servers_restart_are_not_used():
+def test_connections_from_before_a_servers_restart_are_not_used(monkeypatch):
+    monkeypatch.setattr("orchidledge.net.upstream.SETTLE_S", 0.0)
+
     async def main():
         server = Peer()
         async with running(server) as node:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -262,7 +262,30 @@
     asyncio.run(main())
 
 
-def test_the_newest_idle_connection_is_used_first_and_an_old_one_never():
+def test_a_connection_settles_before_its_next_request_and_closes_if_more_comes_meanwhile(monkeypatch):
+    """Guard: a second answer that came some milliseconds late passed for the next request's."""
+    monkeypatch.setattr("orchidledge.net.upstream.SETTLE_S", 20.0)
+
+    async def main():
+        server, servers = await Peer().start(), pool(server_idle_s=100.0)
+        servers.add("s", ("127.0.0.1", server.port))
+        assert [await result(servers) for _ in range(2)] == [Result.OK, Result.OK]
+        assert (server.connections, servers.size) == (2, 2)
+        server._writers[0].write(reply())  # the second answer
+        await until(lambda: servers.size == 1)
+        for connection in servers._servers["s"].idle:
+            connection.idle_since -= 20.0
+        assert await result(servers) is Result.OK
+        assert server.connections == 2
+        servers.close()
+        server.stop()
+
+    asyncio.run(main())
+
+
+def test_the_newest_idle_connection_is_used_first_and_an_old_one_never(monkeypatch):
+    monkeypatch.setattr("orchidledge.net.upstream.SETTLE_S", 0.0)
+
     async def main():
         server, servers = await Peer().start(), pool()
         servers.add("s", ("127.0.0.1", server.port))
