Make the first list call after a start, a move or a failure return at once

Cause: Watcher waited wait_ms + LATE_S (6.2 s) for every call, also for the first one. What an agent has counts as told from a new process's first moment and 4 s after SIGHUP (a drain may be used 2 s longer); a first call that stayed silent was noticed after 6.2 s.

Change: that call asks with a wait of 50 ms and is given up 1.2 s later; the long wait begins with the first answer. Where discovery is asked, only the call after a move is so, as a call there costs. A watch that falls silent later is still opened anew 6.2 s after its call began, within its clock of 7 s.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -20,6 +20,7 @@
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
 LATE_S = 1.2
 CONNECT_S = 1.0
+FIRST_WAIT_MS = 50  # of a call that is to show whether discovery answers at all
 PUSH_PAUSE_S = 0.5  # at the most, before a local agent is asked again after a failure
 MAX_LIST = 16 * 1024 * 1024
 REBUILT_S = 10.0  # older whole lists for so long, and no newer answer, come from a source rebuilt
@@ -117,8 +118,10 @@
         self._oldest = 0  # an answer of a version before this is stale; none is until one has come from there
         self._went_back: float | None = None  # since when the answers have been whole lists of older versions
         self._wait_ms = int(wait_ms)
-        self._limit_s = wait_ms / 1000.0 + LATE_S
         self._endless = endless
+        # Guard: what an agent has counts as told from a process's first moment and at once after an outage,
+        # and 4 s after a move; a first call that stayed silent for its whole wait was noticed after 6 s.
+        self._unheard = endless  # the next call is answered soon, or discovery is silent
         self._on_news = on_news
         self._rng = rng
         self._failing = False
@@ -140,6 +143,7 @@
             return
         self._address = address
         self._oldest = 0  # where versions may count from elsewhere
+        self._unheard = True
         watching = self._task is not None
         self.close()
         if watching:
@@ -158,14 +162,16 @@
 
     async def _follow(self) -> None:
         while True:
+            wait_ms = FIRST_WAIT_MS if self._unheard else self._wait_ms
             try:
-                async with asyncio.timeout(self._limit_s):
-                    listing = await self._ask()
+                async with asyncio.timeout(wait_ms / 1000.0 + LATE_S):
+                    listing = await self._ask(wait_ms)
             except (OSError, TimeoutError, ValueError) as error:
                 if not self._failing:  # once for each stretch of failures
                     said = f"{type(error).__name__}: {error}"[:200]
                     log.warning("discovery at %s:%d failed, the old list holds: %s", *self._address, said)
                 self._failing = True
+                self._unheard = self._endless
                 self._drop()
                 if not self._endless:
                     self._task = None
@@ -174,12 +180,12 @@
                     return
                 await asyncio.sleep(self.pause())
                 continue
-            self._failing = False
+            self._failing = self._unheard = False
             self._went_back = None
             self._revision = self._oldest = listing.revision
             self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
-    async def _ask(self) -> Listing:
+    async def _ask(self, wait_ms: int) -> Listing:
         connection = self._connection
         if connection is None or not connection.usable:
             self._drop()
@@ -190,7 +196,7 @@
             self._connection = connection
         call = _Call()
         host = f"{self._address[0]}:{self._address[1]}"
-        target = f"/discovery/hosts?since={self._revision}&timeout_ms={self._wait_ms}"
+        target = f"/discovery/hosts?since={self._revision}&timeout_ms={wait_ms}"
         connection.start(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), call)
         response = await call.done
         if response.status != 200:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -614,6 +614,52 @@
     asyncio.run(main())
 
 
+def waits(discovery):
+    return [int(message.first[1].rpartition("=")[2]) for message in discovery.seen]
+
+
+class Deaf(Discovery):
+    """Stays silent on its first call."""
+
+    async def _next(self, message):
+        if len(self.seen) == 1:
+            await asyncio.Event().wait()
+        return await super()._next(message)
+
+
+def test_a_pushed_list_that_is_silent_from_the_start_is_asked_again_at_once(monkeypatch):
+    """Guard: what an agent has counts as told from a process's first moment; its silence showed after 6 s."""
+    monkeypatch.setattr("orchidledge.net.discovery.LATE_S", 0.05)
+    monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+
+    async def main():
+        discovery = Deaf(listing(5, True, s9=("127.0.0.1:9", "Ready")), reply(503))
+        async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
+            await until(lambda: set(node.pool._servers) == {"s9"})
+            await until(lambda: len(discovery.seen) == 4)
+            assert waits(discovery) == [50, 50, 5000, 50]  # long only while discovery is heard
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("mode", ["push"])
+def test_a_discovery_moved_to_is_asked_at_once_whatever_became_of_the_old_one(mode):
+    """Guard: its news counts as told 4 s after SIGHUP, and a call could be silent for 6 s."""
+
+    async def main():
+        elsewhere, gone = Discovery(listing(6, True, s6=("127.0.0.1:6", "Ready"))), Discovery(None)
+        await elsewhere.start()
+        async with running(Peer(), discovery=gone, settings={"registryMode": mode}) as node:
+            await until(lambda: node.counts["list failed"])
+            node.balancer = Scripted()  # asks for no watch of its own
+            node.watcher.move(parse_address(elsewhere.endpoint))
+            await until(lambda: "s6" in node.pool._servers and len(elsewhere.seen) == 2)
+            assert waits(elsewhere) == [50, 5000]
+        elsewhere.stop()
+
+    asyncio.run(main())
+
+
 def test_a_stale_list_is_a_failure_and_the_newer_one_holds(monkeypatch, caplog):
     async def main():
         monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
