Ask a discovery that was moved to at once, also while a failed call waits

Cause: Watcher.move started anew only if a watch was on. Where discovery is asked and the old address had failed, the next call waited for the module's back-off, up to 4 s, while the new address's news counts as told 4 s after SIGHUP. The test held the module's wake back and saw no call at the new address at all.

Change: a move always starts the watch; the module's later wish finds it on.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -138,16 +138,14 @@
         self._revision = max(self._revision, revision)
 
     def move(self, address: Address) -> None:
-        """Follow the list at this address from now on; a watch that is on goes over at once."""
+        """Follow the list at this address from now on."""
         if address == self._address:
             return
         self._address = address
         self._oldest = 0  # where versions may count from elsewhere
         self._unheard = True
-        watching = self._task is not None
         self.close()
-        if watching:
-            self.start()
+        self.start()  # even if the next call was to wait after a failure: that was the old address's
 
     def close(self) -> None:
         if self._task is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -642,9 +642,9 @@
     asyncio.run(main())
 
 
-@pytest.mark.parametrize("mode", ["push"])
+@pytest.mark.parametrize("mode", ["push", "ask"])
 def test_a_discovery_moved_to_is_asked_at_once_whatever_became_of_the_old_one(mode):
-    """Guard: its news counts as told 4 s after SIGHUP, and a call could be silent for 6 s."""
+    """Guard: its news counts as told 4 s after SIGHUP, and a call could be 4 s off or silent for 6 s."""
 
     async def main():
         elsewhere, gone = Discovery(listing(6, True, s6=("127.0.0.1:6", "Ready"))), Discovery(None)
