Keep every port a test gives to a process from being given to anyone else

test_a_leader_parted_from_the_others... failed once: "r1 answering not reached in 10.0 s; last seen RemoteDisconnected". free_port() asked the system for a number and let it go, so a later free_port(), a Relay's listener or any other process could be given the same one before the instance bound it.

A relay made to take r1's list port, the one towards r1's own raft port, fails the set-up with the same words, and r1's log says EADDRINUSE.

tests/ports.py now keeps each number's socket bound, not listening, with SO_REUSEADDR while the test process lives.

--- a/bench/registry.py
+++ b/bench/registry.py
@@ -276,8 +276,9 @@
 
 async def node(folder: Path, servers: int) -> dict[str, Any]:
     """A node process taking a whole list of many servers from its agent: time and memory."""
-    from tests.fleet import free_port, spawn
+    from tests.fleet import spawn
     from tests.loopback import config_row
+    from tests.ports import free_port
 
     registry = Registry(folder, ttl_ms=600_000)
     agent = registry.agent()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -26,9 +26,10 @@
 from orchidledge.brain import TRUST_MS, Balancer
 from orchidledge.net import snapshot
 from orchidledge.net.discovery import Listing
-from tests.fleet import ROOT, free_port, metric_at, spawn, until
+from tests.fleet import ROOT, metric_at, spawn, until
 from tests.helpers import servers, settings
 from tests.loopback import config_row
+from tests.ports import free_port
 from tests.test_registry_node import Client
 
 LEARNED = api.Learned(0.2, 0.3, 7, 0.01, 0.02, 0.02, 100.0, {"read": 20.0}, {"s0": 3.0})
--- a/tests/test_registry_node.py
+++ b/tests/test_registry_node.py
@@ -14,8 +14,9 @@
 import orjson
 import pytest
 
-from tests.fleet import Registry, free_port, listed_at, spawn, until
+from tests.fleet import Registry, listed_at, spawn, until
 from tests.loopback import config_row
+from tests.ports import free_port
 from tests.relay import Relay
 
 
