--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -86,11 +86,6 @@
     return float(text.split(f"{name}=")[1].split()[0])
 
 
-def listed_at(door: int) -> int:
-    """How many servers a node lists, from its door's figures."""
-    return int(metric_at(door, "proxy.targets"))
-
-
 class Registry:
     """Three (or more) instances of the list service in one folder."""
 
