Watch a fleet of node processes for its two rules, with a place for faults on every link

Nodes' answers are never of one moment, so the share sum and the versions followed are checked on what samples on both sides of a moment agree on. Between each node and its agent stands a post that holds or delays calls and shows the node its siblings at relays.

--- a/tests/faults/__init__.py
+++ b/tests/faults/__init__.py
@@ -6,6 +6,7 @@
 
 from tests.faults.loops import LoopThread
 from tests.faults.net import Net
+from tests.faults.post import Hold, Post
 from tests.faults.relay import Relay
 
-__all__ = ["LoopThread", "Net", "Relay"]
+__all__ = ["Hold", "LoopThread", "Net", "Post", "Relay"]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -89,8 +89,17 @@
 class Registry:
     """Three (or more) instances of the list service in one folder."""
 
-    def __init__(self, folder: Path, count: int = 3, ttl_ms: int = 10_000, relayed: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        count: int = 3,
+        ttl_ms: int = 10_000,
+        relayed: bool = False,
+        members: Callable[[int], dict[str, int]] = lambda index: {},
+    ) -> None:
+        """`members`: the keys of an instance's table of that name."""
         self.folder = folder
+        self.members = members
         self.http = [free_port() for _ in range(count)]
         self.ttl_ms = ttl_ms
         # Relayed: each pair of instances talks through a relay of its own, so that a cut can part them.
@@ -114,7 +123,8 @@
         path.write_text(
             f'[instance]\nname = "r{index}"\nlisten = "127.0.0.1:{self.http[index]}"\n'
             f'raft = "{self.hosts[index]}:{self.raft[index]}"\npeers = [{peers}]\ndata = "data-r{index}"\n'
-            f"[lease]\nttl_ms = {self.ttl_ms}\n"
+            f"[lease]\nttl_ms = {self.ttl_ms}\n[members]\n"
+            + "".join(f"{key} = {value}\n" for key, value in self.members(index).items())
         )
         return path
 
--- /dev/null
+++ b/tests/members.py
@@ -0,0 +1,274 @@
+"""A fleet of node processes that know each other: every call between two of them, and between each and the
+list service, passes a place where faults are injected; servers behind them, load through them."""
+
+from __future__ import annotations
+
+import http.client
+import signal
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from tests.faults import LoopThread, Net, Post
+from tests.fleet import Registry, ask, until
+from tests.load import Load
+from tests.nodes import Node
+from tests.ports import free_port
+from tests.servers import ServerPool
+from tests.watch import Status, Watch, apart, overtaken
+
+TTL_MS, BOUND_MS = 1_500, 250
+LIMIT_S = 60.0  # for anything that should come about: the machine may be slow
+CLOCKS_MS = (0.0, 2_000.0, -2_000.0, 0.0, 900.0)  # of nodes; and of instances:
+SERVICE_CLOCKS_MS = (0, 2_000, -2_000)
+MODELS = ("m1", "m2")  # of servers s0 and s1
+
+
+class Fleet:
+    """Nodes n0 to n4 and three instances of the list service, with clocks 2 s apart."""
+
+    def __init__(self, folder: Path, size: int = 5) -> None:
+        self.size, self._texts = size, count(1)
+        self.registry = Registry(folder, members=_service)
+        self.agent = self.registry.agent()
+        self.pool = ServerPool(2, latency_ms=2.0)
+        for at, model in enumerate(MODELS):
+            self.registry.put(f"s{at}", self.pool.port(at), az="a", model=model)
+        self._listens = [free_port() for _ in range(size)]
+        self.net = Net([("127.0.0.1", port) for port in self._listens], seed=folder.name)
+        self._loops = LoopThread()
+        self.posts = [self._post(at) for at in range(size)]
+        self.nodes = [self._node(folder, at) for at in range(size)]
+        self._down: dict[int, list[tuple[float, float]]] = {at: [] for at in range(size)}
+        for node in self.nodes:
+            node.launch()
+
+    def _post(self, at: int) -> Post:
+        relayed = {
+            f"127.0.0.1:{port}": "{}:{}".format(*self.net.address(at, other))
+            for other, port in enumerate(self._listens)
+            if other != at
+        }
+        return Post(("127.0.0.1", self.agent.port), lambda told: relayed.get(told, told), self._loops)
+
+    def _node(self, folder: Path, at: int) -> Node:
+        members = {
+            "listen": f"127.0.0.1:{self._listens[at]}",
+            "routes": str(folder / f"routes-{at}"),
+            "clock_offset_ms": CLOCKS_MS[at],
+        }
+        settings = {"registryMode": "push"}
+        return Node(folder, [], self.posts[at].port, name=f"n{at}", settings=settings, members=members)
+
+    # ------------------------------------------------------------------ what it says
+
+    def status(self, at: int) -> Status:
+        """A node's GET /status/members; OSError where it does not answer."""
+        status, found = self.nodes[at].call_door("/status/members")
+        if status != 200:
+            raise OSError(f"the door of n{at} answered {status}")
+        return found  # type: ignore[no-any-return]
+
+    def service(self, method: str, path: str, body: bytes | dict[str, Any] | None = None) -> tuple[int, Any]:
+        """A call of the fleet's, through the agent; said again until it is done or refused."""
+
+        def said() -> tuple[int, Any] | None:
+            status, answer = _call(self.agent.port, method, f"/fleet/{path}", body)
+            return None if status == 503 else (status, answer)
+
+        return until(said, LIMIT_S, f"{method} {path} done")  # type: ignore[no-any-return]
+
+    def routes(self) -> dict[str, Any]:
+        return self.service("GET", "routes")[1]  # type: ignore[no-any-return]
+
+    def phase(self, number: int) -> str:
+        return {row["number"]: row["phase"] for row in self.routes()["history"]}[number]
+
+    def until_all(self, what: str, check: Any, *chosen: int) -> None:
+        """Until check(status) holds at these nodes, or all, in one round."""
+        nodes = chosen or tuple(range(self.size))
+        seen: list[Status] = []
+
+        def hold() -> bool:
+            seen[:] = [self.status(at) for at in nodes]
+            return all(check(status) for status in seen)
+
+        try:
+            until(hold, LIMIT_S, what)
+        except AssertionError as error:
+            raise AssertionError(f"{what}: {error}; {[_brief(status) for status in seen]}") from error
+
+    def until_shared(self, *takers: int) -> None:
+        """Until these are all that is enrolled and each takes its part."""
+        part = 1.0 / len(takers)
+        self.until_all(
+            f"a share of {part:.3f} at {takers}",
+            lambda status: status["rows"] == len(takers) and abs(status["share"] - part) < 1e-6,
+            *takers,
+        )
+
+    def until_calm(self) -> None:
+        """Everything runs, every node hears every other and has its part, and routes are settled."""
+        for post in self.posts:
+            post.heal()
+        self.net.heal()
+        for index in range(3):
+            if self.registry.processes[index] is None:
+                self.registry.start(index)
+        for at, node in enumerate(self.nodes):
+            if node.process is None or node.process.poll() is not None:
+                self.start(at)
+        in_force = until(
+            lambda: (told := self.routes())["pending"] is None and [told], LIMIT_S, "routes settled"
+        )
+
+        def calm(status: Status) -> bool:
+            heard = {row["verdict"] for row in status["siblings"]} == {"present"}
+            following = self.following(in_force[0]["in_force"]["number"])(status)
+            return heard and following and len(status["siblings"]) == self.size - 1
+
+        self.until_all("calm", calm)
+        self.until_shared(*range(self.size))
+
+    @staticmethod
+    def following(number: int) -> Any:
+        """For `until_all`: it follows this version."""
+        return lambda status: (
+            (status["routes"]["stand"], status["routes"]["version"]) == ("following", number)
+        )
+
+    # ------------------------------------------------------------------ what befalls it
+
+    def kill(self, at: int) -> None:
+        self._down[at].append((time.monotonic(), float("inf")))
+        self.nodes[at].kill()
+
+    def start(self, at: int) -> None:
+        self.nodes[at].start()
+        if self._down[at] and self._down[at][-1][1] == float("inf"):
+            self._down[at][-1] = (self._down[at][-1][0], time.monotonic())
+
+    def freeze(self, at: int) -> None:
+        self.nodes[at].send(signal.SIGSTOP)
+
+    def thaw(self, at: int) -> None:
+        self.nodes[at].send(signal.SIGCONT)
+
+    def cut_service(self, *chosen: int) -> None:
+        for at in chosen:
+            self.posts[at].cut()
+
+    # ------------------------------------------------------------------ routes
+
+    def table(self, weights: Sequence[float] = (1.0, 1.0)) -> bytes:
+        """A text like no other so far: reads go to the models by these weights, all else as ever."""
+        groups = "".join(
+            f'[[class.read.group]]\nmodel = "{model}"\nweight = {weight}\n'
+            for model, weight in zip(MODELS, weights, strict=True)
+            if weight
+        )
+        return f"{groups}# {next(self._texts)}\n".encode()
+
+    def propose(self, weights: Sequence[float] = (1.0, 1.0)) -> int:
+        status, told = self.service("PUT", "routes", self.table(weights))
+        assert status == 200, told
+        return int(told["number"])
+
+    # ------------------------------------------------------------------ under load
+
+    @contextmanager
+    def watched(self, refused: Sequence[int] = (200,)) -> Iterator[Watch]:
+        """Load through all nodes and a watch on all; then both rules, every answer, and nothing done twice.
+
+        A request may go unanswered only if its node was killed meanwhile.
+        """
+        self.until_calm()
+        prefix = f"w{time.monotonic_ns()}-"
+        loads = [
+            Load([node.port for node in self.nodes], f"{prefix}{kind}", workers, kind, 0.02, timeout_s=30.0)
+            for kind, workers in (("read", 4), ("post", 2))
+        ]
+        self.loads = loads
+        watch = Watch(self.size, self.status)
+        try:
+            yield watch
+            self._until_each_has_answered(loads)
+        finally:
+            watch.stop()
+            for load in loads:
+                load.finish()
+        self._check_load(loads, prefix)
+        assert min(map(len, watch.samples)) > 5, [len(samples) for samples in watch.samples]
+        assert not (broken := overtaken(watch.samples)), broken[:3]
+        assert not (broken := apart(watch.samples, BOUND_MS / 1000.0)), broken[:3]
+
+    def _until_each_has_answered(self, loads: Sequence[Load]) -> None:
+        """Every node that runs answers requests again, by the end of each test."""
+        start = time.monotonic()
+        running = {
+            node.port for node in self.nodes if node.process is not None and node.process.poll() is None
+        }
+
+        def answered() -> bool:
+            found = [one for load in loads for one in list(load.outcomes.values())]
+            return running <= {one.port for one in found if one.sent_s > start and one.status == 200}
+
+        until(answered, LIMIT_S, "every node answering")
+
+    def _check_load(self, loads: Sequence[Load], prefix: str) -> None:
+        killed = {self.nodes[at].port: spans for at, spans in self._down.items()}
+        outcomes = {name: one for load in loads for name, one in list(load.outcomes.items())}
+        lost = {
+            name: one
+            for name, one in outcomes.items()
+            if one.status == 0
+            and not any(
+                start < one.sent_s + one.took_s and one.sent_s < end for start, end in killed[one.port]
+            )
+        }
+        assert not lost, lost
+        assert sum(one.status == 200 for one in outcomes.values()) > 0.8 * len(outcomes)
+        for name, servers in self.pool.reached.items():
+            if name.startswith(prefix):
+                most = 1 if "-post" in name else 3
+                assert len(servers) <= most, (name, servers)
+
+    def close(self) -> None:
+        for node in self.nodes:
+            if node.process is not None and node.process.poll() is None:
+                node.kill()
+        self.agent.stop()
+        self.registry.stop()
+        self.net.close()
+        self._loops.close()
+        self.pool.close()
+
+
+def _service(index: int) -> dict[str, int]:
+    return {"ttl_ms": TTL_MS, "clock_bound_ms": BOUND_MS, "clock_offset_ms": SERVICE_CLOCKS_MS[index]}
+
+
+def _call(port: int, method: str, target: str, body: bytes | dict[str, Any] | None) -> tuple[int, Any]:
+    """As `ask`, which sends JSON; bytes go as they are."""
+    if not isinstance(body, bytes):
+        status, _, answer = ask(port, method, target, body)
+        return status, answer
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5.0)
+    try:
+        connection.request(method, target, body=body)
+        answer = connection.getresponse()
+        return answer.status, orjson.loads(answer.read())
+    finally:
+        connection.close()
+
+
+def _brief(status: Status) -> dict[str, Any]:
+    kept = {
+        key: status[key] for key in ("name", "incarnation", "stand", "standing", "share", "rows", "routes")
+    }
+    return kept | {"siblings": {row["name"]: row["verdict"] for row in status["siblings"]}}
