--- a/orchidledge/members/roll.py
+++ b/orchidledge/members/roll.py
@@ -140,7 +140,9 @@
         """This node did not run for `late_ms`: refutations may lie unread, so suspicions last longer."""
         for incarnation in self._accused:
             peer = self.peers[incarnation]
-            peer.ends = max(peer.ends + late_ms, now + self.own.config.ask_timeout_ms)
+            longer = max(late_ms, now + self.own.config.ask_timeout_ms - peer.ends)
+            peer.since += longer
+            peer.ends += longer
 
     def next_end(self) -> float:
         return min((self.peers[key].ends for key in self._accused), default=math.inf)
--- a/tests/hearing_sim.py
+++ b/tests/hearing_sim.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from orchidledge.members import (
     Action,
@@ -27,6 +28,14 @@
 )
 
 
+class Gone(Enum):
+    """What a caller sees of a process that has ended."""
+
+    REFUSED = "refused"  # its machine refuses the connection
+    RESET = "reset"  # something before it takes the connection and closes it
+    SILENT = "silent"  # its machine is lost
+
+
 @dataclass
 class Node:
     incarnation: int
@@ -34,7 +43,7 @@
     skew: float  # of its clock to the simulation's
     rng: random.Random
     alive: bool = True
-    machine: bool = True  # answers with a refusal once the process is gone
+    gone: Gone = Gone.REFUSED
     stopped: bool = False
     waiting: list[Callable[[], None]] = field(default_factory=list)
     replies: dict[int, Callable[[bytes | None], None]] = field(default_factory=dict)
@@ -83,8 +92,8 @@
 
     # -------------------------------------------------------------- faults
 
-    def kill(self, number: int, machine: bool = True) -> None:
-        self.nodes[number].alive, self.nodes[number].machine = False, machine
+    def kill(self, number: int, gone: Gone = Gone.REFUSED) -> None:
+        self.nodes[number].alive, self.nodes[number].gone = False, gone
 
     def stop(self, number: int, lasts: float) -> None:
         node = self.nodes[number]
@@ -196,8 +205,9 @@
 
         def arrive() -> None:
             if not other.alive:
-                if other.machine:
-                    refuse = lambda: node.hearing.failed(self.clock(node), action.id, True)  # noqa: E731
+                if other.gone is not Gone.SILENT:
+                    refused = other.gone is Gone.REFUSED
+                    refuse = lambda: node.hearing.failed(self.clock(node), action.id, refused)  # noqa: E731
                     self._message(other, node, lambda: end(refuse), lost_back)
                 return
             answer = lambda payload: self._message(other, node, lambda: back(payload), lost_back)  # noqa: E731
