Record what the decision module does on seeded streams, to the letter

Change: tests/test_decide_stream.py plays 12 seeded worlds of 20 s (servers, clients, discovery, operators, another process) over six settings and compares a digest of every action, figure, threshold and learned state with the one taken from the module as it is.

--- /dev/null
+++ b/tests/test_decide_stream.py
@@ -0,0 +1,332 @@
+"""The decision module to the letter: seeded small worlds whose whole record of actions has a known digest.
+
+Each digest was taken when the module was one file. A change that is meant to alter no decision leaves them as
+they are: the same draws in the same order and the same float arithmetic. One that is meant to alter decisions
+records the digest that the failed comparison shows.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+from typing import Any
+
+import pytest
+import xxhash
+
+from orchidledge import Balancer
+from orchidledge import interface as api
+
+LASTS_MS = 20000.0
+SAFE = api.ServiceClass("read", aim_ms=400, give_up_ms=1500, worth=12, effect=api.Effect.SAFE)
+UNSAFE = api.ServiceClass("post", aim_ms=600, give_up_ms=1500, worth=1, late_worth=0.3)
+KEYED = api.ServiceClass(
+    "points", aim_ms=800, give_up_ms=2500, worth=3, effect=api.Effect.KEYED, memory_ms=300
+)
+ZONED = replace(KEYED, name="zoned", scope=api.Scope.ZONE, worth=0.0)
+CELLED = replace(KEYED, name="celled", scope=api.Scope.CELL, late_worth=0.5)
+STREAM = api.ServiceClass("tail", aim_ms=500, give_up_ms=2000, worth=6, effect=api.Effect.SAFE, stream=True)
+REPORTS = ("queue", "util")
+CASES: tuple[dict[str, Any], ...] = (
+    {"siblings": 2, "may_cancel": True, "max_attempts": 3, "cold_from": 0.2, "cold_ms": 3000.0},
+    {"tier": 1, "siblings": 24, "max_attempts": 2, "report_fields": REPORTS, "may_cancel": True},
+    {"siblings": 6, "cold_from": 0.1, "cold_ms": 6000.0, "overload_factor": 1.5, "cross_zone_price": 0.02},
+    {
+        "tenants": (api.Tenant("small", 20.0), api.Tenant("none", 0.0)),
+        "over_share_worth": 0.2,
+        "retry_after": True,
+        "max_retry_after_ms": 500.0,
+        "max_attempts": 4,
+        "siblings": 3,
+        "report_fields": REPORTS,
+    },
+    {"worth_by_work": True, "max_attempts": 3, "ask_discovery": True, "may_cancel": True},
+    {
+        "tier": 2,
+        "siblings": 150,
+        "max_attempts": 2,
+        "cold_from": 0.5,
+        "cold_ms": 2000.0,
+        "worth_by_work": True,
+    },
+)
+DIGESTS = {
+    0: "c82ebaeea2ebe59a",
+    1: "8bf45703a4a8f83f",
+    2: "265c212319929f7f",
+    3: "92f36c989aa1074f",
+    4: "f1db9a5eb908ac99",
+    5: "5cb04381694770f2",
+    6: "69b5169bcfe51919",
+    7: "0d11e9cb7a90cf8e",
+    8: "cced09e2e23473d3",
+    9: "5ee8deb770936083",
+    10: "924c6ad05e9e2da0",
+    11: "5d0c010433fba62f",
+}
+
+
+@dataclass
+class Machine:
+    """A server as the world has it."""
+
+    server: api.Server
+    slowness: float
+    sickness: float  # share of the attempts that end badly
+    busy: int = 0
+
+
+@dataclass
+class Attempt:
+    machine: Machine
+    sent_ms: float
+    out: bool = True
+
+
+class World:
+    """Clients, servers, discovery and operators around one balancer, all drawn from one seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.case = CASES[seed % len(CASES)]
+        cfg = api.Settings(classes=(SAFE, UNSAFE, KEYED, ZONED, CELLED, STREAM), zone="a", **self.case)
+        self.kinds = {kind.name: kind for kind in cfg.classes}
+        self.now = 1000.0
+        self.balancer = Balancer(cfg, seed, self.now)
+        self.digest = xxhash.xxh64()
+        self.names = itertools.count()
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.machines: dict[str, Machine] = {}
+        self.tries: dict[str, list[Attempt]] = {}
+        self.service: dict[str, str] = {}
+        self.ended: set[str] = set()
+        self.by_hand: list[tuple[str, float]] = []
+        self.jam = self.rush = 1.0
+        self.was = self.balancer.learned()
+        for _ in range(self.rng.choice((3, 8, 14))):
+            self.launch(None if self.rng.random() < 0.6 else self.now - self.rng.uniform(0.0, 4000.0))
+
+    def run(self) -> str:
+        self.give(api.Membership(api.ListForm.CACHED, self.listed()))
+        for delay, act in (
+            (0.0, self.client),
+            (0.0, self.weather),
+            (500.0, self.discovery),
+            (700.0, self.operator),
+            (900.0, self.other_process),
+            (200.0, self.prober),
+            (300.0, self.stray),
+            (50.0, self.observe),
+        ):
+            self.at(delay, act)
+        while self.due and self.due[0][0] < 1000.0 + LASTS_MS:
+            self.now, _, act = heapq.heappop(self.due)
+            act()
+        self.observe()
+        return self.digest.hexdigest()
+
+    def at(self, delay: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self.due, (self.now + delay, next(self.names), act))
+
+    def give(self, event: api.Event) -> None:
+        acts = self.balancer.handle(self.now, event)
+        self.digest.update(f"{self.now!r} {acts!r}\n".encode())
+        for act in acts:
+            self.obey(act)
+
+    def observe(self) -> None:
+        """What the module tells of itself, and its thresholds."""
+        it = self.balancer
+        rows = [it.threshold(worth, ready) for ready in (0, len(it.ready)) for worth in (1.0, 0.3, 0.0)]
+        said = (it.figures(), rows, it.learned(), it.held(), it.avoided, it.cursor, it.period_ms)
+        self.digest.update(f"{said!r}\n".encode())
+        self.at(170.0, self.observe)
+
+    # ------------------------------------------------------------- the actions
+
+    def obey(self, act: api.Action) -> None:
+        match act:
+            case api.Wake():
+                self.at(act.delay_ms, lambda: self.give(api.Alarm(act.name)))
+            case api.Watch():
+                self.at(40.0, self.list_again)
+            case api.Send():
+                self.serve(act)
+            case api.Cancel():
+                self.at(1.0, lambda: self.finish(act.id, act.attempt, api.Result.CANCELLED))
+            case api.Refuse() | api.Fail():
+                self.ended.add(act.id)
+
+    def serve(self, act: api.Send) -> None:
+        machine, rng = self.machines[act.server], self.rng
+        tries = self.tries[act.id]
+        at = len(tries)
+        tries.append(Attempt(machine, self.now))
+        machine.busy += 1
+        takes = 90.0 * machine.slowness * self.jam * rng.uniform(0.5, 1.5) * (1.0 + 0.15 * machine.busy)
+        result = api.Result.OK
+        if rng.random() < machine.sickness:
+            result = rng.choice([item for item in api.Result if item is not api.Result.OK])
+            takes *= rng.choice((0.05, 1.0))
+        elif machine.busy > 14:
+            result, takes = api.Result.FULL, 2.0
+        if act.timeout_ms and takes > act.timeout_ms:
+            result, takes = api.Result.TIMEOUT, act.timeout_ms
+        kind = self.kinds[self.service[act.id]]
+        if kind.stream and rng.random() < 0.8:
+            which = at if rng.random() < 0.9 else at + 1
+            self.at(0.3 * takes, lambda: self.give(api.Started(act.id, which)))
+        self.at(takes, lambda: self.finish(act.id, at, result))
+
+    def finish(self, name: str, at: int, result: api.Result) -> None:
+        attempt = self.tries[name][at]
+        if not attempt.out:
+            return
+        attempt.out = False
+        machine = attempt.machine
+        machine.busy -= 1
+        if result is api.Result.OK:
+            self.ended.add(name)
+        event = api.Outcome(
+            name,
+            at,
+            machine.server.address,
+            result,
+            self.now - attempt.sent_ms,
+            result is api.Result.OK or (name in self.ended and self.rng.random() < 0.9),
+            self.report(machine),
+        )
+        self.give(event)
+        if self.rng.random() < 0.02:
+            self.give(event)  # told twice
+
+    def report(self, machine: Machine) -> dict[str, float] | None:
+        if "report_fields" not in self.case or self.rng.random() < 0.1:
+            return None
+        full = {
+            "queue": float(max(0, machine.busy - 2)),
+            "util": min(1.0, 0.5 + 0.4 * self.rng.random() + 0.1 * self.jam),
+        }
+        return {key: full[key] for key in REPORTS if self.rng.random() < 0.9}
+
+    # --------------------------------------------------------------- the world
+
+    def client(self) -> None:
+        rng = self.rng
+        self.at(rng.uniform(0.0, 16.0) / self.rush, self.client)
+        name, kind = f"r{next(self.names)}", rng.choice(list(self.kinds.values()))
+        gives_up = self.now + kind.give_up_ms * rng.choice((1.0, 1.0, 0.3, 0.0))
+        coming = rng.random() < 0.15
+        self.tries[name], self.service[name] = [], kind.name
+        request = api.Request(
+            name,
+            kind.name,
+            gives_up,
+            tenant=rng.choice((None, "small", "none", "unknown")),
+            cost_hint_ms=rng.choice((None, 5.0, 40.0, 300.0)),
+            is_retry=rng.random() < 0.1,
+            coming=coming,
+        )
+        self.give(request)
+        if coming:
+            self.at(rng.uniform(1.0, 200.0), lambda: self.give(api.Arrived(name, gives_up + 100.0)))
+        self.at(kind.give_up_ms * rng.choice((0.1, 1.1, 1.1, 1.1)), lambda: self.lapse(name))
+
+    def lapse(self, name: str) -> None:
+        if name not in self.ended:
+            self.ended.add(name)
+            self.give(api.Lapsed(name))
+
+    def weather(self) -> None:
+        self.jam = self.rng.choice((0.5, 1.0, 1.0, 2.0, 6.0))
+        self.rush = self.rng.choice((0.2, 1.0, 2.0, 4.0))
+        for machine in self.machines.values():
+            machine.sickness = self.rng.choice((0.0, 0.0, 0.03, 0.5))
+            machine.slowness = self.rng.choice((0.7, 1.0, 1.0, 1.3, 4.0))
+        self.at(self.rng.uniform(300.0, 1500.0), self.weather)
+
+    def launch(self, launched_ms: float | None) -> api.Server:
+        at = len(self.machines)
+        state = self.rng.choice((api.ServerState.UP,) * 6 + (api.ServerState.DRAINING,))
+        server = api.Server(f"s{at}", "aab"[at % 3], at % 4, state, launched_ms)
+        self.machines[server.address] = Machine(server, 1.0, 0.0)
+        return server
+
+    def listed(self) -> tuple[api.Server, ...]:
+        rows = [machine.server for machine in self.machines.values()]
+        return tuple(row for row in rows if row.state is not api.ServerState.REMOVED)
+
+    def list_again(self) -> None:
+        form = self.rng.choice((api.ListForm.FAILED, api.ListForm.FULL, api.ListForm.CACHED))
+        self.give(api.Membership(form, () if form is api.ListForm.FAILED else self.listed()))
+
+    def discovery(self) -> None:
+        rng = self.rng
+        self.at(rng.uniform(100.0, 900.0), self.discovery)
+        if rng.random() < 0.4:
+            self.give(api.Membership(api.ListForm.FAILED))
+            return
+        changed = [self.change(machine) for machine in rng.sample(list(self.machines.values()), k=2)]
+        if len(self.machines) < 24:
+            changed.append(self.launch(self.now))
+        whole = rng.random() < 0.3
+        rows = tuple(rng.sample(self.listed(), k=len(self.listed()))) if whole else tuple(changed)
+        self.give(api.Membership(api.ListForm.FULL if whole else api.ListForm.DELTA, rows))
+
+    def change(self, machine: Machine) -> api.Server:
+        state = self.rng.choice(
+            (api.ServerState.UP,) * 5 + (api.ServerState.DRAINING, api.ServerState.REMOVED)
+        )
+        launched = self.now if self.rng.random() < 0.3 else machine.server.launched_ms
+        machine.server = replace(machine.server, state=state, launched_ms=launched)
+        return machine.server
+
+    def operator(self) -> None:
+        rng = self.rng
+        self.at(rng.uniform(50.0, 600.0), self.operator)
+        if self.by_hand and rng.random() < 0.6:
+            address, out_ms = self.by_hand.pop(0)
+            self.give(api.BroughtBack(address, out_ms, self.now - rng.uniform(0.0, 100.0)))
+        else:
+            address = rng.choice([*self.machines, "unheard"])
+            self.by_hand.append((address, self.now))
+            self.give(api.TakenOut(address))
+
+    def other_process(self) -> None:
+        rng = self.rng
+        self.at(rng.uniform(200.0, 1200.0), self.other_process)
+        held = {address: float(rng.randrange(4)) for address in [*self.machines][:4]}
+        self.give(api.Beside(held if rng.random() < 0.3 else {}))
+        what = rng.randrange(6)
+        if what < 2:
+            self.was = self.balancer.learned()
+        elif what == 2:
+            base = rng.choice((None, 0.0, self.was.base))
+            changes: dict[str, Any] = {"base": base, "cursor": rng.choice((-3, 4, 99))}
+            self.give(replace(self.was, class_ms={"read": 80.0, "gone": 1.0, "post": 0.0}, **changes))
+        elif what == 3:
+            self.give(api.Restored(self.was, rng.choice((-1.0, 0.0, 2000.0, 16000.0))))
+
+    def prober(self) -> None:
+        self.at(self.rng.uniform(20.0, 400.0), self.prober)
+        machine = self.rng.choice(list(self.machines.values()))
+        self.give(api.Probed(machine.server.address, api.Result.OK, 3.0, self.report(machine)))
+
+    def stray(self) -> None:
+        """Events of requests, attempts, servers and alarms that the balancer does not know."""
+        self.at(self.rng.uniform(100.0, 700.0), self.stray)
+        over = [name for name in self.tries if name in self.ended][-20:]
+        for name in ("nobody", *over):
+            self.give(api.Outcome(name, 7, "unheard", api.Result.OK, 5.0, True, {"queue": 1.0}))
+            self.give(api.Arrived(name, self.now + 500.0))
+        self.give(api.Lapsed("nobody"))
+        self.give(api.Started("nobody", 0))
+        self.give(api.Alarm("unheard"))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_the_record_of_every_action_has_the_digest_it_had(seed: int) -> None:
+    assert World(seed).run() == DIGESTS[seed]
