--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -33,7 +33,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from orchidledge import interface as api
-from orchidledge.brain import Balancer
+from orchidledge.decide import Balancer
 from orchidledge.net import snapshot
 from orchidledge.net.discovery import Listing
 from tests.helpers import servers, settings
--- /dev/null
+++ b/orchidledge/decide/admission.py
@@ -0,0 +1,60 @@
+"""Whether a call is let in: what it is worth, what it counts for, and the room under its threshold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from orchidledge import interface as api
+from orchidledge.decide import table
+from orchidledge.decide.state import State
+
+RETRY_WORTH = 0.5  # a marked retry counts as this share of its class's worth
+HINT_GAIN = 0.03  # smoothing of the mean cost hint, per call
+
+
+@dataclass(slots=True)
+class Bucket:
+    """A tenant's share at this balancer, in requests a second."""
+
+    quota: float
+    tokens: float
+    then: float
+
+
+class Admission:
+    def __init__(self, state: State, now_ms: float) -> None:
+        self.state = state
+        cfg = state.cfg
+        self.top_worth = max(kind.worth for kind in cfg.classes) or 1.0
+        shares = {tenant.name: tenant.quota_per_s / cfg.siblings for tenant in cfg.tenants}
+        self.buckets = {name: Bucket(share, share, now_ms) for name, share in shares.items()}
+        self.mean_hint = 0.0
+
+    def units(self, request: api.Request) -> float:
+        """Its weight in the queue: 1, or where worth goes by work what it costs over the mean."""
+        hint = request.cost_hint_ms
+        if not self.state.cfg.worth_by_work or not hint:
+            return 1.0
+        self.mean_hint += (hint - self.mean_hint) * (HINT_GAIN if self.mean_hint else 1.0)
+        return min(4.0, max(0.25, hint / self.mean_hint))
+
+    def refuses(self, now: float, request: api.Request, kind: api.ServiceClass) -> bool:
+        """Whether the queue has met the threshold of this call's row. Takes a token of its tenant's."""
+        state = self.state
+        queue = sum([peer.held for peer in state.ready])
+        room = table.threshold(state, self.worth(now, request, kind), len(state.ready)) - queue
+        # Guard: one call from each of hundreds of balancers kept a jam alive, so a fraction of one is drawn.
+        return room < 1.0 and state.rng.random() >= room
+
+    def worth(self, now: float, request: api.Request, kind: api.ServiceClass) -> float:
+        worth = kind.worth / self.top_worth
+        if request.is_retry:
+            worth *= RETRY_WORTH
+        bucket = self.buckets.get(request.tenant or "")
+        if bucket is not None and self.state.cfg.tier == 0:  # a token bucket of one second's share
+            bucket.tokens = min(bucket.quota, bucket.tokens + bucket.quota * (now - bucket.then) / 1000.0)
+            bucket.then = now
+            if bucket.tokens < 1.0:
+                return worth * self.state.cfg.over_share_worth
+            bucket.tokens -= 1.0
+        return worth
--- /dev/null
+++ b/orchidledge/decide/attempts.py
@@ -0,0 +1,120 @@
+"""One request's way: taken or refused, sent, sent again where that is harmless, and answered once."""
+
+from __future__ import annotations
+
+from orchidledge import interface as api
+from orchidledge.decide import health, ranking
+from orchidledge.decide.admission import Admission
+from orchidledge.decide.state import Job, State, Try
+
+AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
+
+
+class Attempts:
+    def __init__(self, state: State, admission: Admission) -> None:
+        self.state = state
+        self.admission = admission
+
+    def requested(self, now: float, request: api.Request, acts: list[api.Action]) -> None:
+        state = self.state
+        kind = state.kinds[request.service]
+        job = state.jobs[request.id] = Job(request, kind, now, self.admission.units(request))
+        full = self.admission.refuses(now, request, kind)
+        if full or not self._send(now, job, acts):
+            state.tally["refused at threshold" if full else "refused unsent"] += 1
+            self._answer(job, acts)
+
+    def arrived(self, now: float, event: api.Arrived) -> None:
+        job = self.state.jobs.get(event.id)
+        if job is None or job.done:
+            return
+        job.taken_ms = now
+        job.request.coming = False
+        job.request.give_up_at_ms = event.give_up_at_ms
+        for at, item in enumerate(job.tries):
+            if item.result is None:
+                item.sent_ms = now
+                self._load(job, at)
+
+    def started(self, event: api.Started, acts: list[api.Action]) -> None:
+        job = self.state.jobs.get(event.id)
+        if job is not None:
+            job.streaming = True
+            self._cancel_others(job, event.attempt, acts)
+
+    def lapsed(self, event: api.Lapsed, acts: list[api.Action]) -> None:
+        job = self.state.jobs.get(event.id)
+        if job is not None:
+            self._end(job, acts)
+
+    def returned(self, now: float, event: api.Outcome, acts: list[api.Action]) -> None:
+        state = self.state
+        health.hear(state, now, event.server, event.report)
+        job = state.jobs.get(event.id)
+        if job is None or event.attempt >= len(job.tries) or job.tries[event.attempt].result is not None:
+            return
+        item = job.tries[event.attempt]
+        item.result = event.result
+        item.peer.load = max(0.0, item.peer.load - item.units)
+        item.peer.out.pop((event.id, event.attempt), None)
+        health.judge(state, now, job, item, event)
+        if event.done:
+            job.streaming = False
+            self._end(job, acts)
+        elif job.done:
+            self._end(job, acts)
+        elif not job.out() and not self._send(now, job, acts):
+            self._answer(job, acts)
+
+    def _send(self, now: float, job: Job, acts: list[api.Action]) -> bool:
+        state = self.state
+        left = job.request.give_up_at_ms - now
+        if job.kind.late_worth <= 0.0 and not job.kind.stream:
+            # Guard: late work is worth nothing, so it is stopped at the aim and does not crowd out the rest.
+            left = min(left, job.taken_ms + job.kind.aim_ms * AIM_MARGIN - now)
+        if job.done or left <= 1.0 or len(job.tries) >= state.cfg.max_attempts:
+            return False
+        peer = ranking.pick(state, now, job)
+        if peer is None:
+            return False
+        job.tries.append(Try(peer, now))
+        self._load(job, len(job.tries) - 1)
+        if peer.info.address in state.returns:
+            state.returns[peer.info.address].tried = True
+        acts.append(api.Send(job.request.id, peer.info.address, left))
+        return True
+
+    def _load(self, job: Job, attempt: int) -> None:
+        """Count an attempt in flight. One whose request is still coming in is no load on its server yet."""
+        item = job.tries[attempt]
+        # Guard: calls held the threshold for as long as their callers took to send them.
+        item.units = 0.0 if job.request.coming else job.units
+        item.peer.load += item.units
+        self.state.window.sent += item.units
+        if item.units:
+            item.peer.out[(job.request.id, attempt)] = item.sent_ms
+
+    def _answer(self, job: Job, acts: list[api.Action]) -> None:
+        """The one final answer: a refusal where it is true that a retry is harmless, else a failure."""
+        state = self.state
+        ran = job.may_have_run()
+        if not ran or job.kind.effect is api.Effect.SAFE:
+            wait = 0.0
+            if state.cfg.retry_after and state.cfg.tier == 0:
+                wait = min(state.cfg.max_retry_after_ms, state.period_ms * state.cursor)
+            acts.append(api.Refuse(job.request.id, wait))
+        else:
+            acts.append(api.Fail(job.request.id))
+        self._end(job, acts)
+
+    def _end(self, job: Job, acts: list[api.Action]) -> None:
+        if not job.done:
+            job.done = True
+            self._cancel_others(job, -1, acts)
+        if not job.out():
+            self.state.jobs.pop(job.request.id, None)
+
+    def _cancel_others(self, job: Job, keep: int, acts: list[api.Action]) -> None:
+        if self.state.cfg.may_cancel and not (job.streaming and keep < 0):
+            out = (at for at, item in enumerate(job.tries) if item.result is None and at != keep)
+            acts.extend(api.Cancel(job.request.id, at) for at in out)
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from orchidledge import interface as api
-from orchidledge.brain import Balancer
+from orchidledge.decide import Balancer
 from orchidledge.net.body import Body
 from orchidledge.net.config import Config
 from orchidledge.net.discovery import Listing, Watcher
--- a/orchidledge/simhost.py
+++ b/orchidledge/simhost.py
@@ -1,6 +1,6 @@
 """The wire adapter: reads the simulator's batches on standard input and writes replies on standard output.
 
-Translation only; every decision is made by orchidledge.brain. One process hosts many nodes, which share
+Translation only; every decision is made by orchidledge.decide. One process hosts many nodes, which share
 nothing.
 """
 
@@ -13,7 +13,7 @@
 
 import orjson
 
-from orchidledge.brain import Balancer
+from orchidledge.decide import Balancer
 from orchidledge.interface import (
     Action,
     Alarm,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from orchidledge import interface as api
-from orchidledge.brain import Balancer
+from orchidledge.decide import Balancer
 
 SAFE = api.ServiceClass("read", aim_ms=1000, give_up_ms=2500, worth=12, effect=api.Effect.SAFE)
 UNSAFE = api.ServiceClass("post", aim_ms=1000, give_up_ms=2500, worth=1, effect=api.Effect.UNSAFE)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -8,6 +8,8 @@
 from helpers import Bed, kinds, sent, servers
 
 from orchidledge import interface as api
+from orchidledge.decide.ranking import paced
+from orchidledge.decide.table import SHAPE
 
 NEVER_RAN = [api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT]
 MAY_HAVE_RUN = [api.Result.ERROR, api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED]
@@ -266,7 +268,7 @@
     bed.period()
     assert bed.brain.cursor == high + 1
     bed = Bed(count=2)
-    bed.brain.cursor = 3
+    bed.brain.state.cursor = 3
     bed.period()
     assert bed.brain.cursor == 2  # nothing in flight: no load
 
@@ -280,7 +282,7 @@
     old = [(name, sent(acts)[0].server) for name, acts in (bed.ask() for _ in range(8)) if sent(acts)]
     assert len(old) == 8
     while bed.brain.cursor < 5:
-        bed.brain.ended, bed.brain.full = 10.0, 9.0
+        bed.brain.state.window.ended, bed.brain.state.window.full = 10.0, 9.0
         bed.period()
     for name, server in old:
         bed.end(name, server, api.Result.OK, 950.0)
@@ -288,7 +290,7 @@
     assert bed.brain.cursor == 0
     # Calls sent since are heard as ever.
     while bed.brain.cursor < 5:
-        bed.brain.ended, bed.brain.full = 10.0, 9.0
+        bed.brain.state.window.ended, bed.brain.state.window.full = 10.0, 9.0
         bed.period()
     for _ in range(8):
         bed.serve(latency=950.0)
@@ -301,7 +303,7 @@
     admitted = 0
     for seed in range(200):
         bed = Bed(count=2, seed=seed, siblings=200)
-        bed.brain.cursor = len(bed.brain.shape) - 1
+        bed.brain.state.cursor = len(SHAPE) - 1
         admitted += len(sent(bed.ask("post")[1]))
     assert 5 <= admitted <= 60
 
@@ -387,10 +389,10 @@
     took = 0
     for bed in beds:
         bed.give(api.Membership(api.ListForm.DELTA, (api.Server("cold", "a", launched_ms=bed.now),)))
-        bed.brain.peak = 1.0 / bed.brain.period_ms  # one call a period is a server's ordinary pace
-        bed.brain.sends = calls * bed.brain.peak
+        bed.brain.state.peak = 1.0 / bed.brain.period_ms  # one call a period is a server's ordinary pace
+        bed.brain.state.sends = calls * bed.brain.state.peak
         cold = bed.brain.peers["cold"]
-        took += sum(bed.brain._paced(bed.now, cold) for _ in range(calls))
+        took += sum(paced(bed.brain.state, bed.now, cold) for _ in range(calls))
     share = 0.4 * 5.0 * 0.2  # of an ordinary pace, at the server's start
     assert 0.6 * share < took / len(beds) < 1.5 * share
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,6 +12,7 @@
 from test_upgrade import listening
 
 from orchidledge import interface as api
+from orchidledge.decide.table import SHAPE
 from orchidledge.net.handover import FOLDER, FRESH_MS, KEEP_MS, PREFIX, Handover
 from orchidledge.net.node import Node
 
@@ -99,7 +100,7 @@
         for _ in range(3):
             bed.serve("read", 100.0)
         bed.period()
-    bed.brain.cursor = 4
+    bed.brain.state.cursor = 4
     return bed
 
 
@@ -108,14 +109,14 @@
     assert new.brain.threshold(1.0, 4) > old.brain.threshold(1.0, 4)
     new.give(old.brain.learned())
     assert new.brain.threshold(1.0, 4) == pytest.approx(old.brain.threshold(1.0, 4))
-    assert new.brain.class_ms == old.brain.class_ms
+    assert new.brain.state.class_ms == old.brain.state.class_ms
     assert {name: peer.slow for name, peer in new.brain.peers.items()} == {
         name: peer.slow for name, peer in old.brain.peers.items()
     }
-    base = new.brain.base
+    base = new.brain.state.base
     new.serve("read", 900.0)
     new.period()
-    assert new.brain.base == pytest.approx(base, rel=0.1)  # not learned anew from one call
+    assert new.brain.state.base == pytest.approx(base, rel=0.1)  # not learned anew from one call
 
 
 @pytest.mark.parametrize("change", [{"base": None}, {"base": 0.0}, {"peak": 0.0}, {"mean_aim": 0.0}])
@@ -129,8 +130,8 @@
 def test_a_cursor_from_elsewhere_stays_within_the_table():
     bed = Bed(4)
     bed.give(learned(cursor=999, class_ms={"gone": 5.0}))
-    assert bed.brain.cursor == len(bed.brain.shape) - 1
-    assert bed.brain.class_ms == {}
+    assert bed.brain.cursor == len(SHAPE) - 1
+    assert bed.brain.state.class_ms == {}
 
 
 def test_calls_of_the_process_beside_count_in_the_queue_the_share_and_the_rank():
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,27 +8,33 @@
 
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+TEXTS = [(ROOT / name).read_text() for name in DEPLOY["policy"]]
+
+
+def test_the_policy_is_the_whole_decision_package():
+    package = (ROOT / "orchidledge" / "decide").glob("*.py")
+    assert sorted(DEPLOY["policy"]) == sorted(str(path.relative_to(ROOT)) for path in package)
 
 
 def test_policy_files_stay_within_1200_lines_of_110_characters():
-    lines = [line for name in DEPLOY["policy"] for line in (ROOT / name).read_text().splitlines()]
+    lines = [line for text in TEXTS for line in text.splitlines()]
     assert sum(1 for line in lines if line.strip()) <= 1200
     assert max(len(line) for line in lines) <= 110
 
 
 def test_the_module_names_its_interface_file_at_the_top():
-    text = (ROOT / DEPLOY["policy"][0]).read_text()
-    assert "orchidledge/interface.py" in text.split('"""')[1]
+    assert DEPLOY["policy"][0] == "orchidledge/decide/__init__.py"
+    assert "orchidledge/interface.py" in TEXTS[0].split('"""')[1]
 
 
 def test_every_named_constant_is_used_and_explained_or_plainly_named():
-    text = (ROOT / DEPLOY["policy"][0]).read_text()
+    text = "\n".join(TEXTS)
     for name in re.findall(r"^([A-Z][A-Z_0-9]+) = ", text, flags=re.MULTILINE):
         assert len(re.findall(rf"\b{name}\b", text)) > 1, name
 
 
 def test_the_module_reads_no_clock_no_environment_and_no_files():
-    text = (ROOT / DEPLOY["policy"][0]).read_text()
+    text = "\n".join(TEXTS)
     imports = set(re.findall(r"^(?:from|import) (\w+)", text, flags=re.MULTILINE))
     assert imports <= {"__future__", "math", "collections", "dataclasses", "random", "orchidledge"}
     assert "open(" not in text
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -13,6 +13,7 @@
 from test_operator import DOOR, status
 
 from orchidledge import interface as api
+from orchidledge.decide.ranking import paced
 from orchidledge.net.maintenance import FOLDER, KEEP_MS, PREFIX, Ban, Bans
 from orchidledge.net.node import Node
 
@@ -253,8 +254,8 @@
     bed.give(api.BroughtBack("s0", out_ms, bed.now))
     bed.now += 200.0  # 10.1 s after the launch that the last case lists: warm
     peer = bed.brain.peers["s0"]
-    bed.brain.peak, bed.brain.sends = 1.0, 100.0  # as many as 100 servers' ordinary calls
-    passed = sum(bed.brain._paced(bed.now, peer) for _ in range(200))
+    bed.brain.state.peak, bed.brain.state.sends = 1.0, 100.0  # as many as 100 servers' ordinary calls
+    passed = sum(paced(bed.brain.state, bed.now, peer) for _ in range(200))
     assert (passed < 50) is cold
 
 
@@ -272,5 +273,5 @@
     bed.give(api.TakenOut("s0"))
     bed.give(api.BroughtBack("s0", bed.now, bed.now))
     bed.give(api.TakenOut("s0"))
-    assert "s0" not in bed.brain.returns
+    assert "s0" not in bed.brain.state.returns
     assert {act.server for _ in range(8) for act in sent(bed.ask()[1])} == {"s1"}
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -8,6 +8,9 @@
 from helpers import SAFE, Bed, kinds, sent, servers
 
 from orchidledge import interface as api
+from orchidledge.decide.health import judge
+from orchidledge.decide.state import Job, Try
+from orchidledge.decide.table import SHAPE
 
 
 def load_period(bed: Bed, latency: float, count: int = 30) -> None:
@@ -35,12 +38,12 @@
 def test_table_is_flat_then_falls_and_never_to_nothing():
     brain = Bed().brain
     entries = []
-    for cursor in range(len(brain.shape)):
-        brain.cursor = cursor
+    for cursor in range(len(SHAPE)):
+        brain.state.cursor = cursor
         entries.append(brain.threshold(1.0, 20))
     assert entries[0] == entries[1]
     assert all(left > right for left, right in pairwise(entries[1:]))
-    brain.cursor = len(brain.shape) - 1
+    brain.state.cursor = len(SHAPE) - 1
     assert brain.threshold(1e-9, 1) > 0.0
 
 
@@ -48,7 +51,7 @@
     brain = Bed().brain
     high, low = brain.threshold(1.0, 20), brain.threshold(1 / 12, 20)
     assert low < high
-    brain.cursor = len(brain.shape) - 1
+    brain.state.cursor = len(SHAPE) - 1
     assert brain.threshold(1 / 12, 20) / low < brain.threshold(1.0, 20) / high
 
 
@@ -68,17 +71,19 @@
 def test_marked_retries_and_over_quota_tenants_fall_to_lower_rows():
     bed = Bed(tenants=(api.Tenant("t", 4.0),), over_share_worth=0.2)
     fresh = api.Request("a", "read", 9e9)
-    worth = bed.brain._worth(bed.now, fresh, SAFE)
-    assert bed.brain._worth(bed.now, api.Request("b", "read", 9e9, is_retry=True), SAFE) < worth
-    tenant = [bed.brain._worth(bed.now, api.Request("c", "read", 9e9, tenant="t"), SAFE) for _ in range(4)]
+    worth = bed.brain.admission.worth(bed.now, fresh, SAFE)
+    assert bed.brain.admission.worth(bed.now, api.Request("b", "read", 9e9, is_retry=True), SAFE) < worth
+    tenant = [
+        bed.brain.admission.worth(bed.now, api.Request("c", "read", 9e9, tenant="t"), SAFE) for _ in range(4)
+    ]
     assert tenant[:2] == [worth, worth]  # 4 a second over 2 siblings
     assert tenant[2] == tenant[3] == pytest.approx(0.2 * worth)
-    assert bed.brain._worth(bed.now + 1000, api.Request("d", "read", 9e9, tenant="t"), SAFE) == worth
+    assert bed.brain.admission.worth(bed.now + 1000, api.Request("d", "read", 9e9, tenant="t"), SAFE) == worth
 
 
 def test_over_quota_counts_at_the_front_only():
     bed = Bed(tenants=(api.Tenant("t", 0.0),), over_share_worth=0.2, tier=1)
-    assert bed.brain._worth(bed.now, api.Request("c", "read", 9e9, tenant="t"), SAFE) == 1.0
+    assert bed.brain.admission.worth(bed.now, api.Request("c", "read", 9e9, tenant="t"), SAFE) == 1.0
 
 
 def test_threshold_grows_with_the_completion_rate():
@@ -92,11 +97,11 @@
 def test_what_the_threshold_adds_to_the_quiet_count_is_bounded_by_the_servers_not_by_the_aim():
     bed, ready = Bed(), 4
     brain = bed.brain
-    brain.periods = 10**6  # past the start
-    brain.base, brain.mean_aim = 0.1, 1000.0
+    brain.state.periods = 10**6  # past the start
+    brain.state.base, brain.state.mean_aim = 0.1, 1000.0
     for rate in (0.005, 0.05):
-        brain.rate = brain.peak = rate
-        quiet = ready * rate * brain.mean_aim * brain.base
+        brain.state.rate = brain.state.peak = rate
+        quiet = ready * rate * brain.state.mean_aim * brain.state.base
         over = (brain.threshold(1.0, ready) - quiet) * brain.cfg.siblings / ready
         assert 2.0 < over < 5.0  # calls that a server holds beyond its quiet count, over all siblings
 
@@ -105,7 +110,7 @@
     thresholds = []
     for util in (0.5, 0.9, None):
         bed = Bed(count=4)
-        bed.brain.periods = 10**6  # past the start
+        bed.brain.state.periods = 10**6  # past the start
         for _ in range(12):
             bed.serve(report=None if util is None else {"util": util})
         bed.period()
@@ -121,14 +126,14 @@
     bed = Bed(count=2)
     for _ in range(30):
         for server, latency in (("s0", 300.0), ("s1", 100.0)):
-            bed.brain._judge(bed.now, *judged(bed, server, latency))
+            judge(bed.brain.state, bed.now, *judged(bed, server, latency))
     took = [bed.serve() for _ in range(10)]
     assert took.count("s1") == 10
 
 
 def test_the_quiet_count_of_servers_that_have_gone_is_not_let_in_to_those_left():
     bed = Bed(count=8)
-    bed.brain.periods = 10**6  # past the start
+    bed.brain.state.periods = 10**6  # past the start
     for _ in range(30):
         load_period(bed, 400.0)
     each = bed.brain.threshold(1.0, 8) / 8
@@ -143,14 +148,14 @@
     bed.give(api.Membership(api.ListForm.DELTA, (leaving,)))
     bed.end(name, leaving.address, api.Result.OK)
     bed.period()
-    assert bed.brain.rate == 0.0
+    assert bed.brain.state.rate == 0.0
 
 
 def test_no_server_holds_more_than_its_share_of_all_balancers_thresholds():
     siblings, ready = 24, 10
     beds = [Bed(count=ready, seed=seed, siblings=siblings) for seed in range(siblings)]
     for bed in beds:
-        bed.brain.periods = 10**6  # past the start
+        bed.brain.state.periods = 10**6  # past the start
         best = bed.brain.peers["s0"]
         best.slow, best.heard_ms = 0.1, bed.now  # ranked far before the others
         for _ in range(20):
@@ -163,18 +168,16 @@
 
 def test_a_balancer_whose_share_of_every_server_is_nothing_still_finds_out():
     bed = Bed(count=2, siblings=400)
-    bed.brain.periods = 10**6  # past the start
+    bed.brain.state.periods = 10**6  # past the start
     for peer in bed.brain.peers.values():
         peer.part = 0.0
     assert any(sent(bed.ask()[1]) for _ in range(100))
 
 
 def judged(bed: Bed, server: str, latency: float):
-    from orchidledge.brain import _Job, _Try
-
     request = api.Request("x", "read", 9e9)
-    attempt = _Try(bed.brain.peers[server], bed.now - latency)
-    job = _Job(request, SAFE, bed.now, 1.0, [attempt])
+    attempt = Try(bed.brain.peers[server], bed.now - latency)
+    job = Job(request, SAFE, bed.now, 1.0, [attempt])
     return job, attempt, api.Outcome("x", 0, server, api.Result.OK, latency, True)
 
 
@@ -252,7 +255,7 @@
 def test_refusals_carry_a_wait_at_the_front_only():
     for tier, expected in ((0, True), (1, False)):
         bed = Bed(count=0, tier=tier, retry_after=True, max_retry_after_ms=1000.0)
-        bed.brain.cursor = 3
+        bed.brain.state.cursor = 3
         refusal = bed.ask()[1][-1]
         assert isinstance(refusal, api.Refuse)
         assert (refusal.retry_after_ms > 0) is expected
@@ -303,6 +306,6 @@
     assert f"cursor {bed.brain.cursor}," in said
     assert bed.brain.figures().startswith("idle; ")
     for _ in range(30):
-        bed.brain.ended, bed.brain.full = 10.0, 9.0
+        bed.brain.state.window.ended, bed.brain.state.window.full = 10.0, 9.0
         bed.period()
     assert "right by answers as full 30" in bed.brain.figures()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -23,7 +23,8 @@
 import pytest
 
 from orchidledge import interface as api
-from orchidledge.brain import TRUST_MS, Balancer
+from orchidledge.decide import Balancer
+from orchidledge.decide.learning import TRUST_MS
 from orchidledge.net import snapshot
 from orchidledge.net.discovery import Listing
 from tests.fleet import ROOT, free_port, metric_at, spawn, until
@@ -300,8 +301,8 @@
         balancer.handle(0.0, api.Membership(api.ListForm.FULL, servers(2)))
         balancer.handle(0.0, api.Restored(LEARNED, age))
     assert fresh.cursor == LEARNED.cursor
-    assert fresh.peak > 0.9 * LEARNED.peak
+    assert fresh.state.peak > 0.9 * LEARNED.peak
     assert old.cursor == 0
-    assert old.peak < 0.4 * LEARNED.peak
+    assert old.state.peak < 0.4 * LEARNED.peak
     for balancer, age in ((fresh, 1000.0), (old, TRUST_MS + 1.0)):
         assert balancer.peers["s0"].heard_ms == -age  # the verdict fades from when it was last heard
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from orchidledge import interface as api
-from orchidledge.brain import Balancer
+from orchidledge.decide import Balancer
 
 NEVER = (api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT)
 CLASSES = (
