--- a/orchidledge/net/driver.py
+++ b/orchidledge/net/driver.py
@@ -7,7 +7,7 @@
 from collections import Counter, deque
 
 from orchidledge import interface as api
-from orchidledge.brain import Balancer
+from orchidledge.decide import Balancer
 from orchidledge.net.attempts import Attempts
 from orchidledge.net.clock import Clock
 from orchidledge.net.discovery import Watcher
