Decide by granted shares, route marks and route versions, told as typed events

Need: `siblings` was a figure of the settings, routes had no marks and servers no groups.

Change: decide/fleet.py. Siblings takes the place of the settings' count in T1's shared parts, the room at size and the tenants' quotas, and ends by itself at its moment; Marks make a weak or blind route's latency count as less known and let one call at a time find out about a blind one, never a refusal; RouteVersion draws a group by weight for each attempt, and a request keeps the version it was admitted under. Without these events nothing changes.

--- a/orchidledge/decide/admission.py
+++ b/orchidledge/decide/admission.py
@@ -14,9 +14,9 @@
 
 @dataclass(slots=True)
 class Bucket:
-    """A tenant's share at this balancer, in requests a second."""
+    """A tenant's share at this balancer."""
 
-    quota: float
+    quota_per_s: float  # over all siblings
     tokens: float
     then: float
 
@@ -26,8 +26,9 @@
         self.state = state
         cfg = state.cfg
         self.top_worth = max(kind.worth for kind in cfg.classes) or 1.0
-        shares = {tenant.name: tenant.quota_per_s / cfg.siblings for tenant in cfg.tenants}
-        self.buckets = {name: Bucket(share, share, now_ms) for name, share in shares.items()}
+        quotas = {tenant.name: tenant.quota_per_s for tenant in cfg.tenants}
+        parts = state.shared.at(now_ms)
+        self.buckets = {name: Bucket(quota, quota / parts, now_ms) for name, quota in quotas.items()}
         self.mean_hint = 0.0
 
     def units(self, request: api.Request) -> float:
@@ -52,7 +53,8 @@
             worth *= RETRY_WORTH
         bucket = self.buckets.get(request.tenant or "")
         if bucket is not None and self.state.cfg.tier == 0:  # a token bucket of one second's share
-            bucket.tokens = min(bucket.quota, bucket.tokens + bucket.quota * (now - bucket.then) / 1000.0)
+            quota = bucket.quota_per_s / self.state.shared.at(now)
+            bucket.tokens = min(quota, bucket.tokens + quota * (now - bucket.then) / 1000.0)
             bucket.then = now
             if bucket.tokens < 1.0:
                 return worth * self.state.cfg.over_share_worth
--- a/orchidledge/decide/attempts.py
+++ b/orchidledge/decide/attempts.py
@@ -18,7 +18,7 @@
     def requested(self, now: float, request: api.Request, acts: list[api.Action]) -> None:
         state = self.state
         kind = state.kinds[request.service]
-        job = state.jobs[request.id] = Job(request, kind, now, self.admission.units(request))
+        job = state.jobs[request.id] = Job(request, kind, now, self.admission.units(request), state.version)
         full = self.admission.refuses(now, request, kind)
         if full or not self._send(now, job, acts):
             state.tally["refused at threshold" if full else "refused unsent"] += 1
--- a/orchidledge/decide/balancer.py
+++ b/orchidledge/decide/balancer.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from orchidledge import interface as api
-from orchidledge.decide import health, learning, load, servers, table
+from orchidledge.decide import fleet, health, learning, load, servers, table
 from orchidledge.decide.admission import Admission
 from orchidledge.decide.attempts import Attempts
 from orchidledge.decide.state import Peer, State
@@ -24,6 +24,7 @@
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         acts: list[api.Action] = []
+        self.state.now = now
         if not self.begun:
             self.begun = True
             acts.append(api.Wake(self.period_ms, "period"))
@@ -59,6 +60,12 @@
                 learning.learn(self.state, now, event)
             case api.Restored():
                 learning.restore(self.state, now, event)
+            case api.Siblings():
+                fleet.shared(self.state, event)
+            case api.Marks():
+                fleet.marked(self.state, event)
+            case api.RouteVersion():
+                fleet.switched(self.state, event)
         return acts
 
     @property
--- /dev/null
+++ b/orchidledge/decide/fleet.py
@@ -0,0 +1,69 @@
+"""What siblings and the list service settle for this balancer: its share, how sure its routes are, the
+route version.
+
+Each is an event, and without it the balancer acts by its settings alone. A mark is advice: no call is
+refused for it.
+"""
+
+from __future__ import annotations
+
+import math
+
+from orchidledge import interface as api
+from orchidledge.decide.state import Job, Peer, Shared, State
+
+# How much of a server's measured latency counts by its route's mark; the rest is the others' mean, as for
+# one unheard.
+KNOWN = {api.Mark.WEAK: 0.5, api.Mark.BLIND: 0.0}
+DIM = (api.Mark.WEAK, api.Mark.BLIND)
+
+
+def shared(state: State, event: api.Siblings) -> None:
+    parts = 1.0 / event.share if event.share > 0.0 else math.inf
+    state.shared = Shared(parts, max(1, event.rows), event.until_ms)
+
+
+def marked(state: State, event: api.Marks) -> None:
+    """Take marks that have changed; those of servers that are not listed are dropped."""
+    state.marks = {name: mark for name, mark in (state.marks | event.marks).items() if name in state.peers}
+
+
+def switched(state: State, event: api.RouteVersion) -> None:
+    """Admit under this version from now on. One that requests were admitted under stays until their end."""
+    kept = {job.version for job in state.jobs.values()} | {event.number}
+    if event.number:
+        state.versions[event.number] = event.classes
+    state.versions = {number: classes for number, classes in state.versions.items() if number in kept}
+    state.version = event.number
+
+
+def known(state: State, peer: Peer) -> float:
+    """The share of a server's measured latency that counts."""
+    return KNOWN.get(state.marks[peer.info.address], 1.0) if peer.info.address in state.marks else 1.0
+
+
+def lit(state: State, peers: list[Peer]) -> list[Peer]:
+    """Without the blind routes that a call from here is already finding out about; all of them where none is
+    better than weak, as the marks then tell nothing of one against another."""
+    marks = [state.marks.get(peer.info.address) for peer in peers]
+    if all(mark in DIM for mark in marks):
+        return peers
+    return [
+        peer for peer, mark in zip(peers, marks, strict=True) if mark is not api.Mark.BLIND or peer.held < 1.0
+    ]
+
+
+def groups(state: State, job: Job, peers: list[Peer]) -> list[list[Peer]]:
+    """These servers by the groups of the request's version, in the order in which they are tried: a weighted
+    draw without return (Efraimidis, Spirakis 2006). Under version 0 there is one group of all."""
+    weights = state.versions.get(job.version, {}).get(job.kind.name)
+    if weights is None:
+        return [peers]
+    drawn = [(state.rng.random() ** (1.0 / group.weight), group) for group in weights if group.weight > 0.0]
+    drawn.sort(key=lambda item: -item[0])
+    return [[peer for peer in peers if _in(group, peer)] for _, group in drawn]
+
+
+def _in(group: api.Group, peer: Peer) -> bool:
+    info = peer.info
+    return group.model in (None, info.model) and group.zone in (None, info.zone)
--- a/orchidledge/decide/load.py
+++ b/orchidledge/decide/load.py
@@ -70,7 +70,7 @@
         load = state.level / (state.base + slack * (1.0 - state.base))
     if util is not None:
         # Guard: at size the servers over the median were jammed one by one while it was under 0.97.
-        room = UTIL_ROOM * (1.0 - min(1.0, FEW / state.cfg.siblings))
+        room = UTIL_ROOM * (1.0 - min(1.0, FEW / state.shared.rows))
         load, why = max((load, why), (util / (UTIL_TARGET - room), "utilisation"))
     if window.ended:
         load, why = max((load, why), (window.full / window.ended / FULL_TARGET, "answers as full"))
--- a/orchidledge/decide/ranking.py
+++ b/orchidledge/decide/ranking.py
@@ -5,7 +5,7 @@
 import math
 
 from orchidledge import interface as api
-from orchidledge.decide import table
+from orchidledge.decide import fleet, table
 from orchidledge.decide.state import Job, Peer, State
 
 FORGET_MS = 8000.0  # an unheard server drifts back to the mean at this pace
@@ -19,6 +19,14 @@
 def pick(state: State, now: float, job: Job) -> Peer | None:
     """The server for the next attempt; None where none may take it."""
     open_to = _open_to(state, now, job)
+    if state.marks:
+        open_to = fleet.lit(state, open_to)
+    tries = (_best(state, now, group) for group in fleet.groups(state, job, open_to))
+    return next((peer for peer in tries if peer is not None), None)
+
+
+def _best(state: State, now: float, open_to: list[Peer]) -> Peer | None:
+    """The best-ranked of these servers that may take one more call."""
     # Guard: many balancers that each put a second or third call on the server ranked best held more there
     # together than it bears. One that has nothing out may always find out, each at another server.
     share = SPREAD * table.first_entry(state, len(state.ready)) / max(1, len(state.ready))
@@ -62,7 +70,7 @@
     """Smoothed latency x (queue + 1); a silent server drifts to the mean of the others, which is 1."""
     slow = 1.0
     if peer.slow is not None:
-        slow += (peer.slow - 1.0) * math.exp((peer.heard_ms - now) / FORGET_MS)
+        slow += (peer.slow - 1.0) * math.exp((peer.heard_ms - now) / FORGET_MS) * fleet.known(state, peer)
     if peer.out:
         # Guard: a server that hangs shows in its oldest unanswered attempt long before a time-out.
         (name, _), sent_ms = next(iter(peer.out.items()))
--- a/orchidledge/decide/state.py
+++ b/orchidledge/decide/state.py
@@ -58,6 +58,7 @@
     kind: api.ServiceClass
     taken_ms: float
     units: float  # its weight in the queue
+    version: int = 0  # the route version it was admitted under, kept to its end
     tries: list[Try] = field(default_factory=list)
     done: bool = False
     streaming: bool = False
@@ -80,10 +81,29 @@
     sent: float = 0.0  # units
 
 
+@dataclass(slots=True)
+class Shared:
+    """Of all that siblings share this balancer takes one part in `parts`: by the settings until Siblings
+    tells."""
+
+    parts: float
+    rows: float  # how many balancers share
+    until_ms: float = math.inf
+
+    def at(self, now: float) -> float:
+        """The parts to divide by: inf, for a share of 0, once the term is over."""
+        return self.parts if now < self.until_ms else math.inf
+
+
 @dataclass(slots=True)
 class State:
     cfg: api.Settings
     rng: Random
+    now: float = 0.0  # of the event in hand
+    shared: Shared = field(init=False)
+    marks: dict[str, api.Mark] = field(default_factory=dict)  # by server; none where nobody marks routes
+    version: int = 0  # the route version in force
+    versions: dict[int, dict[str, tuple[api.Group, ...]]] = field(default_factory=dict)  # in use, less 0
     kinds: dict[str, api.ServiceClass] = field(init=False)
     period_ms: float = field(init=False)
     peers: dict[str, Peer] = field(default_factory=dict)
@@ -109,6 +129,7 @@
 
     def __post_init__(self) -> None:
         classes = self.cfg.classes
+        self.shared = Shared(self.cfg.siblings, self.cfg.siblings)
         self.kinds = {kind.name: kind for kind in classes}
         self.period_ms = PERIOD * min(kind.aim_ms for kind in classes)
         self.mean_aim = sum(kind.aim_ms for kind in classes) / len(classes)
--- a/orchidledge/decide/table.py
+++ b/orchidledge/decide/table.py
@@ -34,13 +34,14 @@
     base = 0.5 if state.base is None else state.base
     # Guard: every fifth call was refused while the servers reported half their cores idle.
     hold = HOLD if state.util is None or state.util >= ROOMY else HOLD_ROOMY
+    parts = state.shared.at(state.now)
     # Guard: slack as a share of the aim grew with the rate until servers held more than their cores bear,
     # turned slow and stayed so; what a server may hold beyond its quiet count is a matter of its cores.
     # Guard: the quiet count of servers that had gone was let in to those that were left.
-    first = ready * (state.peak * state.mean_aim * base + hold / state.cfg.siblings)
+    first = ready * (state.peak * state.mean_aim * base + hold / parts)
     # Guard: all siblings share the floor; one for each balancer summed to a T1 that never bound at size.
     floor = START if state.periods * state.period_ms < START_MS else FLOOR
-    return max(first, ready * floor / state.cfg.siblings)
+    return max(first, ready * floor / parts)
 
 
 def threshold(state: State, worth: float, ready: int) -> float:
