--- a/orchidledge/view/clock.py
+++ b/orchidledge/view/clock.py
@@ -99,8 +99,9 @@
         if not _sound(t1, t2, t3, t4):
             self.refusals.absurd += 1
             return False
-        # Each bound was proven at some own moment from t1 to t4, so it may have drifted since t1.
-        low = t3 - t4 + self._rate * t1 - ROUNDING_MS
+        # The upper bound drifts from t1 on, the lower from t4 only: each ms that the answer was on its way
+        # leaves it a ms to spare, far more than the clocks drift meanwhile.
+        low = t3 - t4 + self._rate * t4 - ROUNDING_MS
         high = t2 - t1 - self._rate * t1 + ROUNDING_MS
         drift = self._rate * t4
         if low - drift > high + drift:  # the peer held it for longer than the call took
--- a/orchidledge/view/facts.py
+++ b/orchidledge/view/facts.py
@@ -21,9 +21,7 @@
 FLIPPED = 16  # servers in a share that have lately begun or ceased to fail,
 FRESH = 16  # those with the latest facts,
 TURN = 16  # and some of all in turn, so that each is told at some time
-REORDERED = (
-    64  # a share this many or fewer behind the last came late; one further behind starts the count anew
-)
+REORDERED = 64  # a share up to so many behind the last came late; one further behind starts anew
 _OK, _ERROR, _FULL = Result.OK, Result.ERROR, Result.FULL  # an enum's own look-up is slow
 _MUTE = (Result.CANCELLED, Result.MOOT)  # these say nothing of the server
 
--- a/orchidledge/view/wire.py
+++ b/orchidledge/view/wire.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Annotated, Literal
 
 import msgspec
@@ -70,11 +69,10 @@
 
 
 def _sound(share: Share) -> bool:
-    """No time is past the sending, and no figure is NaN, which passes msgspec's bounds."""
+    """No time is past the sending; a load has a time."""
     times = [share.revision_at, *(pool.at for pool in share.pools)]
-    figures = [figure for pool in share.pools for figure in (pool.in_flight, pool.threshold)]
     for fact in share.servers:
         times += (fact.at, fact.heard, fact.load_at)
-        figures.append(fact.load or 0.0)
-    in_past = all(time is None or time <= share.sent for time in times)
-    return in_past and not any(map(math.isnan, figures))
+        if (fact.load is None) != (fact.load_at is None):
+            return False
+    return all(time is None or time <= share.sent for time in times)
