--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -20,6 +20,7 @@
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
 LATE_S = 1.2
 CONNECT_S = 1.0
+FIRST_WAIT_MS = 50  # of a call that is to show whether discovery answers at all
 PUSH_PAUSE_S = 0.5  # at the most, before a local agent is asked again after a failure
 MAX_LIST = 16 * 1024 * 1024
 REBUILT_S = 10.0  # older whole lists for so long, and no newer answer, come from a source rebuilt
@@ -39,6 +40,7 @@
     whole: bool
     servers: tuple[Server, ...]
     endpoints: dict[str, Address]
+    origin_rev: int = 0  # the list service's revision, alike at all nodes, where the agent tells it
 
 
 def parse_address(text: object) -> Address:
@@ -60,7 +62,8 @@
         endpoints = {target["uid"]: parse_address(target["endpoint"]) for target in targets}
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed list: {type(error).__name__}: {error}") from error
-    return Listing(revision, whole, servers, endpoints)
+    origin = row.get("origin_rev")
+    return Listing(revision, whole, servers, endpoints, origin if isinstance(origin, int) else 0)
 
 
 def _server(target: dict[str, Any]) -> Server:
@@ -70,12 +73,14 @@
     if not isinstance(target["uid"], str):
         raise ValueError("a uid is not a text")
     boot = target.get("boot_ms") or 0
+    model = target.get("model")
     return Server(
         address=target["uid"],
         zone=target.get("az") or "",
         cell=int(target.get("pod_group") or 0),
         state=state,
         launched_ms=float(boot) if boot > 0 else None,  # 0: long ago
+        model=model if isinstance(model, str) else "",  # a list is not refused for it
     )
 
 
@@ -117,8 +122,10 @@
         self._oldest = 0  # an answer of a version before this is stale; none is until one has come from there
         self._went_back: float | None = None  # since when the answers have been whole lists of older versions
         self._wait_ms = int(wait_ms)
-        self._limit_s = wait_ms / 1000.0 + LATE_S
         self._endless = endless
+        # Guard: what an agent has counts as told from a process's first moment and at once after an outage,
+        # and 4 s after a move; a first call that stayed silent for its whole wait was noticed after 6 s.
+        self._unheard = endless  # the next call is answered soon, or discovery is silent
         self._on_news = on_news
         self._rng = rng
         self._failing = False
@@ -130,20 +137,24 @@
         if self._task is None:
             self._task = asyncio.create_task(self._follow())
 
+    @property
+    def address(self) -> Address:
+        """Where the list is followed now."""
+        return self._address
+
     def told(self, revision: int) -> None:
         """The node knows the list at this rev from elsewhere (its state file): ask for what came since."""
         self._revision = max(self._revision, revision)
 
     def move(self, address: Address) -> None:
-        """Follow the list at this address from now on; a watch that is on goes over at once."""
+        """Follow the list at this address from now on."""
         if address == self._address:
             return
         self._address = address
         self._oldest = 0  # where versions may count from elsewhere
-        watching = self._task is not None
+        self._unheard = True
         self.close()
-        if watching:
-            self.start()
+        self.start()  # even if the next call was to wait after a failure: that was the old address's
 
     def close(self) -> None:
         if self._task is not None:
@@ -158,14 +169,16 @@
 
     async def _follow(self) -> None:
         while True:
+            wait_ms = FIRST_WAIT_MS if self._unheard else self._wait_ms
             try:
-                async with asyncio.timeout(self._limit_s):
-                    listing = await self._ask()
+                async with asyncio.timeout(wait_ms / 1000.0 + LATE_S):
+                    listing = await self._ask(wait_ms)
             except (OSError, TimeoutError, ValueError) as error:
                 if not self._failing:  # once for each stretch of failures
                     said = f"{type(error).__name__}: {error}"[:200]
                     log.warning("discovery at %s:%d failed, the old list holds: %s", *self._address, said)
                 self._failing = True
+                self._unheard = self._endless
                 self._drop()
                 if not self._endless:
                     self._task = None
@@ -174,12 +187,12 @@
                     return
                 await asyncio.sleep(self.pause())
                 continue
-            self._failing = False
+            self._failing = self._unheard = False
             self._went_back = None
             self._revision = self._oldest = listing.revision
             self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
-    async def _ask(self) -> Listing:
+    async def _ask(self, wait_ms: int) -> Listing:
         connection = self._connection
         if connection is None or not connection.usable:
             self._drop()
@@ -190,7 +203,7 @@
             self._connection = connection
         call = _Call()
         host = f"{self._address[0]}:{self._address[1]}"
-        target = f"/discovery/hosts?since={self._revision}&timeout_ms={self._wait_ms}"
+        target = f"/discovery/hosts?since={self._revision}&timeout_ms={wait_ms}"
         connection.start(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), call)
         response = await call.done
         if response.status != 200:
