--- a/orchidledge/members/ledger.py
+++ b/orchidledge/members/ledger.py
@@ -93,13 +93,15 @@
         if row is None or row.state is State.LEFT:
             return None
         if seq > row.seq:  # one that was overtaken, or a repeat, changes nothing
+            before = row.acked, row.state
             row.seq = seq
             row.acked = max(row.acked, min(acked, self.revision))
             row.share = min(row.share, max(0.0, using))
             if row.state is State.LAPSED:
                 row.state = State.LIVE
                 self.revision += 1
-            self._promote()
+            if before != (row.acked, row.state):
+                self._promote()
         self._grant(row)
         return row
 
@@ -200,19 +202,21 @@
         """Give the row what is free, up to its aim. What it has over that stays its own until it gives it
         up."""
         if row.state in (State.LIVE, State.LEAVING):
-            free = max(0.0, 1.0 - self.total())
-            row.share += max(0.0, min(free, self.aim() - row.share))
+            lacking = self.aim() - row.share
+            if lacking > 0.0:
+                row.share += min(max(0.0, 1.0 - self.total()), lacking)
 
     def _promote(self) -> None:
+        electors = (
+            row for row in self.by_incarnation.values() if row.elector and row.state is not State.LEFT
+        )
+        known = min(
+            (row.acked for row in electors), default=self.revision
+        )  # every elector knows what came up to it
         for row in self.by_incarnation.values():
-            if row.elector or row.state not in (State.LIVE, State.LEAVING):
-                continue
-            counted = [
-                other
-                for other in self.by_incarnation.values()
-                if other.elector and other.state is not State.LEFT
-            ]
-            row.elector = all(other.acked >= row.enrolled for other in counted)
+            if not row.elector and row.state in (State.LIVE, State.LEAVING) and row.enrolled <= known:
+                row.elector = True
+                known = min(known, row.acked)
 
 
 def is_majority(ranks: set[int], electors: Any) -> bool:
--- a/orchidledge/net/web.py
+++ b/orchidledge/net/web.py
@@ -134,35 +134,111 @@
     body: bytes
 
 
+Headers = Mapping[str, str]
+NONE: Headers = MappingProxyType({})
+
+
 async def call(
     address: Address,
     method: str,
     target: str,
     body: bytes = b"",
     timeout_s: float = 5.0,
-    headers: Mapping[str, str] = MappingProxyType({}),
+    headers: Headers = NONE,
 ) -> Reply:
     """One request on a connection of its own; OSError or TimeoutError when it can't be had."""
     async with asyncio.timeout(timeout_s):
         reader, writer = await asyncio.open_connection(*address)
         try:
-            head = f"{method} {target} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
-            head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-            head += f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-            writer.write(head.encode() + body)
-            status_line = await reader.readline()
-            parts = status_line.split(b" ", 2)
-            if len(parts) < 2 or not parts[1].isdigit():
-                raise ConnectionError(f"no HTTP status line: {status_line[:60]!r}")
-            said: dict[str, str] = {}
-            while (line := await reader.readline()) not in (b"\r\n", b"\n", b""):
-                name, _, value = line.decode("latin-1").partition(":")
-                said[name.strip().lower()] = value.strip()
-            size = int(said.get("content-length", "0"))
-            if size > MAX_ANSWER:
-                raise ConnectionError(f"an answer of {size} bytes")
-            return Reply(int(parts[1]), said, await reader.readexactly(size))
-        except (ValueError, asyncio.IncompleteReadError) as error:
-            raise ConnectionError(str(error)) from error
+            return await _exchange(
+                reader, writer, address, method, target, body, {**headers, "Connection": "close"}
+            )
         finally:
             writer.close()
+
+
+class Client:
+    """Calls on connections that are kept from one to the next, at most KEPT idle ones to an address.
+
+    A kept connection may have been closed by the other side meanwhile, so a call may be said twice.
+    """
+
+    KEPT = 16
+
+    def __init__(self) -> None:
+        self._idle: dict[Address, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+        headers: Headers = NONE,
+    ) -> Reply:
+        """As `call`."""
+        async with asyncio.timeout(timeout_s):
+            idle = self._idle.setdefault(address, [])
+            while idle:
+                reader, writer = idle.pop()
+                if reader.at_eof():
+                    writer.close()
+                    continue
+                try:
+                    return await self._on(reader, writer, address, method, target, body, headers)
+                except ConnectionError:
+                    break  # on a new one, then
+            reader, writer = await asyncio.open_connection(*address)
+            return await self._on(reader, writer, address, method, target, body, headers)
+
+    async def _on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        address: Address,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Headers,
+    ) -> Reply:
+        keep = False
+        try:
+            reply = await _exchange(reader, writer, address, method, target, body, headers)
+            keep = reply.headers.get("connection", "").lower() != "close"
+            return reply
+        finally:
+            idle = self._idle[address]
+            if keep and len(idle) < self.KEPT:
+                idle.append((reader, writer))
+            else:
+                writer.close()
+
+
+async def _exchange(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes,
+    headers: Headers,
+) -> Reply:
+    try:
+        head = f"{method} {target} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        status_line = await reader.readline()
+        parts = status_line.split(b" ", 2)
+        if len(parts) < 2 or not parts[1].isdigit():
+            raise ConnectionError(f"no HTTP status line: {status_line[:60]!r}")
+        said: dict[str, str] = {}
+        while (line := await reader.readline()) not in (b"\r\n", b"\n", b""):
+            name, _, value = line.decode("latin-1").partition(":")
+            said[name.strip().lower()] = value.strip()
+        size = int(said.get("content-length", "0"))
+        if size > MAX_ANSWER:
+            raise ConnectionError(f"an answer of {size} bytes")
+        return Reply(int(parts[1]), said, await reader.readexactly(size))
+    except (ValueError, asyncio.IncompleteReadError) as error:
+        raise ConnectionError(str(error)) from error
--- a/orchidledge/registry/fleet_leader.py
+++ b/orchidledge/registry/fleet_leader.py
@@ -51,6 +51,7 @@
         self._batch: list[tuple[Renewal, asyncio.Future[Told | None]]] = []
         self._flushes: set[asyncio.Task[None]] = set()
         self._news = asyncio.Event()
+        self._wanted = False
         self._period_s = min(0.25, max(0.05, config.ttl_ms / 20_000.0))
         self._unsaved = False
 
@@ -124,6 +125,13 @@
 
     # Duties.
 
+    def want(self) -> None:
+        """A call has come. Until the first ever, the log has no command of the fleet's, so that a service
+        without members can be upgraded one by one from a release that would not know them."""
+        if not self._wanted:
+            self._wanted = True
+            self._news.set()
+
     def wake(self) -> None:
         """This instance may have begun or ceased to lead."""
         if self._fleet.leads != self._term:
@@ -154,6 +162,8 @@
         if not self._fleet.quorum():
             return
         if term != self._term:
+            if not self._wanted and self._fleet.read(lambda state: state.term < 0):
+                return
             await self._take_up(term)
         await self._expire()
         if self._fleet.read(lambda state: state.to_decide(self.service_ms())):
@@ -185,6 +195,7 @@
         self._leases.lead(now, begun.rows)
         self._term = term
         self._log.info("fleet_leading", term=term, rows=len(begun.rows), service_ms=round(self.service_ms()))
+        await self.ask(self._fleet.decide)  # a first stamp, by which all instances know service time
 
     async def _expire(self) -> None:
         for renewed in self._fleet.take_renewed():
--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -15,7 +15,7 @@
 import structlog
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from orchidledge.net.web import Answer, Call
+from orchidledge.net.web import Answer, Call, Client
 from orchidledge.registry import watch
 from orchidledge.registry.fleet import FleetCatalog, Told
 from orchidledge.registry.fleet_leader import FleetLeader
@@ -105,6 +105,7 @@
     ) -> None:
         self._fleet, self._leader, self._news = fleet, leader, news
         self._max_wait_ms, self._log = max_wait_ms, log
+        self._client = Client()
         self._failures = 0
         self._handlers: dict[tuple[str, str], Handler] = {
             ("POST", "enrol"): self._enrol,
@@ -140,6 +141,7 @@
         if handler is None:
             return error(404, f"no {call.method} {call.path}")
         if not self._leader.leads:
+            self._leader.want()
             return await self._pass_on(call)
         limit = MAX_TEXT if (call.method, path) == ("PUT", "routes") else MAX_BODY
         if len(call.body) > limit:
@@ -160,7 +162,7 @@
         to = self._fleet.leader()
         if to is None or HOP in call.headers or to == self._leader.http:
             return error(503, "no leader in reach")
-        return await pass_on(address(to), call, PASS_S, hop=True)
+        return await pass_on(self._client, address(to), call, PASS_S, hop=True)
 
     def _refuse(self, call: Call, why: str) -> Answer:
         self._log.warning("fleet_call_refused", method=call.method, path=call.path[:100], why=why[:300])
@@ -209,6 +211,8 @@
 
     async def _remove(self, call: Call) -> Answer:
         name = unquote(call.path.removeprefix("/fleet/members/"))
+        if len(name) > 100:
+            raise ValueError("name: over 100 characters")
         removed = await self._leader.ask(self._fleet.remove, name)
         self._log.warning("member_removed_by_operator", name=name[:100], incarnations=removed)
         return reply(200, {"removed": removed})
--- a/orchidledge/registry/passing.py
+++ b/orchidledge/registry/passing.py
@@ -12,7 +12,7 @@
 import structlog
 
 from orchidledge.net.upstream import Address
-from orchidledge.net.web import Answer, Call, call
+from orchidledge.net.web import Answer, Call, Client
 from orchidledge.registry.watch import query
 
 HOP = "fleet-hop"  # marks a call that an instance passed on: the next one answers it or says 503
@@ -21,10 +21,11 @@
 TOTAL_S = 4.0  # for all of them
 
 
-async def pass_on(to: Address, request: Call, timeout_s: float, hop: bool = False) -> Answer:
+async def pass_on(client: Client, to: Address, request: Call, timeout_s: float, hop: bool = False) -> Answer:
     """The answer of the program at `to`; OSError or TimeoutError if there is none in time."""
     target = request.path + (f"?{urlencode(request.query)}" if request.query else "")
-    reply = await call(to, request.method, target, request.body, timeout_s, {HOP: "1"} if hop else {})
+    headers = {HOP: "1"} if hop else {}
+    reply = await client.call(to, request.method, target, request.body, timeout_s, headers)
     kept = {name: reply.headers[name] for name in KEPT if name in reply.headers}
     return Answer(reply.status, reply.body, kept)
 
@@ -36,6 +37,7 @@
         self, instances: Sequence[Address], first: Callable[[], int], log: structlog.stdlib.BoundLogger
     ) -> None:
         self._instances, self._first, self._log = instances, first, log
+        self._client = Client()
         self._failures = 0
 
     async def answer(self, request: Call) -> Answer:
@@ -53,7 +55,7 @@
             if left_s <= 0.0:
                 break
             try:
-                answer = await pass_on(to, request, left_s)
+                answer = await pass_on(self._client, to, request, left_s)
             except (OSError, TimeoutError) as failure:
                 why = f"{type(failure).__name__}: {failure}"[:200]
                 continue
--- a/tests/test_registry_parts.py
+++ b/tests/test_registry_parts.py
@@ -27,6 +27,10 @@
             "election_max_ms (line 9): not above",
         ),
         (GOOD.replace('name = "r0"\n', ""), "instance.name: missing"),
+        (
+            GOOD + "[lease]\nttl_ms = 9\n[members]\nttl_ms = 9\n",
+            "members.ttl_ms (line 10): 9 is not from 200",
+        ),
         (GOOD + "[watch\n", "Expected ']'"),
     ],
 )
