--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from orchidledge import interface as api
-from orchidledge.brain import Balancer
+from orchidledge.decide import Balancer
 from orchidledge.net.attempts import Attempts
 from orchidledge.net.clock import Clock
 from orchidledge.net.clockwork import Clockwork
