--- a/orchidledge/registry/agent.py
+++ b/orchidledge/registry/agent.py
@@ -14,6 +14,8 @@
 - a whole list that is empty replaces a cache that is not only once it has stayed empty for
   `empty_hold_ms`: a service just rebuilt lists nobody until its servers register again, and
   a node that dropped every server would refuse everything meanwhile.
+
+The fleet's calls (`/fleet/...`) it passes on as they come, whether it has a list or not (passing.py).
 """
 
 from __future__ import annotations
@@ -28,10 +30,11 @@
 import tenacity
 
 from orchidledge.net.upstream import Address
+from orchidledge.net.web import Answer, Call, call, serve
 from orchidledge.registry import watch
+from orchidledge.registry.passing import Passing
 from orchidledge.registry.settings import Agent
 from orchidledge.registry.store import Page, Target
-from orchidledge.registry.web import Answer, Call, call, serve
 
 KEEP_GONE = 10_000
 
@@ -106,6 +109,7 @@
         self.empty_since: float | None = None
         self._loop = asyncio.get_running_loop()
         self.news: asyncio.Future[None] = self._loop.create_future()
+        self._fleet = Passing(config.registries, lambda: self.source, log)
 
     @property
     def address(self) -> Address:
@@ -191,6 +195,8 @@
     async def handle(self, request: Call) -> Answer:
         if request.path == "/agent/status":
             return Answer(200, orjson.dumps(self.status()))
+        if request.path.startswith("/fleet/"):
+            return await self._fleet.answer(request)
         if request.path != "/discovery/hosts" or request.method != "GET":
             return Answer(404, b'{"error":"no such path"}')
         try:
@@ -199,7 +205,8 @@
             return Answer(400, b'{"error":"since and timeout_ms are whole numbers"}')
         while not self.cache.have:  # silent until there is a list
             await asyncio.shield(self.news)
-        return watch.answer(await watch.page_when_news(self.cache.page, since, wait_s, lambda: self.news))
+        page = await watch.page_when_news(self.cache.page, since, wait_s, lambda: self.news)
+        return watch.answer(page, origin_rev=self.source_rev)
 
     def status(self) -> dict[str, Any]:
         return {
