--- a/orchidledge/routes/follower.py
+++ b/orchidledge/routes/follower.py
@@ -291,9 +291,8 @@
         return replace(self, copies=dict(self.copies))
 
     def key(self) -> tuple[object, ...]:
-        plain = tuple(
-            getattr(self, item.name) for item in fields(self) if item.name not in ("copies", "servers")
-        )
+        names = [item.name for item in fields(self) if item.name not in ("copies", "servers")]
+        plain = tuple(getattr(self, name) for name in names)
         return (*plain, tuple(sorted(self.copies.items(), key=lambda item: item[0])), repr(self.servers))
 
     # ------------------------------------------------------------ steps
@@ -381,9 +380,8 @@
 
     def _waits_for_moment(self, now: float) -> bool:
         told = self.told
-        if told is None or told.pending is None or told.at is None:
-            return False
-        return self.stand(now) == "following" and self.running != told.pending[0]
+        coming = told.pending[0] if told is not None and told.pending and told.at is not None else None
+        return coming is not None and self.stand(now) == "following" and self.running != coming
 
     def _moment(self) -> float:
         """T by the own clock, at the middle of what S may be."""
