--- a/orchidledge/decide/fleet.py
+++ b/orchidledge/decide/fleet.py
@@ -54,14 +54,20 @@
 
 
 def groups(state: State, job: Job, peers: list[Peer]) -> list[list[Peer]]:
-    """These servers by the groups of the request's version, in the order in which they are tried: a weighted
-    draw without return (Efraimidis, Spirakis 2006). Under version 0 there is one group of all."""
-    weights = state.versions.get(job.version, {}).get(job.kind.name)
-    if weights is None:
+    """These servers by the groups of the request's version, in the order in which they are tried: a
+    weighted draw without return (Efraimidis, Spirakis 2006). A server belongs to the first group of the
+    table that takes it; under version 0 there is one group of all."""
+    table = state.versions.get(job.version, {}).get(job.kind.name)
+    if table is None:
         return [peers]
-    drawn = [(state.rng.random() ** (1.0 / group.weight), group) for group in weights if group.weight > 0.0]
-    drawn.sort(key=lambda item: -item[0])
-    return [[peer for peer in peers if _in(group, peer)] for _, group in drawn]
+    drawn: list[tuple[float, list[Peer]]] = []
+    left = peers
+    for group in table:
+        inside = [peer for peer in left if _in(group, peer)]
+        left = [peer for peer in left if not _in(group, peer)]
+        if inside and group.weight > 0.0:
+            drawn.append((state.rng.random() ** (1.0 / group.weight), inside))
+    return [inside for _, inside in sorted(drawn, key=lambda item: -item[0])]
 
 
 def _in(group: api.Group, peer: Peer) -> bool:
--- a/tests/test_decide_fleet.py
+++ b/tests/test_decide_fleet.py
@@ -61,6 +61,14 @@
     assert set(spread(bed, 60)) == {"m1", "m2"}
 
 
+def test_a_server_belongs_to_the_first_group_that_takes_it():
+    bed = Bed(count=0)
+    bed.give(models())
+    rest = api.Group(None, None, 1.0)
+    bed.give(api.RouteVersion(1, {"read": (api.Group("m1", None, 0.0), rest)}))
+    assert set(spread(bed, 40)) == {"m2"}
+
+
 def test_a_version_without_a_ready_server_refuses_and_another_class_is_as_under_version_0():
     bed = Bed(count=0)
     bed.give(models())
