Switch and fall back before the event in hand; vote no for blind routes only where marks tell

Need: after a stop the loop hands on what has come in before it looks at timers, so a request could be admitted under a version whose moment, or lease, had passed meanwhile. And a fleet without traffic could prepare no version, as every route was blind.

Change: the driver lets parts be on time before it takes an event; blind routes count against a version only where some route is better than weak, the rule that the module has for marks.

--- a/orchidledge/net/driver.py
+++ b/orchidledge/net/driver.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections import Counter, deque
+from collections.abc import Callable
 
 from orchidledge import interface as api
 from orchidledge.decide import Balancer
@@ -37,12 +38,16 @@
         self._attempts = attempts
         self._watcher = watcher
         self._counts = counts
+        self.before: list[Callable[[], None]] = []  # what has to be on time before an event is decided
         self._events: deque[api.Event] = deque()
         self._deciding = False
         self._alarms: dict[str, asyncio.TimerHandle] = {}
 
     def tell(self, event: api.Event) -> None:
         """Give the module an event and carry out what it says; events that come of that wait their turn."""
+        if not self._deciding:
+            for be_on_time in self.before:
+                be_on_time()
         self._events.append(event)
         if self._deciding:
             return
--- a/orchidledge/net/fleet/part.py
+++ b/orchidledge/net/fleet/part.py
@@ -79,6 +79,7 @@
         self.routing = Routing(follower, agent, self.clock, store, tell)
         self.sight = Sight(settings, self.clock, self.offsets, servers, driver, self._on_marks)
         self.sight.stand = lambda: self.stand(self.clock.ms()).value
+        driver.before.append(self.routing.on_time)
         self._agent = agent
         self._servers = servers
         self.lease.on_answer = self._on_answer
@@ -188,7 +189,10 @@
     def _on_marks(self, marks: dict[str, api.Mark]) -> None:
         self._tell(api.Marks(marks))
         now = self.clock.ms()
-        blind = [name for name, mark in self.sight.marks().items() if mark is api.Mark.BLIND]
+        known = self.sight.marks()
+        # As in the module: where no route is better than weak, marks tell nothing of one against another.
+        told = any(mark in (api.Mark.SURE, api.Mark.FAIR) for mark in known.values())
+        blind = [name for name, mark in known.items() if told and mark is api.Mark.BLIND]
         listed = tuple(server for server, _ in self._servers.listed.values())
         self.routing.carry_out(self.routing.core.seen(now, listed, blind))
 
--- a/orchidledge/net/fleet/routing.py
+++ b/orchidledge/net/fleet/routing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Sequence
 
 from orchidledge.interface import Event
@@ -32,6 +33,7 @@
         self.latest_ms = 0.0  # how long after its moment the last switch was made
         self._agent, self._clock, self._store, self._tell = agent, clock, store, tell
         self._alarm = Alarm(self._tick)
+        self._due = math.inf  # when a switch, or the end of the lease, is due by this clock
         self._tasks = Tasks()
 
     def start(self) -> None:
@@ -69,10 +71,19 @@
                     self._apply(action)
         due = self.core.next_due(self._clock.ms())
         if due is None:
+            self._due = math.inf
             self._alarm.cancel()
         else:
+            self._due = due
             self._alarm.at(self._clock.loop_time(due))
 
+    def on_time(self) -> None:
+        """Before each event of the module: after a stop of the process the loop hands on what has come in
+        before it looks at its timers, and a request must not be admitted under a version that has ended."""
+        if self._due <= self._clock.ms():
+            self._due = math.inf  # what is told of it here asks again
+            self._tick()
+
     def _tick(self) -> None:
         self.carry_out(self.core.tick(self._clock.ms()))
 
