--- a/orchidledge/net/fleet/agent.py
+++ b/orchidledge/net/fleet/agent.py
@@ -9,6 +9,7 @@
 import orjson
 from msgspec import Meta
 
+from orchidledge.members import Member
 from orchidledge.net import web
 from orchidledge.net.upstream import Address
 
@@ -16,15 +17,6 @@
 Moment = Annotated[float, Meta(ge=0.0, le=1e15)]
 
 
-class MemberRow(msgspec.Struct, frozen=True):
-    name: str
-    address: str
-    zone: str
-    incarnation: int
-    rank: int
-    state: str
-
-
 class LeaseAnswer(msgspec.Struct, frozen=True):
     """What an enrolment or a renewal is answered; `members` only where they have changed."""
 
@@ -36,7 +28,7 @@
     routes: dict[str, Any]
     t2: Moment
     t3: Moment
-    members: list[MemberRow] | msgspec.UnsetType = msgspec.UNSET
+    members: list[Member] | msgspec.UnsetType = msgspec.UNSET
 
 
 _lease_answer = msgspec.json.Decoder(LeaseAnswer)
--- a/orchidledge/net/fleet/part.py
+++ b/orchidledge/net/fleet/part.py
@@ -257,8 +257,8 @@
     def calls(self) -> Calls:
         """The door's calls on the fleet."""
         return {
-            (b"GET", b"/status/members"): lambda _: Answer(200, orjson.dumps(self.status())),
-            (b"GET", b"/status/routes"): lambda _: Answer(200, orjson.dumps(self.routes_status())),
+            (b"GET", b"/status/members"): lambda _: Answer(200, _json(self.status())),
+            (b"GET", b"/status/routes"): lambda _: Answer(200, _json(self.routes_status())),
             (b"PUT", b"/routes/halt"): lambda body: self._order("routes/halt", body),
             (b"PUT", b"/routes/rollback"): lambda body: self._order("routes/rollback", body),
         }
@@ -273,3 +273,7 @@
         except (OSError, TimeoutError) as error:
             return Answer(503, f"list service not reached: {error}".encode())
         return Answer(reply.status, reply.body)
+
+
+def _json(row: dict[str, Any]) -> bytes:
+    return orjson.dumps(row, option=orjson.OPT_NON_STR_KEYS)  # versions are numbers
