--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -8,12 +8,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 from urllib.parse import unquote
 
+import msgspec
 import orjson
 import structlog
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from msgspec import Meta, Struct
 
 from orchidledge.net.web import Answer, Call, Client
 from orchidledge.registry import watch
@@ -27,50 +28,49 @@
 MAX_BODY = 8 * 1024
 PASS_S = 1.0  # for the leader's answer: a silent one is replaced in as long
 
-Text = Annotated[str, Field(min_length=1, max_length=100)]
-Whole = Annotated[int, Field(ge=0, lt=2**53)]
-Ms = Annotated[float, Field(allow_inf_nan=False)]
+Text = Annotated[str, Meta(min_length=1, max_length=100)]
+Whole = Annotated[int, Meta(ge=0, lt=2**53)]
+Earlier = Annotated[int, Meta(ge=-1, lt=2**53)]
 
 
-class _Body(BaseModel):
-    model_config = ConfigDict(strict=True)
-
-
-class Enrol(_Body):
+class Enrol(Struct, frozen=True):
     name: Text
     address: Text
-    zone: Annotated[str, Field(max_length=100)] = ""
     start: Text
+    zone: Annotated[str, Meta(max_length=100)] = ""
 
 
-class Renew(_Body):
+class Renew(Struct, frozen=True):
     incarnation: Whole
     seq: Whole
-    acked: Annotated[int, Field(ge=-1, lt=2**53)]
-    using: Annotated[float, Field(ge=0.0, le=1.0)]
-    sent: Ms | None = None
-    answered: Annotated[int, Field(ge=-1, lt=2**53)] = -1  # the last renewal whose answer was used
+    acked: Earlier
+    using: Annotated[float, Meta(ge=0.0, le=1.0)]
+    sent: Annotated[float, Meta(ge=-1e15, le=1e15)] | None = None
+    answered: Earlier = -1  # the last renewal whose answer was used
 
 
-class One(_Body):
+class One(Struct, frozen=True):
     incarnation: Whole
 
 
-class Vote(_Body):
+class Vote(Struct, frozen=True):
     incarnation: Whole
     number: Whole
     yes: bool
-    why: Annotated[str, Field(max_length=300)] = ""
+    why: Annotated[str, Meta(max_length=300)] = ""
 
 
-class Halt(_Body):
+class Halt(Struct, frozen=True):
     number: Whole | None = None
 
 
-class Rollback(_Body):
+class Rollback(Struct, frozen=True):
     number: Whole
 
 
+B = TypeVar("B")
+
+
 def reply(status: int, body: Any) -> Answer:
     return Answer(status, orjson.dumps(body))
 
@@ -79,14 +79,12 @@
     return reply(status, {"error": why[:300]})
 
 
-def _read(kind: type[_Body], body: bytes) -> Any:
+def _read(kind: type[B], body: bytes) -> B:
     """The body as `kind`; ValueError names the field that is wrong, in one line."""
     try:
-        return kind.model_validate(orjson.loads(body or b"{}"))
-    except ValidationError as failure:
-        first = failure.errors(include_url=False, include_context=False)[0]
-        place = ".".join(str(part) for part in first["loc"]) or "body"
-        raise ValueError(f"{place}: {first['msg']}") from failure
+        return msgspec.json.decode(body or b"{}", type=kind)
+    except (msgspec.MsgspecError, RecursionError) as failure:
+        raise ValueError(f"body: {failure}") from failure
 
 
 Handler = Callable[[Call], Awaitable[Answer]]
@@ -172,7 +170,7 @@
 
     async def _enrol(self, call: Call) -> Answer:
         t2 = self._leader.service_ms()
-        body: Enrol = _read(Enrol, call.body)
+        body = _read(Enrol, call.body)
         try:
             address(body.address)
         except ValueError as failure:
@@ -188,7 +186,7 @@
 
     async def _renew(self, call: Call) -> Answer:
         t2 = self._leader.service_ms()
-        body: Renew = _read(Renew, call.body)
+        body = _read(Renew, call.body)
         late = None if body.sent is None else self._leader.too_late(body.sent)
         if late is not None:
             return error(409, f"sent {late:.0f} ms ago by service time")
@@ -200,11 +198,11 @@
         return reply(200, body)
 
     async def _leaving(self, call: Call) -> Answer:
-        body: One = _read(One, call.body)
+        body = _read(One, call.body)
         return reply(200, {"ok": await self._leader.ask(self._fleet.leaving, body.incarnation)})
 
     async def _leave(self, call: Call) -> Answer:
-        body: One = _read(One, call.body)
+        body = _read(One, call.body)
         ok = await self._leader.ask(self._fleet.leave, body.incarnation)
         self._log.info("member_left", incarnation=body.incarnation, known=ok)
         return reply(200, {"ok": ok})
@@ -263,7 +261,7 @@
         return self._begun(await self._leader.ask(self._fleet.propose, call.body.decode(), deadline))
 
     async def _rollback(self, call: Call) -> Answer:
-        body: Rollback = _read(Rollback, call.body)
+        body = _read(Rollback, call.body)
         deadline = self._leader.service_ms() + self._leader.prepare_ms
         return self._begun(await self._leader.ask(self._fleet.rollback, body.number, deadline))
 
@@ -274,13 +272,13 @@
         return reply(200, {"number": ruling.number, "phase": ruling.phase})
 
     async def _vote(self, call: Call) -> Answer:
-        body: Vote = _read(Vote, call.body)
+        body = _read(Vote, call.body)
         fields = (body.incarnation, body.number, body.yes, body.why)
         ruling: Ruling = await self._leader.ask(self._fleet.vote, *fields)
         return reply(200, {"phase": ruling.phase})
 
     async def _halt(self, call: Call) -> Answer:
-        body: Halt = _read(Halt, call.body)
+        body = _read(Halt, call.body)
         ruling: Ruling = await self._leader.ask(self._fleet.halt, body.number)
         self._log.warning("routes_halted", number=ruling.number, phase=ruling.phase)
         return reply(200, {"number": ruling.number, "phase": ruling.phase})
