Take a share told twice as one, with what both tellings prove of its times

A node makes its share once a period and sends it on several calls, so the second was refused and counted as late. It is taken now, and the sibling's age keeps the narrower bounds, as a server's facts did.

--- a/orchidledge/view/facts.py
+++ b/orchidledge/view/facts.py
@@ -16,7 +16,7 @@
 from orchidledge.interface import Result
 from orchidledge.view import wire
 from orchidledge.view.clock import Interval, Offsets
-from orchidledge.view.told import Hearsay, own_time, relayed
+from orchidledge.view.told import Hearsay, narrowed, own_time, relayed
 
 FLIPPED = 16  # servers in a share that have lately begun or ceased to fail,
 FRESH = 16  # those with the latest facts,
@@ -157,20 +157,22 @@
         return wire.encode(wire.Share(1, self._shares, now, listing.revision, confirmed, pools, servers))
 
     def told(self, now: float, origin: Hashable, payload: object) -> str | None:
-        """Take the entry of a sibling's call. None: taken; else why not, a code that also names the count."""
+        """Take the entry of a sibling's call, once or again. None: taken; else why not, as it is counted."""
         if origin not in self.siblings:
             return self._refuse("stranger")
         share = wire.decode(payload)
         if share is None:
             return self._refuse("garbage")
         before = self.siblings[origin]
-        if before is not None and 0 <= before.count - share.count <= REORDERED:
+        if before is not None and 0 < before.count - share.count <= REORDERED:
             return self._refuse("late")
         reading = self.offsets.reading(origin, now)
         sent = own_time(reading, now, share.sent)
         if sent is None:  # its clock jumped since it was sampled: the next call tells where to
             self.offsets.forget(origin)
             return self._refuse("future")
+        if before is not None and before.count == share.count:  # the same again, by another call
+            sent = narrowed(before.sent, sent)
         confirmed = None if share.revision_at is None else own_time(reading, now, share.revision_at)
         self.siblings[origin] = Sibling(share.count, sent, share.revision, confirmed, tuple(share.pools))
         for fact in share.servers:
--- a/orchidledge/view/told.py
+++ b/orchidledge/view/told.py
@@ -62,6 +62,12 @@
     return (low, min(high, now)) if low <= now else None
 
 
+def narrowed(before: Interval, now: Interval) -> Interval:
+    """One moment told twice; where the two contradict, the clock jumped and the later one counts."""
+    low, high = max(before[0], now[0]), min(before[1], now[1])
+    return (low, high) if low <= high else now
+
+
 def relayed(origin: Hashable, reading: Reading | None, now: float, fact: ServerFact) -> Relayed:
     """A fact of an entry whose sending is known not to lie ahead of now."""
     tried = own_time(reading, now, fact.at) or (now, now)
@@ -78,10 +84,7 @@
     """The same fact told again, with what is known of its time from both tellings."""
     if before.version != fact.version or before.heard is None or fact.heard is None:
         return fact
-    low, high = max(before.heard[0], fact.heard[0]), min(before.heard[1], fact.heard[1])
-    if low > high:  # the origin's clock jumped between the two
-        return fact
-    return msgspec.structs.replace(fact, heard=(low, high))
+    return msgspec.structs.replace(fact, heard=narrowed(before.heard, fact.heard))
 
 
 def _rank(fact: Relayed) -> tuple[float, float]:
