Forget the service's clock when its leader changes; update marks within the periods they rest on

Service time goes on by another clock, 20 to 30 ms off in one measured change of leader, which eight samples could hide. A node whose aim is under 139 ms could never mark a route sure at 250 ms between updates. What the view turns down is counted at the door and said in a line now and then.

--- a/orchidledge/net/fleet/agent.py
+++ b/orchidledge/net/fleet/agent.py
@@ -28,6 +28,7 @@
     routes: dict[str, Any]
     t2: Moment
     t3: Moment
+    term: int = 0  # of the leader whose clock t2 and t3 are by
     members: list[Member] | msgspec.UnsetType = msgspec.UNSET
 
 
--- a/orchidledge/net/fleet/lease.py
+++ b/orchidledge/net/fleet/lease.py
@@ -41,6 +41,7 @@
         self._alarm = Alarm(self._tick)
         self._tasks = Tasks()
         self._left = asyncio.Event()
+        self._term = 0
         self._revisions = (0, 0)  # members' and routes', as last told
 
     def start(self) -> None:
@@ -103,6 +104,9 @@
         self._tick()
 
     def _use(self, sent: float, now: float, call: Call, answer: LeaseAnswer) -> None:
+        if answer.term != self._term:  # service time goes on by another clock, some ms off the last one
+            self._offsets.forget(SERVICE)
+            self._term = answer.term
         self._offsets.sample(SERVICE, sent, answer.t2, answer.t3, now)
         if not self.core.answered(now, call.number, msgspec.to_builtins(answer)):
             self.failures += 1
--- a/orchidledge/net/fleet/part.py
+++ b/orchidledge/net/fleet/part.py
@@ -120,6 +120,7 @@
             "members_asked": self.hearing.asked,
             "members_refused": self.hearing.refused,
             "members_ignored": self.hearing.core.counts.total(),
+            "view_refused": self.sight.refused,
             "lease_failures": self.lease.failures,
             "share": round(self.lease.core.taking(now), 6),
             "route_version": self.routing.core.running,
--- a/orchidledge/net/fleet/sight.py
+++ b/orchidledge/net/fleet/sight.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Collection
 
 from orchidledge import interface as api
@@ -13,6 +14,11 @@
 from orchidledge.net.serverlist import ServerList
 from orchidledge.view import Marks, Offsets, Stand, View
 
+log = logging.getLogger("orchidledge")
+
+PERIODS = 4.0  # between two updates of the marks, at most
+LEAST_MS = 50.0  # but no less, for what an update costs
+
 
 class Sight:
     """`on_marks` hears of the marks that have changed."""
@@ -30,9 +36,13 @@
         self.view = View(offsets)
         self._settings, self._clock, self._servers = settings, clock, servers
         self._driver, self._on_marks = driver, on_marks
-        self._marks = Marks(self.view, driver.balancer.period_ms, settings.marks_every_ms)
+        period_ms = driver.balancer.period_ms
+        # A mark has to hold until the next update, so that one late for the bounds would never be given.
+        self._every_ms = min(settings.marks_every_ms, max(LEAST_MS, PERIODS * period_ms))
+        self._marks = Marks(self.view, period_ms, self._every_ms)
         self._alarm = Alarm(self._update)
         self._listed: tuple[int, float] | None = None  # the revision and confirmation last taken over
+        self.refused = 0
         self._shown = (-settings.ask_every_ms, b"")
 
     def start(self) -> None:
@@ -58,7 +68,11 @@
         self._marks.round_ms = self._settings.ask_every_ms * max(1, len(incarnations))
 
     def told(self, viewed: Viewed) -> None:
-        self.view.told(viewed.now, viewed.incarnation, viewed.view)
+        why = self.view.told(viewed.now, viewed.incarnation, viewed.view)
+        if why is not None:
+            self.refused += 1
+            if self.refused % 100 == 1:  # one line for the first, then now and then
+                log.warning("view: %d not taken, the last from %d: %s", self.refused, viewed.incarnation, why)
 
     def share(self, now: float) -> bytes:
         """What goes with the next calls; made anew once a period."""
@@ -77,7 +91,7 @@
         changed = self._marks.update(now, self.stand())
         if changed:
             self._on_marks(changed)
-        self._alarm.at(self._clock.loop_time(now + self._settings.marks_every_ms))
+        self._alarm.at(self._clock.loop_time(now + self._every_ms))
 
     def _follow_list(self) -> None:
         servers = self._servers
--- a/orchidledge/registry/fleet_leader.py
+++ b/orchidledge/registry/fleet_leader.py
@@ -62,6 +62,11 @@
         """Whether calls are answered here."""
         return self._term is not None and self._fleet.leads == self._term and self._fleet.quorum()
 
+    @property
+    def term(self) -> int | None:
+        """Raft's, in which calls are answered: another one is another clock behind service time."""
+        return self._term
+
     @property
     def ttl_ms(self) -> float:
         """Of the leases in force."""
--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -194,8 +194,9 @@
         return error(404, "no such row: enrol anew") if told is None else self._lease(told, t2)
 
     def _lease(self, told: Told, t2: float) -> Answer:
-        body = told | {"ttl_ms": self._leader.ttl_ms, "t2": t2, "t3": self._leader.service_ms()}
-        return reply(200, body)
+        leader = self._leader
+        clock = {"ttl_ms": leader.ttl_ms, "term": leader.term, "t2": t2, "t3": leader.service_ms()}
+        return reply(200, told | clock)
 
     async def _leaving(self, call: Call) -> Answer:
         body = _read(One, call.body)
