--- /dev/null
+++ b/tests/orders/shares.py
@@ -0,0 +1,573 @@
+"""The world of leases and shares: nodes with the enrolment core, one log with its ledger, the leader's lease
+clock, siblings' words.
+
+Time is one true clock that all others are read from: a node's own stands off by a constant skew. It moves in
+steps of `Bounds.step`, so what happens between two of them happens at one moment, in any order. A step is a
+part of the lease's term, which makes every boundary of the rules (0.25, 0.55, 0.9 and 1 of it) fall on or
+between steps. Times in a key are relative to now, numbers of calls to the latest one, revisions to the
+latest, and what is too old to count any more is left out: the code only compares them, so worlds that differ
+by such a shift go on alike.
+
+Moves that cost nothing: `renew` (a node's due call is sent, applied and answered at this moment), `hear` (a
+node hears a sibling's word of now), `expire` (the leader has the due leases expired), `tick`. A link that is
+cut is a node that does not renew, or does not hear: neither is ever forced. Moves that cost one of the
+world's faults:
+
+    send     a call that does not arrive at this moment. From then on `arrive`, `answer` and `timeout` happen
+             in any order, at any time, or never: late, lost and overtaking messages are all of these
+    repeat   a message that arrives and stays on its way, to arrive again
+    plan     an `expire` worked out now and applied later (or refused, after a new leader)
+    crash    the process ends; `start` (free) begins another one at the same address; what it had sent may
+             still arrive
+    lead     a new leader, which grants every lease anew
+    late     a word of now that siblings may hear later
+
+Left out for good reason: a sibling's word that it does not hold is heard only where it takes back one that it
+does, as any other changes nothing; the answers to calls that were given up, and renewals too late for the
+service to take, can change nothing either. Nodes are not taken as alike: the lowest rank wins a tie.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, NamedTuple
+
+from orchidledge.members.enrolment import HOLD, Call, Enrolment, Standing, Word
+from orchidledge.members.leases import LATE, SUPPORT, LeaseClock, _Lease
+from orchidledge.members.ledger import Ledger, Row, State
+from orchidledge.registry.fleet_state import FleetState
+
+TTL = 1000.0
+MOST = 1.0 + 1e-6
+NEVER = -math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """`skews`: of each node's own clock, in ms; `on_way`: calls of one node on their way at once; `kinds`:
+    the faults that there may be."""
+
+    skews: tuple[float, ...] = (0.0, 0.0, 0.0)
+    step: float = TTL / 4
+    on_way: int = 2
+    kinds: frozenset[str] = frozenset(("send", "repeat", "plan", "crash", "lead", "late"))
+    siblings: bool = True  # whether words are heard at all
+
+
+class Sent(NamedTuple):
+    call: Call
+    at: float  # true time
+
+
+class Least(Random):
+    def uniform(self, a: float, b: float) -> float:
+        return a
+
+
+RNG = Least(0)
+
+
+@dataclass(slots=True)
+class Node:
+    """A node's place: its process, if one runs, and what it and the ones before it have on the way."""
+
+    name: str
+    skew: float
+    core: Enrolment | None = None
+    starts: int = 0
+    said: dict[int, float] = field(default_factory=dict)  # incarnation -> its latest word that it holds
+    calls: tuple[Sent, ...] = ()
+    answers: tuple[tuple[int, dict[str, Any] | None], ...] = ()  # by call; None: no such row
+    words: tuple[tuple[int, float], ...] = ()  # said that it holds, to be heard later: incarnation, true time
+    cached: tuple[float, int, Any] = (NEVER, 0, None)  # its part of a key: at this time and revision
+
+    def copy(self) -> Node:
+        core = None if self.core is None else twin(self.core)
+        return Node(
+            self.name, self.skew, core, self.starts, self.said, self.calls, self.answers, self.words
+        )  # fmt: skip
+
+    def words_held(self) -> dict[int, Word]:
+        return {number: Word(Standing.HOLDING, at) for number, at in self.said.items()}
+
+
+class Service(NamedTuple):
+    """What a command changes: copied as a whole before one."""
+
+    state: FleetState
+    clock: LeaseClock
+
+
+Plan = tuple[list[tuple[int, int]], list[int], int]
+
+
+class Shares:
+    """Never changed from outside; `_twin` begins each move."""
+
+    __slots__ = ("bounds", "broken", "faults", "given", "nodes", "now", "plan", "service")
+
+    def __init__(self, bounds: Bounds, faults: int) -> None:
+        self.bounds, self.faults = bounds, faults
+        self.now = 100_000.0
+        state = FleetState()
+        state.lead(1, "", 0, TTL, 0.0)
+        self.service = Service(state, LeaseClock(TTL))
+        self.plan: Plan | None = None
+        self.given: tuple[tuple[str, int], ...] = ()  # the incarnation that each start was given first
+        self.broken: str | None = None
+        self.nodes = tuple(self._start(Node(f"n{at}", skew)) for at, skew in enumerate(bounds.skews))
+
+    # ---------------------------------------------------------------------- moves
+
+    def moves(self) -> Iterator[tuple[str, Shares]]:
+        for at, node in enumerate(self.nodes):
+            if node.core is not None:
+                yield from self._own_moves(at, node, node.core)
+            elif node.starts < 3:
+                yield self._move(f"start {node.name}", 0, lambda w, at=at: w._restart(at))
+            yield from self._arrivals(at, node)
+        yield from self._leader_moves()
+        yield self._move("tick", 0, Shares._tick)
+
+    def _own_moves(self, at: int, node: Node, core: Enrolment) -> Iterator[tuple[str, Shares]]:
+        own = self.now + node.skew
+        if core.due() <= own:
+            yield self._move(f"renew {node.name}", 0, lambda w: w._renew(at))
+            if self._may("send") and len(node.calls) < self.bounds.on_way:
+                yield self._move(f"send {node.name}", 1, lambda w: w._send(at))
+        elif core._out is not None and own >= core._out[1] + core._out[0].timeout_ms:
+            yield self._move(f"timeout {node.name}", 0, lambda w: w._timeout(at))
+        if self._may("crash"):
+            yield self._move(f"crash {node.name}", 1, lambda w: w._crash(at))
+        if not self.bounds.siblings:
+            return
+        for other in self.nodes:
+            if other is node:
+                continue
+            for incarnation, said in (*self._word(node, other), *self._late_words(node, other)):
+                name = f"hear {node.name} {other.name}" + ("" if said in (self.now, NEVER) else f" {said:g}")
+                yield self._move(name, 0, lambda w, i=incarnation, s=said: w._hear(at, i, s))
+        if self._may("late") and core.incarnation and core.standing(own) is Standing.HOLDING:
+            word = (core.incarnation, self.now)
+            if word not in node.words:
+                yield self._move(f"late {node.name}", 1, lambda w: w._keep_word(at, word))
+
+    def _arrivals(self, at: int, node: Node) -> Iterator[tuple[str, Shares]]:
+        for sent in node.calls:
+            name = f"{node.name} {sent.call.path} {sent.call.number}"
+            yield self._move(f"arrive {name}", 0, lambda w, s=sent: w._arrive(at, s, False))
+            if self._may("repeat"):
+                yield self._move(f"repeat {name}", 1, lambda w, s=sent: w._arrive(at, s, True))
+        for answer in node.answers:
+            yield self._move(f"answer {node.name} {answer[0]}", 0, lambda w, a=answer: w._answer(at, a))
+
+    def _leader_moves(self) -> Iterator[tuple[str, Shares]]:
+        lapsed, support = self.service.clock.due(self.now)
+        if lapsed and self.service.state.ledger.would_expire(lapsed, support):
+            plan = (lapsed, support, self.service.state.repeats)
+            yield self._move("expire", 0, lambda w: w._expire(plan))
+            if self.plan is None and self._may("plan"):
+                yield self._move("plan", 1, lambda w: setattr(w, "plan", plan))
+        if self.plan is not None:
+            yield self._move("apply", 0, lambda w: w._apply())
+        if self._may("lead"):
+            yield self._move("lead", 1, lambda w: w._lead())
+
+    def _may(self, kind: str) -> bool:
+        return self.faults > 0 and kind in self.bounds.kinds
+
+    def _move(self, name: str, cost: int, act: Any) -> tuple[str, Any]:
+        after = self._twin()
+        after.faults -= cost
+        act(after)
+        return name, after
+
+    def _twin(self) -> Shares:
+        new: Shares = object.__new__(type(self))
+        new.bounds, new.faults, new.now, new.service = self.bounds, self.faults, self.now, self.service
+        new.plan, new.given, new.broken, new.nodes = self.plan, self.given, self.broken, self.nodes
+        return new
+
+    def _own(self, at: int) -> Node:
+        """The node, copied for this world, as its process is: cores are changed in place."""
+        node = self.nodes[at].copy()
+        self.nodes = (*self.nodes[:at], node, *self.nodes[at + 1 :])
+        return node
+
+    def _log(self) -> FleetState:
+        """The log's state, copied for this world, for one command."""
+        state, clock = self.service
+        leases = LeaseClock(TTL)
+        leases._leases = {
+            number: _Lease(lease.last, lease.seq, dict(lease.applied), lease.since, lease.until)
+            for number, lease in clock._leases.items()
+        }
+        self.service = Service(copied(state), leases)
+        self.service.state.begin(self.now, 1)
+        return self.service.state
+
+    # ------------------------------------------------------------------ calls
+
+    def _start(self, node: Node) -> Node:
+        starts = node.starts + 1
+        core = Enrolment(node.name, f"a-{node.name}", "", f"{node.name}.{starts}", RNG)
+        return Node(node.name, node.skew, core, starts, calls=node.calls, words=node.words)
+
+    def _restart(self, at: int) -> None:
+        self.nodes = (*self.nodes[:at], self._start(self.nodes[at]), *self.nodes[at + 1 :])
+
+    def _crash(self, at: int) -> None:
+        node = self._own(at)
+        node.core, node.answers, node.said = None, (), {}
+
+    def _call(self, node: Node) -> Sent:
+        assert node.core is not None
+        service_ms = None if node.core._answer_at == NEVER else self.now
+        call = node.core.tick(self.now + node.skew, service_ms)
+        assert call is not None
+        return Sent(call, self.now)
+
+    def _send(self, at: int) -> None:
+        node = self._own(at)
+        node.calls = (*node.calls, self._call(node))
+
+    def _renew(self, at: int) -> None:
+        node = self._own(at)
+        sent = self._call(node)
+        self._take(node, sent.call.number, self._serve(node, sent.call))
+
+    def _arrive(self, at: int, sent: Sent, again: bool) -> None:
+        node = self._own(at)
+        if not again:
+            node.calls = tuple(other for other in node.calls if other is not sent)
+        answer = (sent.call.number, self._serve(node, sent.call))
+        if waits(node, sent.call.number):
+            node.answers = (*node.answers, answer)
+
+    def _serve(self, node: Node, call: Call) -> dict[str, Any] | None:
+        """The list service's part: apply the call and count the lease from now."""
+        state, body = self._log(), call.body
+        if call.path == "enrol":
+            row = state.enrol(**body)
+            assert row is not None
+            self._give(row)
+            self.service.clock.renewed(self.now, row.incarnation, row.seq, -1)
+        else:
+            row = state.renew(body["incarnation"], body["seq"], body["acked"], body["using"])
+            if row is not None:
+                self.service.clock.renewed(self.now, row.incarnation, body["seq"], body["answered"])
+        state.settle()
+        self.service.clock.keep(state.ledger.by_incarnation)
+        return None if row is None else self._told(state, row, body.get("acked", -1))
+
+    def _told(self, state: FleetState, row: Row, acked: int) -> dict[str, Any]:
+        return state.ledger.answer(row, acked) | {"ttl_ms": TTL}
+
+    def _give(self, row: Row) -> None:
+        if all(start != row.start for start, _ in self.given):
+            if any(number >= row.incarnation for _, number in self.given):
+                self.broken = f"incarnation {row.incarnation} given to {row.start} after {self.given}"
+            self.given = (*self.given, (row.start, row.incarnation))
+
+    def _answer(self, at: int, answer: tuple[int, dict[str, Any] | None]) -> None:
+        node = self._own(at)
+        node.answers = tuple(other for other in node.answers if other is not answer)
+        self._take(node, *answer)
+
+    def _take(self, node: Node, number: int, told: dict[str, Any] | None) -> None:
+        assert node.core is not None
+        own = self.now + node.skew
+        if told is None:
+            node.core.failed(own, number, unknown=True)
+            self._unknown(node, own)
+        elif node.core.answered(own, number, told):
+            self._used(node, own, told)
+        node.answers = tuple(answer for answer in node.answers if waits(node, answer[0]))
+
+    def _used(self, node: Node, own: float, told: dict[str, Any]) -> None:
+        """For worlds with more than shares."""
+
+    def _unknown(self, node: Node, own: float) -> None:
+        """As `_used`."""
+
+    def _timeout(self, at: int) -> None:
+        node = self._own(at)
+        assert node.core is not None
+        assert node.core._out is not None
+        node.core.failed(self.now + node.skew, node.core._out[0].number)
+        node.answers = ()
+
+    # ----------------------------------------------------------------- siblings
+
+    def _word(self, node: Node, other: Node) -> list[tuple[int, float]]:
+        """What the other says now, if it changes what this node rests on: when it said that it holds, or
+        NEVER if it does not."""
+        core = other.core
+        if core is None or core.incarnation is None:
+            return []
+        holds = core.standing(self.now + other.skew) is Standing.HOLDING
+        known = node.said.get(core.incarnation, NEVER)
+        changes = known < self.now + node.skew if holds else known > NEVER
+        return [(core.incarnation, self.now if holds else NEVER)] if changes else []
+
+    def _late_words(self, node: Node, other: Node) -> list[tuple[int, float]]:
+        return [
+            (number, at)
+            for number, at in other.words
+            if node.said.get(number, NEVER) < at + node.skew < self.now
+        ]
+
+    def _hear(self, at: int, incarnation: int, said: float) -> None:
+        node = self._own(at)
+        assert node.core is not None
+        node.said = {**node.said, incarnation: said + node.skew}
+        if said == NEVER:
+            del node.said[incarnation]
+        node.core.heard(self.now + node.skew, node.words_held())
+
+    def _keep_word(self, at: int, word: tuple[int, float]) -> None:
+        node = self._own(at)
+        node.words = (*node.words, word)
+
+    # -------------------------------------------------------------- leader and time
+
+    def _expire(self, plan: Plan) -> None:
+        state = self._log()
+        state.expire(*plan)
+        state.settle()
+        self.service.clock.keep(state.ledger.by_incarnation)
+
+    def _apply(self) -> None:
+        assert self.plan is not None
+        self._expire(self.plan)
+        self.plan = None
+
+    def _lead(self) -> None:
+        state = self._log()
+        self.service.clock.lead(self.now, [(row.incarnation, row.seq) for row in state.ledger.rows()])
+        self.plan = None  # the log refuses what the one before proposed
+
+    def _tick(self) -> None:
+        self.now += self.bounds.step
+        for at in range(len(self.nodes)):
+            node = self._own(at)
+            own = self.now + node.skew
+            late = self.now - LATE * TTL
+            node.calls = tuple(
+                sent for sent in node.calls if sent.call.body.get("sent") is None or sent.at >= late
+            )
+            node.said = {number: when for number, when in node.said.items() if own < when + HOLD * TTL}
+            node.words = tuple(word for word in node.words if self.now < word[1] + HOLD * TTL)
+            if node.core is not None:
+                node.core.taking(own)
+
+    # --------------------------------------------------------------------- states
+
+    def takes(self) -> list[float]:
+        return [0.0 if node.core is None else node.core.taking(self.now + node.skew) for node in self.nodes]
+
+    def key(self) -> tuple[Any, ...]:
+        state = self.service.state
+        numbers: dict[int | None, int] = {}
+        usable: dict[int | None, int] = {}  # no renewal names an answer before this one
+        for node in self.nodes:
+            if node.core is not None:
+                numbers[node.core.incarnation] = node.core._numbers
+                if not node.calls:
+                    usable[node.core.incarnation] = node.core._answered
+        plan = None
+        if self.plan is not None:
+            lapsed, support, repeats = self.plan
+            seqs = tuple((number, numbers.get(number, 0) - seq) for number, seq in lapsed)
+            plan = (seqs, tuple(support), repeats == state.repeats)
+        return (
+            self.faults,
+            tuple(self._node_key(node, state.ledger.revision) for node in self.nodes),
+            tuple(
+                self._row_key(row, numbers.get(row.incarnation, 0), usable.get(row.incarnation, -1))
+                for row in state.ledger.rows()
+            ),
+            plan,
+            self.broken,
+        )
+
+    def _node_key(self, node: Node, revision: int) -> tuple[Any, ...]:
+        if node.cached[:2] != (self.now, revision):
+            node.cached = (self.now, revision, self._made_key(node, revision))
+        made: tuple[Any, ...] = node.cached[2]
+        return made
+
+    def _made_key(self, node: Node, revision: int) -> tuple[Any, ...]:
+        core, own = node.core, self.now + node.skew
+        base = 0 if core is None else core._numbers
+        calls = tuple(
+            (
+                sent.call.path,
+                base - sent.call.number,
+                self.now - sent.at,
+                *self._body_key(sent.call, base, revision),
+            )
+            for sent in node.calls
+        )
+        words = tuple((number, self.now - at) for number, at in node.words)
+        if core is None:
+            return (node.starts, calls, words)
+        answers = tuple(
+            (base - number, None if told is None else self._told_key(told, revision))
+            for number, told in node.answers
+        )
+        out = core._out
+        return (
+            node.starts,
+            calls,
+            words,
+            answers,
+            tuple(sorted((number, own - at) for number, at in node.said.items())) if node.said else (),
+            core.incarnation,
+            revision - core.revision,
+            core.elector,
+            round(core._share, 6),
+            past(core.lease_end - own),
+            past(core._until - own),
+            past(core._answer_at + SUPPORT * TTL - own),
+            base - core._answered,
+            None if out is None else (out[0].path, base - out[0].number, own - out[1]),
+            max(0.0, core._due - own),
+            members_key(core.members),
+        )
+
+    def _body_key(self, call: Call, base: int, revision: int) -> tuple[Any, ...]:
+        body = call.body
+        if call.path != "renew":
+            return (body.get("start"), body.get("incarnation"))
+        return (
+            body["incarnation"],
+            base - body["answered"],
+            revision - body["acked"],
+            round(body["using"], 6),
+            body["sent"] is None,
+        )
+
+    def _told_key(self, told: dict[str, Any], revision: int) -> tuple[Any, ...]:
+        members = tuple(
+            sorted((row["incarnation"], row["rank"], row["state"]) for row in told.get("members", ()))
+        )
+        return (
+            told["incarnation"],
+            revision - told["rev"],
+            round(told["share"], 6),
+            told["elector"],
+            members,
+        )
+
+    def _row_key(self, row: Row, base: int, usable: int) -> tuple[Any, ...]:
+        revision = self.service.state.ledger.revision
+        lease = self.service.clock._leases.get(row.incarnation)
+        told = None
+        if lease is not None:
+            attached = lease.since is not None and self.now < lease.until
+            applied = tuple(
+                (base - seq, self.now - at)
+                for seq, at in lease.applied.items()
+                if seq >= usable and self.now < at + SUPPORT * TTL
+            )
+            told = (
+                min(self.now - lease.last, TTL + self.bounds.step),
+                base - lease.seq,
+                (min(self.now - lease.since, TTL), lease.until - self.now) if attached else None,
+                applied,
+            )
+        return (
+            row.incarnation,
+            row.rank,
+            row.start,
+            revision - row.enrolled,
+            round(row.share, 6),
+            revision - row.acked,
+            row.elector,
+            row.state,
+            base - row.seq,
+            told,
+        )
+
+    # -------------------------------------------------------------------- fair runs
+
+    def fair(self, steps: int) -> Shares:
+        """Run on without faults: everyone starts, renews and hears, at every step."""
+        world = self._twin()
+        world.faults, world.plan = 0, None
+        for _ in range(steps):
+            world._tick()
+            world._fair_step()
+        return world
+
+    def _fair_step(self) -> None:
+        for at, node in enumerate(self.nodes):
+            if node.core is None:
+                self._restart(at)
+            elif node.core._out is not None:
+                self._timeout(at)
+        for _ in range(3):
+            for at, node in enumerate(self.nodes):
+                if node.core is not None and node.core.due() <= self.now + node.skew:
+                    self._renew(at)
+        lapsed, support = self.service.clock.due(self.now)
+        if lapsed:
+            self._expire((lapsed, support, self.service.state.repeats))
+
+
+def share_check(world: Shares) -> str | None:
+    """The shares taken and those granted sum to at most 1; incarnations only rise."""
+    takes = world.takes()
+    if sum(takes) > MOST:
+        return f"shares taken sum to {sum(takes):.3f}: {[round(share, 3) for share in takes]}"
+    if world.service.state.ledger.total() > MOST:
+        return f"shares granted sum to {world.service.state.ledger.total():.3f}"
+    return world.broken
+
+
+def share_probe(world: Shares) -> str | None:
+    """Once faults end, the whole is taken again within four terms."""
+    after = world.fair(math.ceil(4 * TTL / world.bounds.step))
+    broken = share_check(after)
+    if broken is None and sum(after.takes()) < 0.99:
+        broken = f"4 terms after the last fault the shares are {after.takes()}"
+    return broken
+
+
+def twin(core: Enrolment) -> Enrolment:
+    """All values in a core's fields are immutable, so a shallow copy does."""
+    new: Enrolment = object.__new__(type(core))
+    new.__dict__.update(core.__dict__)
+    return new
+
+
+def copied(state: FleetState) -> FleetState:
+    ledger: Ledger = object.__new__(type(state.ledger))
+    ledger.__dict__.update(state.ledger.__dict__)
+    ledger.by_incarnation = {
+        number: Row(
+            row.name, row.address, row.zone, row.start, row.incarnation, row.rank, row.enrolled, row.share,
+            row.acked, row.elector, row.state, row.seq,
+        )
+        for number, row in ledger.by_incarnation.items()
+    }  # fmt: skip
+    return FleetState(
+        ledger, state.routes.copy(), state.log_ms, state.term, state.http, state.epoch, state.ttl_ms,
+        state.bound_ms, state.repeats,
+    )  # fmt: skip
+
+
+def waits(node: Node, number: int) -> bool:
+    return node.core is not None and node.core._out is not None and node.core._out[0].number == number
+
+
+def past(left: float) -> float | None:
+    return left if left > 0.0 else None
+
+
+def members_key(members: Any) -> tuple[tuple[int, int, bool], ...]:
+    return tuple([(member.incarnation, member.rank, member.state == State.LEFT) for member in members])
