--- a/orchidledge/members/ledger.py
+++ b/orchidledge/members/ledger.py
@@ -79,8 +79,8 @@
         new = Row(name, address, zone, start, number, number, self.revision)
         if before is not None:  # it listened where this one listens now, so one of the two has ended
             del self.by_incarnation[before.incarnation]
-            # Guard: an enrolment that comes late may be the ended one's, and the other still takes this share.
-            # So it is free only once a process says that it takes less.
+            # Guard: an enrolment that comes late may be the ended one's while the other still takes this
+            # share, so it is free only once a process says that it takes less.
             new.rank, new.elector, new.share = before.rank, before.elector, before.share
         self.by_incarnation[number] = new
         self._promote()
--- a/tests/orders/explore.py
+++ b/tests/orders/explore.py
@@ -1,9 +1,9 @@
-"""Search through all orders of a world's moves, breadth first, so that the first break has the shortest trace.
+"""Search through all orders of a world's moves, breadth first: the first break has the shortest trace.
 
 A world is a small value that is never changed once it is out: `moves` yields the name of each move that is
-possible and the world it leads to. Worlds of the same `key` count as the same state and are gone on from once;
-of a key only its 64-bit hash is kept (among a million states two share one by chance with odds of 1 in 10^7,
-and then one of them is not gone on from).
+possible and the world it leads to. Worlds of the same `key` count as the same state and are gone on from
+once; of a key only its 64-bit hash is kept (among a million states two share one by chance with odds of 1 in
+10^7, and then one of them is not gone on from).
 
 What a search shows: no run of at most `depth` moves breaks the invariant, within the bounds that the world
 itself states. `walk` goes deeper along random runs from a seed; it samples and shows nothing about the rest.
@@ -60,9 +60,9 @@
     every: int = 1,
     most: int = 2_000_000,
 ) -> Found:
-    """All runs of up to `depth` moves from `start`. `probe`, asked of each `every`-th new state, runs the world
-    on without faults and says what does not come to a good end. More than `most` states is a RuntimeError: a
-    search that was cut short shows nothing."""
+    """All runs of up to `depth` moves from `start`. `probe`, asked of each `every`-th new state, runs the
+    world on without faults and says what does not come to a good end. More than `most` states is a
+    RuntimeError: a search that was cut short shows nothing."""
     found, began = Found(), time.perf_counter()
     first = hash(start.key())
     came: dict[int, tuple[int, str] | None] = {first: None}
@@ -98,9 +98,9 @@
 def walk(
     start: W, check: Check[W], seeds: Sequence[int], length: int, probe: Check[W] | None = None
 ) -> Found:
-    """One random run of `length` moves for each seed. A move is drawn by its kind (the first word of its name)
-    first, so that kinds with many variants do not crowd out the others. A break's trace is cut down to moves
-    it needs, though not to the shortest."""
+    """One random run of `length` moves for each seed. A move is drawn by its kind (the first word of its
+    name) first, so that kinds with many variants do not crowd out the others. A break's trace is cut down to
+    moves it needs, though not to the shortest."""
     found, began = Found(states=0, depth=length), time.perf_counter()
     seen: set[int] = set()
     for seed in seeds:
--- a/tests/orders/rounds.py
+++ b/tests/orders/rounds.py
@@ -1,10 +1,10 @@
 """The world of leases and shares in rounds, for long runs with few faults.
 
 In a `step` time passes and everything that no fault is in the way of happens: due calls are answered, due
-leases expired, siblings heard. Links stay cut until `heal`, so a fault that lasts costs one fault however long
-it lasts; between two steps any fault of the fine world (`shares`) may happen too, and whatever that world has
-on the way may arrive. So a search sees every placing of few faults in a run of many terms, with one order of
-what is undisturbed; all orders within few moments are the fine world's part.
+leases expired, siblings heard. Links stay cut until `heal`, so a fault that lasts costs one fault however
+long it lasts; between two steps any fault of the fine world (`shares`) may happen too, and whatever that
+world has on the way may arrive. So a search sees every placing of few faults in a run of many terms, with one
+order of what is undisturbed; all orders within few moments are the fine world's part.
 
     cut n0      no call of n0 arrives            parted n0 n1   neither hears the other
     mute n0     its calls arrive, no answer does  down          no call of anyone arrives
--- a/tests/orders/shares.py
+++ b/tests/orders/shares.py
@@ -55,6 +55,7 @@
     on_way: int = 2
     kinds: frozenset[str] = frozenset(("send", "repeat", "plan", "crash", "lead", "late"))
     siblings: bool = True  # whether words are heard at all
+    all_words: bool = False  # also those that can change nothing, in a right core
 
 
 class Sent(NamedTuple):
@@ -78,7 +79,7 @@
     skew: float
     core: Enrolment | None = None
     starts: int = 0
-    said: dict[int, float] = field(default_factory=dict)  # incarnation -> its latest word that it holds
+    said: dict[int, Word] = field(default_factory=dict)  # siblings' latest words, by incarnation
     calls: tuple[Sent, ...] = ()
     answers: tuple[tuple[int, dict[str, Any] | None], ...] = ()  # by call; None: no such row
     words: tuple[tuple[int, float], ...] = ()  # said that it holds, to be heard later: incarnation, true time
@@ -90,9 +91,6 @@
             self.name, self.skew, core, self.starts, self.said, self.calls, self.answers, self.words
         )  # fmt: skip
 
-    def words_held(self) -> dict[int, Word]:
-        return {number: Word(Standing.HOLDING, at) for number, at in self.said.items()}
-
 
 class Service(NamedTuple):
     """What a command changes: copied as a whole before one."""
@@ -147,9 +145,12 @@
         for other in self.nodes:
             if other is node:
                 continue
-            for incarnation, said in (*self._word(node, other), *self._late_words(node, other)):
-                name = f"hear {node.name} {other.name}" + ("" if said in (self.now, NEVER) else f" {said:g}")
-                yield self._move(name, 0, lambda w, i=incarnation, s=said: w._hear(at, i, s))
+            for incarnation, word in self._word(node, other):
+                name = f"hear {node.name} {other.name}"
+                yield self._move(name, 0, lambda w, i=incarnation, x=word: w._hear(at, i, x))
+            for incarnation, word in self._late_words(node, other):
+                name = f"hear {node.name} {other.name} of {own - word.at_ms:g} ms ago"
+                yield self._move(name, 0, lambda w, i=incarnation, x=word: w._hear(at, i, x))
         if self._may("late") and core.incarnation and core.standing(own) is Standing.HOLDING:
             word = (core.incarnation, self.now)
             if word not in node.words:
@@ -197,6 +198,10 @@
         self.nodes = (*self.nodes[:at], node, *self.nodes[at + 1 :])
         return node
 
+    def _s(self) -> float:
+        """Service time."""
+        return self.now
+
     def _log(self) -> FleetState:
         """The log's state, copied for this world, for one command."""
         state, clock = self.service
@@ -206,7 +211,7 @@
             for number, lease in clock._leases.items()
         }
         self.service = Service(copied(state), leases)
-        self.service.state.begin(self.now, 1)
+        self.service.state.begin(self._s(), 1)
         return self.service.state
 
     # ------------------------------------------------------------------ calls
@@ -225,7 +230,7 @@
 
     def _call(self, node: Node) -> Sent:
         assert node.core is not None
-        service_ms = None if node.core._answer_at == NEVER else self.now
+        service_ms = None if node.core._answer_at == NEVER else self._s()
         call = node.core.tick(self.now + node.skew, service_ms)
         assert call is not None
         return Sent(call, self.now)
@@ -279,19 +284,20 @@
 
     def _take(self, node: Node, number: int, told: dict[str, Any] | None) -> None:
         assert node.core is not None
-        own = self.now + node.skew
+        assert node.core._out is not None
+        own, sent = self.now + node.skew, node.core._out[1]
         if told is None:
             node.core.failed(own, number, unknown=True)
             self._unknown(node, own)
         elif node.core.answered(own, number, told):
-            self._used(node, own, told)
+            self._used(node, sent, told)
         node.answers = tuple(answer for answer in node.answers if waits(node, answer[0]))
 
-    def _used(self, node: Node, own: float, told: dict[str, Any]) -> None:
-        """For worlds with more than shares."""
+    def _used(self, node: Node, sent: float, told: dict[str, Any]) -> None:
+        """An answer was used; `sent`: its call, by the node's clock. For worlds with more than shares."""
 
     def _unknown(self, node: Node, own: float) -> None:
-        """As `_used`."""
+        """The node has no row any more."""
 
     def _timeout(self, at: int) -> None:
         node = self._own(at)
@@ -302,31 +308,34 @@
 
     # ----------------------------------------------------------------- siblings
 
-    def _word(self, node: Node, other: Node) -> list[tuple[int, float]]:
-        """What the other says now, if it changes what this node rests on: when it said that it holds, or
-        NEVER if it does not."""
+    def _word(self, node: Node, other: Node) -> list[tuple[int, Word]]:
+        """What the other says now, in this node's time, if it may change what this node rests on."""
         core = other.core
         if core is None or core.incarnation is None:
             return []
-        holds = core.standing(self.now + other.skew) is Standing.HOLDING
-        known = node.said.get(core.incarnation, NEVER)
-        changes = known < self.now + node.skew if holds else known > NEVER
-        return [(core.incarnation, self.now if holds else NEVER)] if changes else []
-
-    def _late_words(self, node: Node, other: Node) -> list[tuple[int, float]]:
-        return [
-            (number, at)
-            for number, at in other.words
-            if node.said.get(number, NEVER) < at + node.skew < self.now
-        ]
-
-    def _hear(self, at: int, incarnation: int, said: float) -> None:
+        word = Word(core.standing(self.now + other.skew), self.now + node.skew)
+        known = node.said.get(core.incarnation)
+        if known is not None:
+            news = known.at_ms < word.at_ms or known.standing is not word.standing
+        else:
+            news = self.bounds.all_words or word.standing is Standing.HOLDING
+        return [(core.incarnation, word)] if news else []
+
+    def _late_words(self, node: Node, other: Node) -> list[tuple[int, Word]]:
+        late = []
+        for number, at in other.words:
+            known = node.said.get(number)
+            if at < self.now and (known is None or known.at_ms < at + node.skew):
+                late.append((number, Word(Standing.HOLDING, at + node.skew)))
+        return late
+
+    def _hear(self, at: int, incarnation: int, word: Word) -> None:
         node = self._own(at)
         assert node.core is not None
-        node.said = {**node.said, incarnation: said + node.skew}
-        if said == NEVER:
-            del node.said[incarnation]
-        node.core.heard(self.now + node.skew, node.words_held())
+        node.said = {**node.said, incarnation: word}
+        node.core.heard(self.now + node.skew, node.said)
+        if word.standing is not Standing.HOLDING and not self.bounds.all_words:
+            del node.said[incarnation]  # from here on as if it had never been heard
 
     def _keep_word(self, at: int, word: tuple[int, float]) -> None:
         node = self._own(at)
@@ -359,7 +368,7 @@
             node.calls = tuple(
                 sent for sent in node.calls if sent.call.body.get("sent") is None or sent.at >= late
             )
-            node.said = {number: when for number, when in node.said.items() if own < when + HOLD * TTL}
+            node.said = {number: word for number, word in node.said.items() if own < word.at_ms + HOLD * TTL}
             node.words = tuple(word for word in node.words if self.now < word[1] + HOLD * TTL)
             if node.core is not None:
                 node.core.taking(own)
@@ -425,7 +434,7 @@
             calls,
             words,
             answers,
-            tuple(sorted((number, own - at) for number, at in node.said.items())) if node.said else (),
+            tuple(sorted((number, own - word.at_ms, word.standing) for number, word in node.said.items())),
             core.incarnation,
             revision - core.revision,
             core.elector,
@@ -442,7 +451,7 @@
     def _body_key(self, call: Call, base: int, revision: int) -> tuple[Any, ...]:
         body = call.body
         if call.path != "renew":
-            return (body.get("start"), body.get("incarnation"))
+            return (call.path, body.get("start"), body.get("incarnation"))
         return (
             body["incarnation"],
             base - body["answered"],
