--- a/tests/orders/rounds.py
+++ b/tests/orders/rounds.py
@@ -30,7 +30,7 @@
         self.cuts: frozenset[str] = frozenset()
 
     def moves(self) -> Iterator[tuple[str, Rounds]]:
-        yield self._move("step", 0, Rounds._step)
+        yield self._move("step", 0, lambda w: w._step())
         if self.cuts:
             yield self._move("heal", 0, lambda w: setattr(w, "cuts", frozenset()))
         if self.faults > 0:
--- a/tests/orders/shares.py
+++ b/tests/orders/shares.py
@@ -128,7 +128,7 @@
                 yield self._move(f"start {node.name}", 0, lambda w, at=at: w._restart(at))
             yield from self._arrivals(at, node)
         yield from self._leader_moves()
-        yield self._move("tick", 0, Shares._tick)
+        yield self._move("tick", 0, lambda w: w._tick())
 
     def _own_moves(self, at: int, node: Node, core: Enrolment) -> Iterator[tuple[str, Shares]]:
         own = self.now + node.skew
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,128 @@
+"""Every order of messages, faults and time for a small fleet of the real cores, to a stated depth.
+
+`tests/orders` is the checker. Each search prints its counts (`pytest -s`); each seeded mistake has to be
+found and prints its shortest trace.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import lru_cache
+from typing import Any
+
+import pytest
+
+from orchidledge.routes import follower
+from tests.orders import mistakes
+from tests.orders.explore import Found, explore, walk
+from tests.orders.rounds import Rounds
+from tests.orders.routes import Routes, Talk, routes_check, routes_probe
+from tests.orders.shares import Bounds, Shares, share_check, share_probe
+
+SKEWS = (0.0, 2000.0, -2000.0)
+ALL = Bounds().kinds
+VOTING = frozenset(("send", "crash", "lead", "ballot", "unstored"))
+NONE = frozenset[str]()
+
+
+@pytest.fixture(autouse=True)
+def _texts_parsed_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(follower, "parse", lru_cache(follower.parse))  # a pure function of its arguments
+
+
+def cold(nodes: int, faults: int, kinds: frozenset[str] = ALL) -> Shares:
+    """Nodes that have just started: none is enrolled."""
+    return Shares(Bounds(SKEWS[:nodes], kinds=kinds), faults)
+
+
+def warm(kind: type[Shares], nodes: int, faults: int, kinds: frozenset[str] = ALL, **more: Any) -> Shares:
+    """All enrolled and electors, each with its part, attached for a term."""
+    world = kind(Bounds(SKEWS[:nodes], kinds=kinds, **more), 0).fair(8)
+    world.faults = faults
+    return world
+
+
+def fleet(nodes: int, faults: int, talk: Talk, before: tuple[str, ...] = (), kinds: frozenset[str] = VOTING):
+    """As `warm`, with followers; each of the moves `before` done, by all nodes where it ends in a star."""
+    start = Routes(Bounds(SKEWS[:nodes], siblings=False, kinds=kinds), 0, Talk()).fair(8)
+    for move in before:
+        for at in range(nodes) if "*" in move else (0,):
+            start = dict(start.moves())[move.replace("*", f"n{at}")]
+    start.faults, start.talk = faults, talk
+    return start
+
+
+INFORMED = ("propose", "tick", "renew *")
+PREPARED = (*INFORMED, "stored * 1")
+DECIDED = (*PREPARED, "vote * 1")
+
+SHARES: dict[str, tuple[Callable[[], Shares], int, int]] = {  # start, depth, at least so many states
+    "attached, no fault": (lambda: warm(Shares, 3, 0), 9, 20_000),
+    "attached, any fault": (lambda: warm(Shares, 3, 1), 7, 15_000),
+    "attached, any two faults": (lambda: warm(Shares, 3, 2), 6, 10_000),
+    "two enrolling, two faults": (
+        lambda: cold(2, 2, frozenset(("send", "repeat", "crash", "lead"))),
+        8,
+        25_000,
+    ),
+    "three enrolling, any fault": (lambda: cold(3, 1), 7, 15_000),
+    "rounds, any lasting fault": (lambda: warm(Rounds, 3, 1, NONE), 40, 300),
+    "rounds, two lasting faults": (lambda: warm(Rounds, 3, 2, frozenset(("crash", "lead"))), 11, 8_000),
+}
+ROUTES: dict[str, tuple[Callable[[], Routes], int, int]] = {
+    "proposal, no fault": (lambda: fleet(3, 0, Talk()), 8, 5_000),
+    "two nodes, proposal, any fault": (lambda: fleet(2, 1, Talk()), 8, 15_000),
+    "prepared, any fault, halt": (lambda: fleet(2, 1, Talk(0, halts=1), PREPARED), 8, 10_000),
+    "three prepared, any fault": (lambda: fleet(3, 1, Talk(0), PREPARED), 6, 5_000),
+    "decided, any fault, rollback": (lambda: fleet(2, 1, Talk(0, rollbacks=1), DECIDED), 9, 10_000),
+}
+
+
+@pytest.mark.parametrize("name", SHARES)
+def test_shares_keep_their_bound_in_every_order(name: str) -> None:
+    start, depth, least = SHARES[name]
+    told(name, explore(start(), share_check, depth, share_probe, 100), least)
+
+
+@pytest.mark.parametrize("name", ROUTES)
+def test_followers_run_what_is_decided_in_every_order(name: str) -> None:
+    start, depth, least = ROUTES[name]
+    told(name, explore(start(), routes_check, depth, routes_probe, 50), least)
+
+
+def test_shares_keep_their_bound_on_long_random_runs() -> None:
+    told("walks", walk(warm(Shares, 3, 8), share_check, range(60), 120, share_probe), 2_000)
+    told("walks in rounds", walk(warm(Rounds, 3, 8), share_check, range(60), 120, share_probe), 2_000)
+
+
+def test_followers_run_what_is_decided_on_long_random_runs() -> None:
+    start = fleet(3, 8, Talk(3, 2, 2), kinds=ALL | VOTING)
+    told("walks", walk(start, routes_check, range(60), 120, routes_probe), 2_000)
+
+
+MISTAKES: list[tuple[mistakes.Mistake, Callable[[], Any], Callable[[Any], str | None], int]] = [
+    (mistakes.vote_before_fsync, lambda: fleet(2, 0, Talk()), routes_check, 8),
+    (mistakes.moment_without_the_term, lambda: fleet(2, 0, Talk()), routes_check, 9),
+    (mistakes.answer_omits_the_decision, lambda: fleet(2, 0, Talk(0), PREPARED), routes_check, 9),
+    (mistakes.share_grows_by_hearing, lambda: warm(Shares, 3, 0, all_words=True), share_check, 4),
+    (mistakes.incarnation_does_not_rise, lambda: warm(Shares, 3, 1), share_check, 4),
+    (mistakes.hold_rests_on_any_word, lambda: warm(Rounds, 3, 1, NONE, all_words=True), share_check, 9),
+    (mistakes.row_given_away_without_a_majority, lambda: warm(Rounds, 3, 2, NONE), share_check, 9),
+    (mistakes.late_enrolment_frees_a_share, lambda: cold(2, 2, frozenset(("send", "crash"))), share_check, 8),
+]
+
+
+@pytest.mark.parametrize("mistake", MISTAKES, ids=lambda mistake: mistake[0].__name__)
+def test_a_seeded_mistake_is_found(mistake: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    wrong, start, check, depth = mistake
+    world = start()
+    wrong(monkeypatch)
+    found = explore(world, check, depth)
+    print(f"\n{wrong.__name__}: {found}")
+    assert found.broken is not None
+
+
+def told(name: str, found: Found, least: int) -> None:
+    print(f"\n{name}: {found}")
+    assert found.broken is None, str(found)
+    assert found.states >= least
