Routes: a process that comes after the decision switches only once it knows S within the bound

The checker found it after 9 moves: decided; n0 crashes and starts, its enrolment is answered a step (250 ms) late, so it knows S to 125 ms only, has the text on disk, follows, and runs the new version 125 ms before T. A voter says no when S is known less closely than the bound; one that comes later was not asked. It now waits (version 0) until S has been known within the bound, latched, since a follower does not stop while its lease goes on.

--- a/orchidledge/routes/follower.py
+++ b/orchidledge/routes/follower.py
@@ -5,8 +5,9 @@
 order and reports each Fetch, Store and Vote that has ended. The stand at a moment:
 
     detached   no live lease by the node's own clock: version 0
-    waiting    a live lease, but the version in force, or one decided, is not on this disk yet: version 0,
-               and the lease does not count for routes yet
+    waiting    a live lease, but the version in force, or one decided, is not on this disk yet, or S has not
+               been known closely enough to switch to the decided one: version 0, and the lease does not
+               count for routes yet
     following  a live lease and all that is decided on this disk: the version in force at the best estimate
                of S
 
@@ -95,6 +96,7 @@
     again_at: float = 0.0  # own clock: not fetched or stored again before
     sent: bool = False  # the vote, under this incarnation
     heard: bool = False  # and that the service has it
+    timed: bool = False  # S has been known within the bound, so this process can switch to it at its moment
 
     @property
     def busy(self) -> bool:
@@ -270,7 +272,8 @@
     def stand(self, now: float) -> str:
         if self.live_until is None or now >= self.live_until or self.told is None:
             return "detached"
-        return "following" if all(self._holds(*one) for one in self.told.decided()) else "waiting"
+        held = all(self._holds(*one) for one in self.told.decided())
+        return "following" if held and self._timed(self.told) else "waiting"
 
     def status(self, now: float) -> dict[str, Any]:
         """For operators."""
@@ -327,6 +330,8 @@
         if copy is None or (copy.stage is Stage.MISSING and now >= copy.again_at):
             self.copies[number] = Copy(its_digest, Stage.FETCHING)
             return [Fetch(number)]
+        if not copy.timed and self._wide() <= self.bound_ms:
+            copy = self.copies[number] = replace(copy, timed=True)
         if copy.busy or copy.stage is Stage.MISSING:
             return []
         if self._asked(number):
@@ -347,9 +352,8 @@
         if copy.objection is not None or self.servers is None or copy.table is None:
             return copy
         why = check(copy.table, self.classes, self.servers, self.blind)
-        wide = (self.offset[1] - self.offset[0]) / 2
-        if not wide <= self.bound_ms:
-            why.append(f"service time is known to {wide:.1f} ms only")
+        if not self._wide() <= self.bound_ms:
+            why.append(f"service time is known to {self._wide():.1f} ms only")
         return replace(copy, objection="; ".join(why)[:MAX_WHY])
 
     def _vote(self, number: int, copy: Copy) -> list[Action]:
@@ -379,6 +383,18 @@
         copy = self.copies.get(number)
         return copy is not None and copy.stage is Stage.STORED and copy.digest == its_digest
 
+    def _timed(self, told: Told) -> bool:
+        """Guard: a process that came after the decision has not voted, so nobody has asked how closely it
+        knows S. Latched, as a follower does not stop while its lease goes on."""
+        if told.pending is None or told.at is None:
+            return True
+        copy = self.copies.get(told.pending[0])
+        return copy is not None and copy.timed
+
+    def _wide(self) -> float:
+        """How far off the middle of what S may be it can be, ms."""
+        return (self.offset[1] - self.offset[0]) / 2
+
     def _waits_for_moment(self, now: float) -> bool:
         told = self.told
         if told is None or told.pending is None or told.at is None:
--- a/tests/orders/routes.py
+++ b/tests/orders/routes.py
@@ -182,9 +182,8 @@
         assert core is not None
         assert core.incarnation is not None
         at = next(number for number, other in enumerate(self.nodes) if other.name == node.name)
-        # S now: what it was at answering and later, by at most the time that the call took.
-        s = (told["s"], told["s"] + own - sent)
         follower = self._touch(at).follower
+        s = closest(own, sent, told["s"], follower)
         self._act(at, follower.answer(own, core.incarnation, core.lease_end, s, told["routes"]))
 
     def _unknown(self, node: Node, own: float) -> None:
@@ -316,6 +315,7 @@
                 copy.failure,
                 copy.sent,
                 copy.heard,
+                copy.timed,
                 max(0.0, copy.again_at - own),
             )
             for number, copy in sorted(follower.copies.items(), key=lambda one: one[0])
@@ -345,6 +345,16 @@
                 self._cast(at, self.edges[at].votes[0])
 
 
+def closest(own: float, sent: float, told_s: float, follower: Follower) -> tuple[float, float]:
+    """S now. By this answer it is what it was at answering or later, by at most the time that the call took;
+    where this process knows it more closely from an earlier one, and the two agree, it keeps to that."""
+    new = (told_s, told_s + own - sent)
+    known = (follower.offset[0] + own, follower.offset[1] + own)
+    apart = known[1] < new[0] or new[1] < known[0]
+    wider = known[1] - known[0] >= new[1] - new[0]
+    return new if follower.told is None or apart or wider else known
+
+
 def decided(world: Routes) -> list[Version]:
     """By T, the first being version 0."""
     return sorted(
