--- a/orchidledge/routes/follower.py
+++ b/orchidledge/routes/follower.py
@@ -96,7 +96,7 @@
     again_at: float = 0.0  # own clock: not fetched or stored again before
     sent: bool = False  # the vote, under this incarnation
     heard: bool = False  # and that the service has it
-    timed: bool = False  # S has been known within the bound, so this process can switch to it at its moment
+    timed: bool = False  # in force, or S has been known within the bound: no switch at a wrong moment
 
     @property
     def busy(self) -> bool:
@@ -272,8 +272,7 @@
     def stand(self, now: float) -> str:
         if self.live_until is None or now >= self.live_until or self.told is None:
             return "detached"
-        held = all(self._holds(*one) for one in self.told.decided())
-        return "following" if held and self._timed(self.told) else "waiting"
+        return "following" if all(self._ready(*one) for one in self.told.decided()) else "waiting"
 
     def status(self, now: float) -> dict[str, Any]:
         """For operators."""
@@ -329,7 +328,9 @@
         if copy is None or (copy.stage is Stage.MISSING and now >= copy.again_at):
             self.copies[number] = Copy(its_digest, Stage.FETCHING)
             return [Fetch(number)]
-        if not copy.timed and self._wide() <= self.bound_ms:
+        close = self.offset[1] - self.offset[0] <= 2 * self.bound_ms
+        # Guard: a process that came after the decision has cast no vote, so it has to know S closely first.
+        if not copy.timed and (close or (self.told is not None and self.told.in_force[0] == number)):
             copy = self.copies[number] = replace(copy, timed=True)
         if copy.busy or copy.stage is Stage.MISSING:
             return []
@@ -351,8 +352,9 @@
         if copy.objection is not None or self.servers is None or copy.table is None:
             return copy
         why = check(copy.table, self.classes, self.servers, self.blind)
-        if not self._wide() <= self.bound_ms:
-            why.append(f"service time is known to {self._wide():.1f} ms only")
+        wide = (self.offset[1] - self.offset[0]) / 2
+        if not wide <= self.bound_ms:
+            why.append(f"service time is known to {wide:.1f} ms only")
         return replace(copy, objection="; ".join(why)[:MAX_WHY])
 
     def _vote(self, number: int, copy: Copy) -> list[Action]:
@@ -378,21 +380,9 @@
         classes = copy.table.of(self.classes) if copy is not None and copy.table is not None else {}
         return [Apply(RouteVersion(number, classes), due)]
 
-    def _holds(self, number: int, its_digest: str) -> bool:
+    def _ready(self, number: int, its_digest: str) -> bool:
         copy = self.copies.get(number)
-        return copy is not None and copy.stage is Stage.STORED and copy.digest == its_digest
-
-    def _timed(self, told: Told) -> bool:
-        """Guard: a process that came after the decision has not voted, so nobody has asked how closely it
-        knows S. Latched, as a follower does not stop while its lease goes on."""
-        if told.pending is None or told.at is None:
-            return True
-        copy = self.copies.get(told.pending[0])
-        return copy is not None and copy.timed
-
-    def _wide(self) -> float:
-        """How far off the middle of what S may be it can be, ms."""
-        return (self.offset[1] - self.offset[0]) / 2
+        return copy is not None and copy.timed and copy.stage is Stage.STORED and copy.digest == its_digest
 
     def _waits_for_moment(self, now: float) -> bool:
         told = self.told
--- a/tests/orders/mistakes.py
+++ b/tests/orders/mistakes.py
@@ -11,7 +11,7 @@
 from orchidledge.members.enrolment import Enrolment, Standing, Word
 from orchidledge.members.ledger import Ledger, Row
 from orchidledge.routes.activation import PREPARING, Activations
-from orchidledge.routes.follower import Action, Follower, Store
+from orchidledge.routes.follower import Action, Follower, Stage, Store
 
 Mistake = Callable[[pytest.MonkeyPatch], None]
 
@@ -99,3 +99,14 @@
         return row
 
     patch.setattr(Ledger, "enrol", enrol)
+
+
+def late_follower_knows_the_time_loosely(patch: pytest.MonkeyPatch) -> None:
+    """As the follower was until a search found it: one that came after the decision switched whatever it knew
+    of service time."""
+
+    def ready(self: Follower, number: int, its_digest: str) -> bool:
+        copy = self.copies.get(number)
+        return copy is not None and copy.stage is Stage.STORED and copy.digest == its_digest
+
+    patch.setattr(Follower, "_ready", ready)
