Explore the threads of catalog, fleet and state file; the state file's lock outlives its write

Found: a write of the state file that outlived its task went on after close had let the lock go, over the newer file of the next process and through the same draft; close now waits for it, and a write that comes later is refused.

--- a/orchidledge/net/snapshot.py
+++ b/orchidledge/net/snapshot.py
@@ -17,6 +17,7 @@
 import math
 import os
 import struct
+import threading
 import time
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
@@ -228,6 +229,7 @@
         self.bytes = 0  # of the last write
         self.last_s = 0.0  # time the last write took
         self._lock: int | None = None
+        self._writing = threading.Lock()  # a write is under way in a worker thread
         self._busy = False
         self._failing = False
         self._told_shared = False
@@ -276,15 +278,21 @@
             self._busy = False
 
     def _make_and_put(self, make: Callable[[], bytes]) -> int:
-        data = make()
-        put(self.path, data)
-        return len(data)
+        with self._writing:
+            if self._lock is None:
+                raise OSError("closed before the write began")
+            data = make()
+            put(self.path, data)
+            return len(data)
 
     def close(self) -> None:
-        if self._lock is not None:
-            with contextlib.suppress(OSError):
-                os.close(self._lock)  # which lets the lock go
-            self._lock = None
+        """Waits for a write under way, which may have outlived the task that asked for it: without the lock
+        it would come on top of what the next process writes."""
+        with self._writing:
+            if self._lock is not None:
+                with contextlib.suppress(OSError):
+                    os.close(self._lock)  # which lets the lock go
+                self._lock = None
 
     def _fail(self, error: OSError) -> None:
         self.failures += 1
--- /dev/null
+++ b/tests/threads.py
@@ -0,0 +1,182 @@
+"""Cases for tests/test_threads.py, run one at a time as `frontrun python -m tests.threads NAME`, which is how
+frontrun takes over locks and files. Each prints how many interleavings were explored, whether its rule held
+in all of them, and frontrun's account of the first in which it did not, as one line of JSON.
+
+A name with `-wrong` runs the same threads over a class with a seeded mistake.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from collections.abc import Callable
+from contextlib import nullcontext
+from pathlib import Path
+from typing import Any
+
+import frontrun
+import orjson
+
+from orchidledge.net import snapshot
+from orchidledge.net.snapshot import StateFile
+from orchidledge.registry.fleet import FleetCatalog, Renewed
+from orchidledge.registry.service_clock import ServiceClock
+from orchidledge.registry.store import Catalog, Page
+
+MOST = 1_000  # interleavings of a case
+
+
+class Targets:
+    """Raft's thread changes the catalog of targets; the web reads it, and a watcher what has changed."""
+
+    def __init__(self, wrong: bool) -> None:
+        self.told: list[int] = []
+        self.catalog = Catalog(1, self.told.append)
+        self.put("a")
+        self.seen: Page | None = None
+        self.news: Page | None = None
+        if wrong:
+            self.catalog._lock = nullcontext()
+
+    def put(self, uid: str) -> None:
+        self.catalog.put({"uid": uid, "endpoint": "127.0.0.1:1", "state": "Ready"}, 0, _doApply=True)
+
+    def raft(self) -> None:
+        self.put("b")
+        self.catalog.remove("a", 0, _doApply=True)
+
+    def web(self) -> None:
+        self.seen = self.catalog.page(None)
+
+    def watcher(self) -> None:
+        self.news = self.catalog.page(1)
+
+    def holds(self) -> bool:
+        """A page shows what there was at its revision: nothing of a change half made, nothing left out."""
+        assert self.seen is not None
+        assert self.news is not None
+        whole = {1: ["a"], 2: ["a", "b"], 3: ["b"]}
+        since = {1: [], 2: [("b", "Ready")], 3: [("b", "Ready"), ("a", "Gone")]}
+        news = [(row["uid"], row["state"]) for row in self.news.targets]
+        seen = sorted(row["uid"] for row in self.seen.targets)
+        return (
+            seen == whole[self.seen.revision] and news == since[self.news.revision] and self.told == [1, 2, 3]
+        )
+
+
+class Members:
+    """Raft's thread applies a renewal and an enrolment; the leader's loop takes renewals, the web reads."""
+
+    def __init__(self, wrong: bool) -> None:
+        self.fleet = FleetCatalog(ServiceClock(), lambda: 0.0, lambda: None)
+        self.fleet.lead(0.0, 1, "", 0, 1000.0, 50.0, _doApply=True)
+        self.fleet.serve(1)
+        self.enrol("n0")
+        self.taken: list[Renewed] = []
+        self.seen: dict[str, Any] = {}
+        if wrong:
+            self.fleet._lock = nullcontext()
+
+    def enrol(self, name: str) -> None:
+        self.fleet.enrol(1.0, 1, name, f"{name}:1", "", name, _doApply=True)
+
+    def raft(self) -> None:
+        self.fleet.renew_many(2.0, 1, [(1, 1, 0, 1, 0.5)], _doApply=True)
+        self.enrol("n1")
+
+    def leader(self) -> None:
+        self.taken += self.fleet.take_renewed()
+
+    def web(self) -> None:
+        self.seen = self.fleet.members()
+
+    def holds(self) -> bool:
+        """Each renewal is taken once; what is read is the log's state at one command's end."""
+        taken = [(one.incarnation, one.seq) for one in (*self.taken, *self.fleet.take_renewed())]
+        rows = [(row["name"], row["seq"], row["share"]) for row in self.seen["members"]]
+        before, renewed = [("n0", 0, 1.0)], [("n0", 1, 1.0)]
+        states = [(1, 1.0, before), (1, 2.0, renewed), (2, 2.0, [*renewed, ("n1", 0, 0.0)])]
+        return taken == [(1, 0), (1, 1), (2, 0)] and (self.seen["rev"], self.seen["log_ms"], rows) in states
+
+
+class Stopping:
+    """A write of the state file is under way in its thread while the node stops, and the next process, which
+    waits for the lock, writes a newer one."""
+
+    def __init__(self, wrong: bool) -> None:
+        path = Path(tempfile.mkdtemp()) / "state"
+        self.old, self.next = StateFile(path), StateFile(path)
+        self.wrote = self.old.holds()
+        self.refused = False
+        if wrong:
+            self.old._writing = nullcontext()
+
+    def write(self) -> None:
+        try:
+            self.old._make_and_put(lambda: snapshot.frame(b"old"))
+        except OSError:
+            self.refused = True
+
+    def stop(self) -> None:
+        self.old.close()
+        self.wrote = self.next.holds()
+        if self.wrote:
+            self.next._make_and_put(lambda: snapshot.frame(b"new"))
+        self.next.close()
+
+    def holds(self) -> bool:
+        return self.wrote and self.old.path.read_bytes() == snapshot.frame(b"new")
+
+
+class Twice:
+    """A write whose task was cancelled is still under way in its thread when the next one begins."""
+
+    def __init__(self, wrong: bool) -> None:
+        self.file = StateFile(Path(tempfile.mkdtemp()) / "state")
+        self.failed: list[OSError] = []
+        self.wrote = self.file.holds()
+        if wrong:
+            self.file._writing = nullcontext()
+
+    def first(self) -> None:
+        self._write(b"first")
+
+    def second(self) -> None:
+        self._write(b"second, longer")
+
+    def _write(self, body: bytes) -> None:
+        try:
+            self.file._make_and_put(lambda: snapshot.frame(body))
+        except OSError as error:
+            self.failed.append(error)
+
+    def holds(self) -> bool:
+        whole = [snapshot.frame(body) for body in (b"first", b"second, longer")]
+        return self.wrote and not self.failed and self.file.path.read_bytes() in whole
+
+
+CASES: dict[str, tuple[Callable[[bool], Any], list[Callable[[Any], None]]]] = {
+    "targets": (Targets, [Targets.raft, Targets.web, Targets.watcher]),
+    "members": (Members, [Members.raft, Members.leader, Members.web]),
+    "stopping": (Stopping, [Stopping.write, Stopping.stop]),
+    "twice": (Twice, [Twice.first, Twice.second]),
+}
+
+
+def main(name: str) -> None:
+    case, threads = CASES[name.removesuffix("-wrong")]
+    found = frontrun.explore(
+        setup=lambda: case(name.endswith("-wrong")),
+        workers=threads,
+        invariant=lambda state: state.holds(),
+        max_executions=MOST,
+        total_timeout=60.0,
+        reproduce_on_failure=2,
+        trace_packages=["orchidledge.*"],
+    )
+    said = {"explored": found.num_explored, "holds": found.property_holds, "why": found.explanation}
+    print(orjson.dumps(said | {"inconclusive": found.inconclusive_reason}).decode())
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
