--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -13,6 +13,7 @@
 from test_operator import DOOR, status
 
 from orchidledge import interface as api
+from orchidledge.decide.ranking import paced
 from orchidledge.net.maintenance import FOLDER, KEEP_MS, PREFIX, Ban, Bans
 from orchidledge.net.node import Node
 
@@ -120,11 +121,11 @@
             filler.connect(silent.getsockname())
             server = Peer()
             async with running(server, bounds={"connectTimeoutMs": 10_000.0}, **DOOR) as node:
-                known = node.listed["s0"][0]
+                known = node.servers.listed["s0"][0]
                 silent_server = api.Server("quiet", zone=known.zone)
-                node.listed["quiet"] = silent_server, silent.getsockname()[:2]
+                node.servers.listed["quiet"] = silent_server, silent.getsockname()[:2]
                 assert await status(node, "PUT", ENTER, b"s0") == 200
-                node._tell_servers(api.Membership(api.ListForm.DELTA, (silent_server,)))
+                node.servers.change(api.Membership(api.ListForm.DELTA, (silent_server,)))
                 caller = await Caller.to(node)
                 caller.writer.write(request())
                 await until(lambda: node.pool.size)
@@ -157,7 +158,7 @@
             discovery.news.append(news)
             node.watcher.close()
             node.watcher.start()
-            await until(lambda: "s1" in node.listed)
+            await until(lambda: "s1" in node.servers.listed)
             for at in range(10):
                 assert (await ask(node, request(name=f"q{at}"))).status == 200
             assert not server.seen
@@ -174,13 +175,13 @@
             new.server.listen = _nowhere  # type: ignore[method-assign]
             await new.start()
             assert await status(old, "PUT", ENTER, b"s0") == 200
-            await until(lambda: not new.up)  # by its own look at the folder
+            await until(lambda: not new.servers.up)  # by its own look at the folder
             later = Node(old.config)
             later.server.listen = _nowhere  # type: ignore[method-assign]
             await later.start()
-            assert not later.up
+            assert not later.servers.up
             assert await status(later, "PUT", EXIT, b"s0") == 200
-            await until(lambda: old.up and new.up)
+            await until(lambda: old.servers.up and new.servers.up)
             new.close()
             later.close()
 
@@ -195,9 +196,9 @@
     async def main():
         async with running(Peer(), tmpdir=str(tmp_path), **DOOR) as node:
             Bans(tmp_path / FOLDER).take_out("s0", 1.0)
-            assert node.exit_maintenance("s0")
+            assert node.servers.exit_maintenance("s0")
             assert not Bans(tmp_path / FOLDER).out("s0")
-            assert node.up == {"s0"}
+            assert node.servers.up == {"s0"}
 
     asyncio.run(main())
 
@@ -206,8 +207,8 @@
     async def main():
         async with running(Peer(), tmpdir=str(tmp_path)) as node:
             Bans(tmp_path / FOLDER).take_out("s0", 1.0)
-            node._beat(node.loop.time())
-            assert node.up == {"s0"}
+            node.clockwork.beat(node.loop.time())
+            assert node.servers.up == {"s0"}
 
     asyncio.run(main())
     assert os.listdir(Path(tmp_path)) == [FOLDER]
@@ -253,8 +254,8 @@
     bed.give(api.BroughtBack("s0", out_ms, bed.now))
     bed.now += 200.0  # 10.1 s after the launch that the last case lists: warm
     peer = bed.brain.peers["s0"]
-    bed.brain.peak, bed.brain.sends = 1.0, 100.0  # as many as 100 servers' ordinary calls
-    passed = sum(bed.brain._paced(bed.now, peer) for _ in range(200))
+    bed.brain.state.peak, bed.brain.state.sends = 1.0, 100.0  # as many as 100 servers' ordinary calls
+    passed = sum(paced(bed.brain.state, bed.now, peer) for _ in range(200))
     assert (passed < 50) is cold
 
 
@@ -272,5 +273,5 @@
     bed.give(api.TakenOut("s0"))
     bed.give(api.BroughtBack("s0", bed.now, bed.now))
     bed.give(api.TakenOut("s0"))
-    assert "s0" not in bed.brain.returns
+    assert "s0" not in bed.brain.state.returns
     assert {act.server for _ in range(8) for act in sent(bed.ask()[1])} == {"s1"}
