--- a/orchidledge/net/fleet/part.py
+++ b/orchidledge/net/fleet/part.py
@@ -79,6 +79,7 @@
         self.routing = Routing(follower, agent, self.clock, store, tell)
         self.sight = Sight(settings, self.clock, self.offsets, servers, driver, self._on_marks)
         self.sight.stand = lambda: self.stand(self.clock.ms()).value
+        driver.before.append(self.routing.on_time)
         self._agent = agent
         self._servers = servers
         self.lease.on_answer = self._on_answer
@@ -119,6 +120,7 @@
             "members_asked": self.hearing.asked,
             "members_refused": self.hearing.refused,
             "members_ignored": self.hearing.core.counts.total(),
+            "view_refused": self.sight.refused,
             "lease_failures": self.lease.failures,
             "share": round(self.lease.core.taking(now), 6),
             "route_version": self.routing.core.running,
@@ -188,7 +190,10 @@
     def _on_marks(self, marks: dict[str, api.Mark]) -> None:
         self._tell(api.Marks(marks))
         now = self.clock.ms()
-        blind = [name for name, mark in self.sight.marks().items() if mark is api.Mark.BLIND]
+        known = self.sight.marks()
+        # As in the module: where no route is better than weak, marks tell nothing of one against another.
+        told = any(mark in (api.Mark.SURE, api.Mark.FAIR) for mark in known.values())
+        blind = [name for name, mark in known.items() if told and mark is api.Mark.BLIND]
         listed = tuple(server for server, _ in self._servers.listed.values())
         self.routing.carry_out(self.routing.core.seen(now, listed, blind))
 
@@ -253,8 +258,8 @@
     def calls(self) -> Calls:
         """The door's calls on the fleet."""
         return {
-            (b"GET", b"/status/members"): lambda _: Answer(200, _page(self.status())),
-            (b"GET", b"/status/routes"): lambda _: Answer(200, _page(self.routes_status())),
+            (b"GET", b"/status/members"): lambda _: Answer(200, _json(self.status())),
+            (b"GET", b"/status/routes"): lambda _: Answer(200, _json(self.routes_status())),
             (b"PUT", b"/routes/halt"): lambda body: self._order("routes/halt", body),
             (b"PUT", b"/routes/rollback"): lambda body: self._order("routes/rollback", body),
         }
@@ -271,5 +276,5 @@
         return Answer(reply.status, reply.body)
 
 
-def _page(body: dict[str, Any]) -> bytes:
-    return orjson.dumps(body, option=orjson.OPT_NON_STR_KEYS)  # incarnations and versions are keys in it
+def _json(row: dict[str, Any]) -> bytes:
+    return orjson.dumps(row, option=orjson.OPT_NON_STR_KEYS)  # versions are numbers
--- a/orchidledge/routes/follower.py
+++ b/orchidledge/routes/follower.py
@@ -5,8 +5,9 @@
 order and reports each Fetch, Store and Vote that has ended. The stand at a moment:
 
     detached   no live lease by the node's own clock: version 0
-    waiting    a live lease, but the version in force, or one decided, is not on this disk yet: version 0,
-               and the lease does not count for routes yet
+    waiting    a live lease, but the version in force, or one decided, is not on this disk yet, or S has not
+               been known closely enough to switch to the decided one: version 0, and the lease does not
+               count for routes yet
     following  a live lease and all that is decided on this disk: the version in force at the best estimate
                of S
 
@@ -95,6 +96,7 @@
     again_at: float = 0.0  # own clock: not fetched or stored again before
     sent: bool = False  # the vote, under this incarnation
     heard: bool = False  # and that the service has it
+    timed: bool = False  # in force, or S has been known within the bound: no switch at a wrong moment
 
     @property
     def busy(self) -> bool:
@@ -270,7 +272,7 @@
     def stand(self, now: float) -> str:
         if self.live_until is None or now >= self.live_until or self.told is None:
             return "detached"
-        return "following" if all(self._holds(*one) for one in self.told.decided()) else "waiting"
+        return "following" if all(self._ready(*one) for one in self.told.decided()) else "waiting"
 
     def status(self, now: float) -> dict[str, Any]:
         """For operators."""
@@ -291,9 +293,8 @@
         return replace(self, copies=dict(self.copies))
 
     def key(self) -> tuple[object, ...]:
-        plain = tuple(
-            getattr(self, item.name) for item in fields(self) if item.name not in ("copies", "servers")
-        )
+        names = [item.name for item in fields(self) if item.name not in ("copies", "servers")]
+        plain = tuple(getattr(self, name) for name in names)
         return (*plain, tuple(sorted(self.copies.items(), key=lambda item: item[0])), repr(self.servers))
 
     # ------------------------------------------------------------ steps
@@ -327,6 +328,10 @@
         if copy is None or (copy.stage is Stage.MISSING and now >= copy.again_at):
             self.copies[number] = Copy(its_digest, Stage.FETCHING)
             return [Fetch(number)]
+        close = self.offset[1] - self.offset[0] <= 2 * self.bound_ms
+        # Guard: a process that came after the decision has cast no vote, so it has to know S closely first.
+        if not copy.timed and (close or (self.told is not None and self.told.in_force[0] == number)):
+            copy = self.copies[number] = replace(copy, timed=True)
         if copy.busy or copy.stage is Stage.MISSING:
             return []
         if self._asked(number):
@@ -375,15 +380,14 @@
         classes = copy.table.of(self.classes) if copy is not None and copy.table is not None else {}
         return [Apply(RouteVersion(number, classes), due)]
 
-    def _holds(self, number: int, its_digest: str) -> bool:
+    def _ready(self, number: int, its_digest: str) -> bool:
         copy = self.copies.get(number)
-        return copy is not None and copy.stage is Stage.STORED and copy.digest == its_digest
+        return copy is not None and copy.timed and copy.stage is Stage.STORED and copy.digest == its_digest
 
     def _waits_for_moment(self, now: float) -> bool:
         told = self.told
-        if told is None or told.pending is None or told.at is None:
-            return False
-        return self.stand(now) == "following" and self.running != told.pending[0]
+        coming = told.pending[0] if told is not None and told.pending and told.at is not None else None
+        return coming is not None and self.stand(now) == "following" and self.running != coming
 
     def _moment(self) -> float:
         """T by the own clock, at the middle of what S may be."""
