--- /dev/null
+++ b/tests/orders/keys.py
@@ -0,0 +1,147 @@
+"""What makes two worlds of leases and shares the same state (the rules are in `shares`)."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from orchidledge.members.enrolment import Call
+from orchidledge.members.leases import SUPPORT
+from orchidledge.members.ledger import Row
+from tests.orders.parts import TTL, Bounds, Node, Plan, Service, members_key, past
+
+
+class Keyed:
+    """A world's part that tells its state."""
+
+    __slots__ = ()
+    now: float
+    faults: int
+    bounds: Bounds
+    nodes: tuple[Node, ...]
+    service: Service
+    plan: Plan | None
+    broken: str | None
+
+    def key(self) -> tuple[Any, ...]:
+        state = self.service.state
+        numbers: dict[int | None, int] = {}
+        usable: dict[int | None, int] = {}  # no renewal names an answer before this one
+        for node in self.nodes:
+            if node.core is not None:
+                numbers[node.core.incarnation] = node.core._numbers
+                if not node.calls:
+                    usable[node.core.incarnation] = node.core._answered
+        plan = None
+        if self.plan is not None:
+            lapsed, support, repeats = self.plan
+            seqs = tuple((number, numbers.get(number, 0) - seq) for number, seq in lapsed)
+            plan = (seqs, tuple(support), repeats == state.repeats)
+        return (
+            self.faults,
+            tuple(self._node_key(node, state.ledger.revision) for node in self.nodes),
+            tuple(
+                self._row_key(row, numbers.get(row.incarnation, 0), usable.get(row.incarnation, -1))
+                for row in state.ledger.rows()
+            ),
+            plan,
+            self.broken,
+        )
+
+    def _node_key(self, node: Node, revision: int) -> tuple[Any, ...]:
+        if node.cached[:2] != (self.now, revision):
+            node.cached = (self.now, revision, self._made_key(node, revision))
+        made: tuple[Any, ...] = node.cached[2]
+        return made
+
+    def _made_key(self, node: Node, revision: int) -> tuple[Any, ...]:
+        core, own = node.core, self.now + node.skew
+        base = 0 if core is None else core._numbers
+        calls = tuple(
+            (
+                sent.call.path,
+                base - sent.call.number,
+                self.now - sent.at,
+                *self._body_key(sent.call, base, revision),
+            )
+            for sent in node.calls
+        )
+        words = tuple((number, self.now - at) for number, at in node.words)
+        if core is None:
+            return (node.starts, calls, words)
+        answers = tuple(
+            (base - number, None if told is None else self._told_key(told, revision))
+            for number, told in node.answers
+        )
+        out = core._out
+        return (
+            node.starts,
+            calls,
+            words,
+            answers,
+            tuple(sorted((number, own - word.at_ms, word.standing) for number, word in node.said.items())),
+            core.incarnation,
+            revision - core.revision,
+            core.elector,
+            round(core._share, 6),
+            past(core.lease_end - own),
+            past(core._until - own),
+            past(core._answer_at + SUPPORT * TTL - own),
+            base - core._answered,
+            None if out is None else (out[0].path, base - out[0].number, own - out[1]),
+            max(0.0, core._due - own),
+            members_key(core.members),
+        )
+
+    def _body_key(self, call: Call, base: int, revision: int) -> tuple[Any, ...]:
+        body = call.body
+        if call.path != "renew":
+            return (call.path, body.get("start"), body.get("incarnation"))
+        return (
+            body["incarnation"],
+            base - body["answered"],
+            revision - body["acked"],
+            round(body["using"], 6),
+            body["sent"] is None,
+        )
+
+    def _told_key(self, told: dict[str, Any], revision: int) -> tuple[Any, ...]:
+        members = tuple(
+            sorted((row["incarnation"], row["rank"], row["state"]) for row in told.get("members", ()))
+        )
+        return (
+            told["incarnation"],
+            revision - told["rev"],
+            round(told["share"], 6),
+            told["elector"],
+            members,
+        )
+
+    def _row_key(self, row: Row, base: int, usable: int) -> tuple[Any, ...]:
+        revision = self.service.state.ledger.revision
+        lease = self.service.clock._leases.get(row.incarnation)
+        told = None
+        if lease is not None:
+            attached = lease.since is not None and self.now < lease.until
+            applied = tuple(
+                (base - seq, self.now - at)
+                for seq, at in lease.applied.items()
+                if seq >= usable and self.now < at + SUPPORT * TTL
+            )
+            told = (
+                min(self.now - lease.last, TTL + self.bounds.step),
+                base - lease.seq,
+                (min(self.now - lease.since, TTL), lease.until - self.now) if attached else None,
+                applied,
+            )
+        return (
+            row.incarnation,
+            row.rank,
+            row.start,
+            revision - row.enrolled,
+            round(row.share, 6),
+            revision - row.acked,
+            row.elector,
+            row.state,
+            base - row.seq,
+            told,
+        )
--- /dev/null
+++ b/tests/orders/parts.py
@@ -0,0 +1,109 @@
+"""What the worlds are made of: their bounds, a node's place, the service, and how these are copied."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, NamedTuple
+
+from orchidledge.members.enrolment import Call, Enrolment, Word
+from orchidledge.members.leases import LeaseClock
+from orchidledge.members.ledger import Ledger, Row, State
+from orchidledge.registry.fleet_state import FleetState
+
+TTL = 1000.0
+MOST = 1.0 + 1e-6
+NEVER = -math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """`skews`: of each node's own clock, in ms; `on_way`: calls of one node on their way at once; `kinds`:
+    the faults that there may be."""
+
+    skews: tuple[float, ...] = (0.0, 0.0, 0.0)
+    step: float = TTL / 4
+    on_way: int = 2
+    kinds: frozenset[str] = frozenset(("send", "repeat", "plan", "crash", "lead", "late"))
+    siblings: bool = True  # whether words are heard at all
+    all_words: bool = False  # also those that can change nothing, in a right core
+
+
+class Sent(NamedTuple):
+    call: Call
+    at: float  # true time
+
+
+class Least(Random):
+    def uniform(self, a: float, b: float) -> float:
+        return a
+
+
+RNG = Least(0)
+
+
+@dataclass(slots=True)
+class Node:
+    """A node's place: its process, if one runs, and what it and the ones before it have on the way."""
+
+    name: str
+    skew: float
+    core: Enrolment | None = None
+    starts: int = 0
+    said: dict[int, Word] = field(default_factory=dict)  # siblings' latest words, by incarnation
+    calls: tuple[Sent, ...] = ()
+    answers: tuple[tuple[int, dict[str, Any] | None], ...] = ()  # by call; None: no such row
+    words: tuple[tuple[int, float], ...] = ()  # said that it holds, to be heard later: incarnation, true time
+    cached: tuple[float, int, Any] = (NEVER, 0, None)  # its part of a key: at this time and revision
+
+    def copy(self) -> Node:
+        core = None if self.core is None else twin(self.core)
+        return Node(
+            self.name, self.skew, core, self.starts, self.said, self.calls, self.answers, self.words
+        )  # fmt: skip
+
+
+class Service(NamedTuple):
+    """What a command changes: copied as a whole before one."""
+
+    state: FleetState
+    clock: LeaseClock
+
+
+Plan = tuple[list[tuple[int, int]], list[int], int]
+
+
+def twin(core: Enrolment) -> Enrolment:
+    """All values in a core's fields are immutable, so a shallow copy does."""
+    new: Enrolment = object.__new__(type(core))
+    new.__dict__.update(core.__dict__)
+    return new
+
+
+def copied(state: FleetState) -> FleetState:
+    ledger: Ledger = object.__new__(type(state.ledger))
+    ledger.__dict__.update(state.ledger.__dict__)
+    ledger.by_incarnation = {
+        number: Row(
+            row.name, row.address, row.zone, row.start, row.incarnation, row.rank, row.enrolled, row.share,
+            row.acked, row.elector, row.state, row.seq,
+        )
+        for number, row in ledger.by_incarnation.items()
+    }  # fmt: skip
+    return FleetState(
+        ledger, state.routes.copy(), state.log_ms, state.term, state.http, state.epoch, state.ttl_ms,
+        state.bound_ms, state.repeats,
+    )  # fmt: skip
+
+
+def waits(node: Node, number: int) -> bool:
+    return node.core is not None and node.core._out is not None and node.core._out[0].number == number
+
+
+def past(left: float) -> float | None:
+    return left if left > 0.0 else None
+
+
+def members_key(members: Any) -> tuple[tuple[int, int, bool], ...]:
+    return tuple([(member.incarnation, member.rank, member.state == State.LEFT) for member in members])
--- a/tests/orders/shares.py
+++ b/tests/orders/shares.py
@@ -31,78 +31,17 @@
 
 import math
 from collections.abc import Iterator
-from dataclasses import dataclass, field
-from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 from orchidledge.members.enrolment import HOLD, Call, Enrolment, Standing, Word
-from orchidledge.members.leases import LATE, SUPPORT, LeaseClock, _Lease
-from orchidledge.members.ledger import Ledger, Row, State
+from orchidledge.members.leases import LATE, LeaseClock, _Lease
+from orchidledge.members.ledger import Row
 from orchidledge.registry.fleet_state import FleetState
+from tests.orders.keys import Keyed
+from tests.orders.parts import MOST, NEVER, RNG, TTL, Bounds, Node, Plan, Sent, Service, copied, waits
 
-TTL = 1000.0
-MOST = 1.0 + 1e-6
-NEVER = -math.inf
 
-
-@dataclass(frozen=True, slots=True)
-class Bounds:
-    """`skews`: of each node's own clock, in ms; `on_way`: calls of one node on their way at once; `kinds`:
-    the faults that there may be."""
-
-    skews: tuple[float, ...] = (0.0, 0.0, 0.0)
-    step: float = TTL / 4
-    on_way: int = 2
-    kinds: frozenset[str] = frozenset(("send", "repeat", "plan", "crash", "lead", "late"))
-    siblings: bool = True  # whether words are heard at all
-    all_words: bool = False  # also those that can change nothing, in a right core
-
-
-class Sent(NamedTuple):
-    call: Call
-    at: float  # true time
-
-
-class Least(Random):
-    def uniform(self, a: float, b: float) -> float:
-        return a
-
-
-RNG = Least(0)
-
-
-@dataclass(slots=True)
-class Node:
-    """A node's place: its process, if one runs, and what it and the ones before it have on the way."""
-
-    name: str
-    skew: float
-    core: Enrolment | None = None
-    starts: int = 0
-    said: dict[int, Word] = field(default_factory=dict)  # siblings' latest words, by incarnation
-    calls: tuple[Sent, ...] = ()
-    answers: tuple[tuple[int, dict[str, Any] | None], ...] = ()  # by call; None: no such row
-    words: tuple[tuple[int, float], ...] = ()  # said that it holds, to be heard later: incarnation, true time
-    cached: tuple[float, int, Any] = (NEVER, 0, None)  # its part of a key: at this time and revision
-
-    def copy(self) -> Node:
-        core = None if self.core is None else twin(self.core)
-        return Node(
-            self.name, self.skew, core, self.starts, self.said, self.calls, self.answers, self.words
-        )  # fmt: skip
-
-
-class Service(NamedTuple):
-    """What a command changes: copied as a whole before one."""
-
-    state: FleetState
-    clock: LeaseClock
-
-
-Plan = tuple[list[tuple[int, int]], list[int], int]
-
-
-class Shares:
+class Shares(Keyed):
     """Never changed from outside; `_twin` begins each move."""
 
     __slots__ = ("bounds", "broken", "faults", "given", "nodes", "now", "plan", "service")
@@ -378,130 +317,6 @@
     def takes(self) -> list[float]:
         return [0.0 if node.core is None else node.core.taking(self.now + node.skew) for node in self.nodes]
 
-    def key(self) -> tuple[Any, ...]:
-        state = self.service.state
-        numbers: dict[int | None, int] = {}
-        usable: dict[int | None, int] = {}  # no renewal names an answer before this one
-        for node in self.nodes:
-            if node.core is not None:
-                numbers[node.core.incarnation] = node.core._numbers
-                if not node.calls:
-                    usable[node.core.incarnation] = node.core._answered
-        plan = None
-        if self.plan is not None:
-            lapsed, support, repeats = self.plan
-            seqs = tuple((number, numbers.get(number, 0) - seq) for number, seq in lapsed)
-            plan = (seqs, tuple(support), repeats == state.repeats)
-        return (
-            self.faults,
-            tuple(self._node_key(node, state.ledger.revision) for node in self.nodes),
-            tuple(
-                self._row_key(row, numbers.get(row.incarnation, 0), usable.get(row.incarnation, -1))
-                for row in state.ledger.rows()
-            ),
-            plan,
-            self.broken,
-        )
-
-    def _node_key(self, node: Node, revision: int) -> tuple[Any, ...]:
-        if node.cached[:2] != (self.now, revision):
-            node.cached = (self.now, revision, self._made_key(node, revision))
-        made: tuple[Any, ...] = node.cached[2]
-        return made
-
-    def _made_key(self, node: Node, revision: int) -> tuple[Any, ...]:
-        core, own = node.core, self.now + node.skew
-        base = 0 if core is None else core._numbers
-        calls = tuple(
-            (
-                sent.call.path,
-                base - sent.call.number,
-                self.now - sent.at,
-                *self._body_key(sent.call, base, revision),
-            )
-            for sent in node.calls
-        )
-        words = tuple((number, self.now - at) for number, at in node.words)
-        if core is None:
-            return (node.starts, calls, words)
-        answers = tuple(
-            (base - number, None if told is None else self._told_key(told, revision))
-            for number, told in node.answers
-        )
-        out = core._out
-        return (
-            node.starts,
-            calls,
-            words,
-            answers,
-            tuple(sorted((number, own - word.at_ms, word.standing) for number, word in node.said.items())),
-            core.incarnation,
-            revision - core.revision,
-            core.elector,
-            round(core._share, 6),
-            past(core.lease_end - own),
-            past(core._until - own),
-            past(core._answer_at + SUPPORT * TTL - own),
-            base - core._answered,
-            None if out is None else (out[0].path, base - out[0].number, own - out[1]),
-            max(0.0, core._due - own),
-            members_key(core.members),
-        )
-
-    def _body_key(self, call: Call, base: int, revision: int) -> tuple[Any, ...]:
-        body = call.body
-        if call.path != "renew":
-            return (call.path, body.get("start"), body.get("incarnation"))
-        return (
-            body["incarnation"],
-            base - body["answered"],
-            revision - body["acked"],
-            round(body["using"], 6),
-            body["sent"] is None,
-        )
-
-    def _told_key(self, told: dict[str, Any], revision: int) -> tuple[Any, ...]:
-        members = tuple(
-            sorted((row["incarnation"], row["rank"], row["state"]) for row in told.get("members", ()))
-        )
-        return (
-            told["incarnation"],
-            revision - told["rev"],
-            round(told["share"], 6),
-            told["elector"],
-            members,
-        )
-
-    def _row_key(self, row: Row, base: int, usable: int) -> tuple[Any, ...]:
-        revision = self.service.state.ledger.revision
-        lease = self.service.clock._leases.get(row.incarnation)
-        told = None
-        if lease is not None:
-            attached = lease.since is not None and self.now < lease.until
-            applied = tuple(
-                (base - seq, self.now - at)
-                for seq, at in lease.applied.items()
-                if seq >= usable and self.now < at + SUPPORT * TTL
-            )
-            told = (
-                min(self.now - lease.last, TTL + self.bounds.step),
-                base - lease.seq,
-                (min(self.now - lease.since, TTL), lease.until - self.now) if attached else None,
-                applied,
-            )
-        return (
-            row.incarnation,
-            row.rank,
-            row.start,
-            revision - row.enrolled,
-            round(row.share, 6),
-            revision - row.acked,
-            row.elector,
-            row.state,
-            base - row.seq,
-            told,
-        )
-
     # -------------------------------------------------------------------- fair runs
 
     def fair(self, steps: int) -> Shares:
@@ -545,38 +360,3 @@
     if broken is None and sum(after.takes()) < 0.99:
         broken = f"4 terms after the last fault the shares are {after.takes()}"
     return broken
-
-
-def twin(core: Enrolment) -> Enrolment:
-    """All values in a core's fields are immutable, so a shallow copy does."""
-    new: Enrolment = object.__new__(type(core))
-    new.__dict__.update(core.__dict__)
-    return new
-
-
-def copied(state: FleetState) -> FleetState:
-    ledger: Ledger = object.__new__(type(state.ledger))
-    ledger.__dict__.update(state.ledger.__dict__)
-    ledger.by_incarnation = {
-        number: Row(
-            row.name, row.address, row.zone, row.start, row.incarnation, row.rank, row.enrolled, row.share,
-            row.acked, row.elector, row.state, row.seq,
-        )
-        for number, row in ledger.by_incarnation.items()
-    }  # fmt: skip
-    return FleetState(
-        ledger, state.routes.copy(), state.log_ms, state.term, state.http, state.epoch, state.ttl_ms,
-        state.bound_ms, state.repeats,
-    )  # fmt: skip
-
-
-def waits(node: Node, number: int) -> bool:
-    return node.core is not None and node.core._out is not None and node.core._out[0].number == number
-
-
-def past(left: float) -> float | None:
-    return left if left > 0.0 else None
-
-
-def members_key(members: Any) -> tuple[tuple[int, int, bool], ...]:
-    return tuple([(member.incarnation, member.rank, member.state == State.LEFT) for member in members])
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -15,9 +15,11 @@
 from orchidledge.routes import follower
 from tests.orders import mistakes
 from tests.orders.explore import Found, explore, walk
+from tests.orders.parts import Bounds
 from tests.orders.rounds import Rounds
-from tests.orders.routes import Routes, Talk, routes_check, routes_probe
-from tests.orders.shares import Bounds, Shares, share_check, share_probe
+from tests.orders.routes import Routes, Talk
+from tests.orders.routes_check import routes_check, routes_probe
+from tests.orders.shares import Shares, share_check, share_probe
 
 SKEWS = (0.0, 2000.0, -2000.0)
 ALL = Bounds().kinds
@@ -130,6 +132,8 @@
     found = explore(world, check, depth)
     print(f"\n{wrong.__name__}: {found}")
     assert found.broken is not None
+    monkeypatch.undo()
+    assert explore(start(), check, len(found.trace)).broken is None, "the right core does not break there"
 
 
 def told(name: str, found: Found, least: int) -> None:
