Bound what peers may take at a node's members address: connections, idle time, head and body

Need: anyone may connect there, and a head without end or connections without number would have taken the node's memory and descriptors. At most 128 connections (the oldest goes), 10 s idle, 64 KiB of body and of head.

--- a/orchidledge/net/fleet/hearing.py
+++ b/orchidledge/net/fleet/hearing.py
@@ -21,6 +21,7 @@
 ASK, THROUGH = "/members/ask", "/members/ask-through"
 LONGEST_S = 3.0  # an indirect call that the core has not answered by then is refused
 LISTEN_PAUSE_S = 0.2
+LIMITS = web.Limits(body=64 * 1024, idle_s=10.0, connections=128)  # any peer may come here
 UNDER_WAY = 128  # indirect calls of siblings at once; a further one is refused
 
 
@@ -54,7 +55,7 @@
         )
         async for attempt in retrying:
             with attempt:
-                self._server = await web.serve(address, self._handle)
+                self._server = await web.serve(address, self._handle, LIMITS)
         self._tick()
         then()
 
--- a/orchidledge/net/web.py
+++ b/orchidledge/net/web.py
@@ -17,6 +17,7 @@
 from orchidledge.net.upstream import Address
 
 MAX_BODY = 4 * 1024 * 1024
+MAX_HEAD = 64 * 1024
 IDLE_S = 75.0  # a connection with no whole request for so long is closed: longer than any watch waits
 QUEUED = 8  # requests read ahead on one connection before reading pauses
 MAX_ANSWER = 64 * 1024 * 1024  # a whole list of 10,000 targets is some 2 MB
@@ -54,9 +55,21 @@
 Handler = Callable[[Call], Awaitable[Answer]]
 
 
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What peers may take of a server. Of connections over the most, the oldest is closed."""
+
+    body: int = MAX_BODY  # bytes of one request's body
+    idle_s: float = IDLE_S  # a connection with no whole request for so long is closed
+    connections: int = 10_000
+
+
 class _Connection(asyncio.Protocol):
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, limits: Limits, visits: dict[_Connection, None]) -> None:
         self._handler = handler
+        self._limits = limits
+        self._visits = visits  # of the same server, the oldest first
+        self._size = 0  # bytes since the last whole request
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._queue: asyncio.Queue[Call | None] = asyncio.Queue()
@@ -69,14 +82,27 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._task = asyncio.create_task(self._serve())
+        self._visits[self] = None
+        if len(self._visits) > self._limits.connections:  # Guard: peers must not use up the descriptors
+            next(iter(self._visits)).abort()
+
+    def abort(self) -> None:
+        self._visits.pop(self, None)
+        if self._transport is not None:
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > self._limits.body + MAX_HEAD:  # Guard: a head without end must not grow memory
+            self._queue.put_nowait(None)
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, ValueError):
             self._queue.put_nowait(None)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._visits.pop(self, None)
         if self._task is not None:
             self._task.cancel()
 
@@ -88,7 +114,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._body += body
-        if len(self._body) > MAX_BODY:
+        if len(self._body) > self._limits.body:
             raise ValueError("body too large")
 
     def on_message_complete(self) -> None:
@@ -96,7 +122,7 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         method = self._parser.get_method().decode("latin-1")
         self._queue.put_nowait(Call(method, url.path, query, self._headers, bytes(self._body)))
-        self._url, self._headers, self._body = b"", {}, bytearray()
+        self._url, self._headers, self._body, self._size = b"", {}, bytearray(), 0
         if self._queue.qsize() >= QUEUED and self._transport is not None:
             self._transport.pause_reading()  # Guard: a peer that pipelines without end must not grow memory
 
@@ -104,7 +130,7 @@
         assert self._transport is not None
         while True:
             try:
-                async with asyncio.timeout(IDLE_S):
+                async with asyncio.timeout(self._limits.idle_s):
                     call = await self._queue.get()
             except TimeoutError:
                 self._transport.close()
@@ -121,10 +147,13 @@
             self._transport.write(answer.encode(close=False))
 
 
-async def serve(address: Address, handler: Handler) -> asyncio.Server:
+async def serve(address: Address, handler: Handler, limits: Limits | None = None) -> asyncio.Server:
     """Listen at the address (port 0: one the system picks) and answer with the handler."""
     loop = asyncio.get_running_loop()
-    return await loop.create_server(lambda: _Connection(handler), *address, reuse_address=True)
+    within, visits = limits or Limits(), dict[_Connection, None]()
+    return await loop.create_server(
+        lambda: _Connection(handler, within, visits), *address, reuse_address=True
+    )
 
 
 @dataclass(slots=True)
--- a/tests/test_registry_parts.py
+++ b/tests/test_registry_parts.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from pathlib import Path
 
 import pytest
 
-from orchidledge.net.web import Answer, Call, serve
+from orchidledge.net.web import MAX_HEAD, Answer, Call, Limits, serve
 from orchidledge.registry.settings import ConfigError, load_agent, load_instance
 from orchidledge.registry.store import Catalog, clean_target
 
@@ -60,23 +61,29 @@
     assert catalog.expire(10_000, 1_000, _doApply=True) == []
 
 
-def test_a_peer_that_sends_nothing_or_garbage_is_closed_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("orchidledge.net.web.IDLE_S", 0.05)
-
-    async def main() -> tuple[bytes, bytes]:
+def test_peers_that_send_nothing_garbage_a_head_without_end_or_come_too_often_are_closed() -> None:
+    async def main() -> tuple[bytes, ...]:
         async def never(call: Call) -> Answer:
             raise AssertionError("no request should reach the handler")
 
-        server = await serve(("127.0.0.1", 0), never)
+        limits = Limits(body=10, idle_s=0.05, connections=3)
+        server = await serve(("127.0.0.1", 0), never, limits)
         address = server.sockets[0].getsockname()[:2]
         silent_reader, _ = await asyncio.open_connection(*address)
         rude_reader, rude = await asyncio.open_connection(*address)
         rude.write(b"\x00\x01 not HTTP\r\n\r\n")
         async with asyncio.timeout(5):
-            said = await silent_reader.read(), await rude_reader.read()
+            said = [await silent_reader.read(), await rude_reader.read()]
+            endless_reader, endless = await asyncio.open_connection(*address)
+            endless.write(b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * MAX_HEAD)
+            with contextlib.suppress(ConnectionError):  # a reset may overtake the answer; open it must not stay
+                await endless_reader.read()
+            crowd = [await asyncio.open_connection(*address) for _ in range(4)]
+            with contextlib.suppress(ConnectionError):
+                said.append(await crowd[0][0].read())
         server.close()
-        return said
+        return tuple(said)
 
-    silent, rude = asyncio.run(main())
-    assert silent == b""
+    silent, rude, first = asyncio.run(main())
+    assert (silent, first) == (b"", b"")
     assert rude.startswith(b"HTTP/1.1 400 ")
