Explore the route store's worker against an abort, a second proposal and the next process

A close of the store waits for a write under way, as the next process of an upgrade uses the same folder.

--- a/orchidledge/net/fleet/store.py
+++ b/orchidledge/net/fleet/store.py
@@ -43,7 +43,8 @@
         return self._worker.submit(self._forget, number)
 
     def close(self) -> None:
-        self._worker.shutdown(wait=False, cancel_futures=True)
+        """Wait for a write under way: the next process of an upgrade uses the same folder."""
+        self._worker.shutdown(wait=True, cancel_futures=True)
 
     def _path(self, number: int) -> Path:
         return self._folder / f"{number}.route"
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -1,7 +1,8 @@
 """Threads of the real classes in every order that matters, by frontrun (DPOR), at most two of them preempted.
 
 Each case of tests/threads.py runs in a process of its own under the `frontrun` command, so the one test
-command stays `python -m pytest`. A lock taken out is the seeded mistake: it has to be found.
+command stays `python -m pytest`. A lock taken out, or an order not kept, is the seeded mistake: it has to
+be found.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 import orjson
 import pytest
 
-CASES = ("targets", "members", "stopping", "twice")
+CASES = ("targets", "members", "stopping", "twice", "versions")
 
 
 def explored(name: str, folder: Path) -> dict[str, Any]:
@@ -42,5 +43,5 @@
 
 
 @pytest.mark.parametrize("name", CASES)
-def test_a_lock_taken_out_is_found(name: str, tmp_path: Path) -> None:
+def test_the_seeded_mistake_is_found(name: str, tmp_path: Path) -> None:
     assert explored(f"{name}-wrong", tmp_path)["holds"] is False
--- a/tests/threads.py
+++ b/tests/threads.py
@@ -18,6 +18,7 @@
 import orjson
 
 from orchidledge.net import snapshot
+from orchidledge.net.fleet.store import RouteStore
 from orchidledge.net.snapshot import StateFile
 from orchidledge.registry.fleet import FleetCatalog, Renewed
 from orchidledge.registry.service_clock import ServiceClock
@@ -155,10 +156,44 @@
         return self.wrote and not self.failed and self.file.path.read_bytes() in whole
 
 
+class Versions:
+    """The worker of a node's route versions stores one, forgets it as its activation was aborted, and
+    stores the one proposed next, while the next process of an upgrade reads the folder."""
+
+    def __init__(self, wrong: bool) -> None:
+        self.folder = Path(tempfile.mkdtemp())
+        self.store, self.wrong = RouteStore(self.folder), wrong
+        self.done: list[str] = []  # frontrun orders threads by what they share in memory, not in the folder
+        self.seen: list[tuple[int, str]] = []
+
+    def worker(self) -> None:
+        self._step("write", lambda: self.store._write(1, "aborted"))
+        if not self.wrong:
+            self._step("forget", lambda: self.store._forget(1))
+        self._step("write", lambda: self.store._write(2, "proposed next"))
+
+    def beside(self) -> None:
+        if self.wrong:  # removals by a thread of their own, out of the order they were asked for in
+            self._step("forget", lambda: self.store._forget(1))
+
+    def reader(self) -> None:
+        self._step("read", lambda: self.seen.extend(RouteStore(self.folder).read()))
+
+    def _step(self, name: str, act: Callable[[], object]) -> None:
+        self.done.append(name)
+        act()
+
+    def holds(self) -> bool:
+        """What is read is whole and was there at one moment; what is left is what was asked for last."""
+        moments = ([], [(1, "aborted")], [(2, "proposed next")])
+        return self.seen in moments and RouteStore(self.folder).read() == [(2, "proposed next")]
+
+
 CASES: dict[str, tuple[Callable[[bool], Any], list[Callable[[Any], None]]]] = {
     "targets": (Targets, [Targets.raft, Targets.web, Targets.watcher]),
     "members": (Members, [Members.raft, Members.leader, Members.web]),
     "stopping": (Stopping, [Stopping.write, Stopping.stop]),
+    "versions": (Versions, [Versions.worker, Versions.beside, Versions.reader]),
     "twice": (Twice, [Twice.first, Twice.second]),
 }
 
