--- a/orchidledge/registry/local.py
+++ b/orchidledge/registry/local.py
@@ -43,10 +43,16 @@
 }
 
 
-def _port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+def _held_port(held: contextlib.ExitStack) -> int:
+    """A port for a child to bind, kept for it until `held` closes.
+
+    The socket stays bound, not listening: the system gives its number to nobody else meanwhile, and the
+    child, which sets SO_REUSEADDR as this does, can bind it and listen.
+    """
+    holder = held.enter_context(socket.socket())
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    return int(holder.getsockname()[1])
 
 
 def _instance_files(folder: Path, http: list[int], raft: list[int], ttl_ms: int) -> list[Path]:
@@ -101,8 +107,16 @@
 
 async def run_local(folder: Path, servers: int, node_port: int, log: structlog.stdlib.BoundLogger) -> None:
     """Start it all and keep it until SIGTERM or SIGINT."""
+    with contextlib.ExitStack() as held:
+        ports = [_held_port(held) for _ in range(7)]
+        await _run(folder, servers, node_port, ports, log)
+
+
+async def _run(
+    folder: Path, servers: int, node_port: int, ports: list[int], log: structlog.stdlib.BoundLogger
+) -> None:
     folder.mkdir(parents=True, exist_ok=True)
-    http, raft, agent_port, ttl_ms = [_port() for _ in range(3)], [_port() for _ in range(3)], _port(), 6000
+    http, raft, agent_port, ttl_ms = ports[:3], ports[3:6], ports[6], 6000
     me = [sys.executable, "-m", "orchidledge.registry"]
     commands = [[*me, "serve", "--config", str(path)] for path in _instance_files(folder, http, raft, ttl_ms)]
     registries = ", ".join(f'"127.0.0.1:{port}"' for port in http)
--- a/orchidledge/registry/service.py
+++ b/orchidledge/registry/service.py
@@ -70,6 +70,9 @@
         conf = SyncObjConf(
             journalFile=str(config.data / "raft.journal"),
             fullDumpFile=str(config.data / "raft.dump"),
+            # Guard: pysyncobj listens on every address of the machine unless it is told one, and whoever
+            # reaches a member's listener can have it unpickle what they send.
+            bindAddress=config.raft,
             useFork=False,
             appendEntriesPeriod=config.append_period_ms / 1000.0,
             autoTickPeriod=min(0.05, config.append_period_ms / 2000.0),
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,11 @@
+"""Faults injected between programs over TCP: a relay for each way one dials another, and a net of them.
+
+All faults are set from the test's thread and hold once the call that sets them has returned; all
+chances are drawn from seeded sources of the relay's own.
+"""
+
+from tests.faults.loops import LoopThread
+from tests.faults.net import Net
+from tests.faults.relay import Relay
+
+__all__ = ["LoopThread", "Net", "Relay"]
