End a relayed connection quietly where its far side was reset meanwhile

write_eof on a socket that the peer had reset raised ENOTCONN out of a timer of the relay, or out of `heal`, which then healed nothing further. connection_lost tells of that end in any case.

--- a/tests/faults/flow.py
+++ b/tests/faults/flow.py
@@ -94,7 +94,8 @@
             reset(sink)
         else:
             self.eof_passed = True
-            sink.write_eof()
+            with contextlib.suppress(OSError):  # it was reset meanwhile, which connection_lost will tell
+                sink.write_eof()
             self._ended()
 
     def _wake_at(self, due: float) -> None:
