--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -45,9 +45,10 @@
 def ask(
     port: int, method: str, target: str, body: Any = None, timeout: float = 3.0
 ) -> tuple[int, dict[str, str], Any]:
+    """Bytes go as they are, any other body as JSON."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
     try:
-        data = orjson.dumps(body) if body is not None else None
+        data = body if body is None or isinstance(body, bytes) else orjson.dumps(body)
         connection.request(method, target, body=data)
         response = connection.getresponse()
         raw = response.read()
--- a/tests/members.py
+++ b/tests/members.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import http.client
 import signal
 import time
 from collections.abc import Iterator, Sequence
@@ -12,8 +11,6 @@
 from pathlib import Path
 from typing import Any
 
-import orjson
-
 from tests.faults import LoopThread, Net, Post
 from tests.fleet import Registry, ask, until
 from tests.load import Load
@@ -78,7 +75,7 @@
         """A call of the fleet's, through the agent; said again until it is done or refused."""
 
         def said() -> tuple[int, Any] | None:
-            status, answer = _call(self.agent.port, method, f"/fleet/{path}", body)
+            status, _, answer = ask(self.agent.port, method, f"/fleet/{path}", body, timeout=5.0)
             return None if status == 503 else (status, answer)
 
         return until(said, LIMIT_S, f"{method} {path} done")  # type: ignore[no-any-return]
@@ -267,20 +264,6 @@
     return {"ttl_ms": TTL_MS, "clock_bound_ms": BOUND_MS, "clock_offset_ms": SERVICE_CLOCKS_MS[index]}
 
 
-def _call(port: int, method: str, target: str, body: bytes | dict[str, Any] | None) -> tuple[int, Any]:
-    """As `ask`, which sends JSON; bytes go as they are."""
-    if not isinstance(body, bytes):
-        status, _, answer = ask(port, method, target, body)
-        return status, answer
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5.0)
-    try:
-        connection.request(method, target, body=body)
-        answer = connection.getresponse()
-        return answer.status, orjson.loads(answer.read())
-    finally:
-        connection.close()
-
-
 def _brief(status: Status) -> dict[str, Any]:
     kept = {
         key: status[key] for key in ("name", "incarnation", "stand", "standing", "share", "rows", "routes")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -114,6 +114,22 @@
         assert standing == {at: "holding" if takes[at > 2] else "yielded" for at in cut_off}
 
 
+def test_a_node_that_the_list_service_hears_and_does_not_reach_yields_and_nobody_takes_its_place(
+    fleet: Fleet,
+) -> None:
+    with fleet.watched() as watch:
+        start = time.monotonic()
+        held = [fleet.posts[at].hold("/fleet/renew", answers=True) for at in (3, 4)]
+        fleet.until_all("shares yielded", lambda status: status["share"] == 0.0, 3, 4)
+        until_later(fleet, TTL_MS)
+        assert {
+            (sample.status["rows"], round(sample.share, 6)) for sample in watch.since(start, 0, 1, 2)
+        } == {(5, 0.2)}
+        for one in held:
+            one.release()
+        fleet.until_shared(0, 1, 2, 3, 4)
+
+
 def until_later(fleet: Fleet, ms: float) -> None:
     """Until so much time has passed by a node's own clock."""
     start = fleet.status(0)["now_ms"]
--- a/tests/test_fleet_routes.py
+++ b/tests/test_fleet_routes.py
@@ -162,7 +162,6 @@
     with fleet.watched() as watch:
         first = fleet.propose((0.0, 1.0))
         until_followed(fleet, first)
-        outcomes = []
         for pause_s in (None, 0.0, *(rng.uniform(0.03, 0.3) for _ in range(3))):
             held = held_vote(fleet, 1) if pause_s is None else None
             start = time.monotonic()
@@ -176,7 +175,6 @@
                 assert said["phase"] == "aborted"
                 held.release()
             until(lambda: fleet.routes()["pending"] is None, LIMIT_S, "settled")
-            outcomes.append(said["phase"])
             if said["phase"] == "aborted":
                 assert fleet.phase(number) == "aborted"
                 assert number not in {sample.run[2] for sample in watch.since(start)}
