--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -40,7 +40,7 @@
     acknowledged: list[str] = []
     seen: list[int] = []
     stop = threading.Event()
-    follower = threading.Thread(target=watch_revisions, args=(agent.page, stop, seen))
+    follower = threading.Thread(target=watch_revisions, args=(agent.page, stop, seen), daemon=True)
     registry.put("s-first")
     until(lambda: "s-first" in agent.listed(), what="the agent's first list")
     follower.start()
--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -64,7 +64,7 @@
     """Reads all rows from every live instance, over and over, and keeps what breaks a rule."""
 
     def __init__(self, fleet: Fleet) -> None:
-        super().__init__()
+        super().__init__(daemon=True)  # a test that fails must not keep the run from ending
         self.fleet, self.stopping, self.broken, self.samples = fleet, threading.Event(), [], 0
         self.lapsed: set[int] = set()
         self.start()
