--- a/bench/hearing.py
+++ b/bench/hearing.py
@@ -60,14 +60,13 @@
             )
 
 
-def false_verdicts(nodes: int, minutes: float, runs: int) -> None:
-    for seed in range(runs):
-        world = World(nodes, seed, delay=SLOW, loss=0.02)
-        every = 600.0 + 200 * seed
-        world.stop_every(3, every, lasts=300.0)
-        world.run(minutes * 60_000)
-        turned = {state.value: len(world.turned(state)) for state in Heard if state is not Heard.HEARD}
-        say(false=turned, nodes=nodes, minutes=minutes, stopped_every_ms=every, seed=seed)
+def false_verdicts(nodes: int, minutes: float, seed: int) -> dict[str, object]:
+    world = World(nodes, seed, delay=SLOW, loss=0.02)
+    every = 600.0 + 200 * seed
+    world.stop_every(3, every, lasts=300.0)
+    world.run(minutes * 60_000)
+    turned = {state.value: len(world.turned(state)) for state in Heard if state is not Heard.HEARD}
+    return {"false": turned, "nodes": nodes, "minutes": minutes, "stopped_every_ms": every, "seed": seed}
 
 
 def cost(seconds: float) -> None:
@@ -109,7 +108,8 @@
     if given.what == "kill":
         kill(given.nodes, given.rounds)
     elif given.what == "false":
-        false_verdicts(given.nodes, given.minutes, given.runs)
+        for seed in range(given.runs):
+            say(**false_verdicts(given.nodes, given.minutes, seed))
     else:
         cost(given.seconds)
 
--- a/bench/renewals.py
+++ b/bench/renewals.py
@@ -29,15 +29,6 @@
 SEED = 7
 
 
-class Fleet(Registry):
-    ttl = 5_000
-
-    def config(self, index: int) -> Path:
-        path = super().config(index)
-        path.write_text(path.read_text() + f"[members]\nttl_ms = {self.ttl}\n")
-        return path
-
-
 def quantile(values: list[float], share: float) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
@@ -96,8 +87,7 @@
 
 
 async def renewals(folder: Path, members: int, seconds: float, ttl_ms: int) -> dict[str, Any]:
-    Fleet.ttl = ttl_ms
-    fleet = Fleet(folder)
+    fleet = Registry(folder, members=lambda index: {"ttl_ms": ttl_ms})
     try:
         leader = fleet.leader()
         pids = [process.pid for process in fleet.processes if process is not None]
