--- a/bench/fleet_routes.py
+++ b/bench/fleet_routes.py
@@ -26,7 +26,7 @@
 ) -> Iterator[Figures]:
     """Moments at which nodes switch, by their logs (to 1 ms, one machine's wall clock), fault-free."""
     clocks = SKEWED if skewed else (0.0,)
-    spreads, off, late, took, missing = [], [], [], [], 0
+    spreads, aimed, off, late, took, missing = [], [], [], [], [], 0
     with World(folder, Plan(nodes, ttl_ms=ttl_ms, bound_ms=bound_ms, clocks_ms=clocks)) as world:
         world.until_shared()
         world.warm()
@@ -39,6 +39,8 @@
             moments = [stamp for stamp, _ in said.values()]
             if not moments:
                 continue
+            aims = [stamp - ms / 1000.0 for stamp, ms in said.values()]
+            aimed.append((max(aims) - min(aims)) * 1000.0)
             middle = quantile(moments, 0.5)
             spreads.append((max(moments) - min(moments)) * 1000.0)
             off += [abs(moment - middle) * 1000.0 for moment in moments]
@@ -53,6 +55,7 @@
         "ttl_ms": ttl_ms,
         "bound_ms": bound_ms,
         "spread_ms": spread(spreads),
+        "spread_of_moments_aimed_at_ms": spread(aimed),  # clocks alone, without a late event loop
         "from_median_ms": spread(off),
         "late_of_own_moment_ms": spread(late, 2),
         "proposal_to_last_switch_ms": spread(took, 0),
