--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -14,7 +14,7 @@
 
 SILENT_S = 10.0  # a long answer of which nothing has come for so long will not be finished
 IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
-SETTLE_S = 0.05  # a connection carries no other request so soon after an answer
+SETTLE_S = 0.008  # a connection carries no other request so soon after an answer: a second one may come late
 
 
 def result_of(response: Response) -> Result:
