--- a/bench/fleet_hearing.py
+++ b/bench/fleet_hearing.py
@@ -194,7 +194,7 @@
     rng = random.Random(seed)
     with World(folder, Plan(nodes, ttl_ms=ttl_ms, zones=3, relayed=True, seed=seed)) as world:
         world.until_shared()
-        samples = Samples(world.nodes)
+        samples = Samples(world.nodes, every_s=0.1)
         try:
             for at in range(rounds):
                 yield _one_split(world, samples, at % 3, rng.uniform(0.0, 0.3))
@@ -221,7 +221,7 @@
     world.net.heal()
     for at in inside:
         world.posts[at].heal()
-    world.until_shared()
+    world.until_shared(heard=False)
     end = time.monotonic()
     moments = [cut + STEP_S * step for step in range(int((end - cut) / STEP_S))]
     sums = [(moment, _latest_sum(samples, moment)) for moment in moments]
