--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -208,7 +208,7 @@
             return list(pool.map(lambda node: node.metric(f"proxy.{name}"), self.nodes))
 
     def until_shared(self, chosen: Sequence[int] | None = None, heard: bool = True) -> None:
-        """Until these (or all) are all that is enrolled, each has its part and hears the others if `heard`."""
+        """Until these (or all) are all that is enrolled, each has its part and hears others if `heard`."""
         chosen = range(len(self.nodes)) if chosen is None else chosen
         part = 1.0 / len(chosen)
 
