Split net/server.py: the listener apart from a caller's connection and from its calls

A pure move into three: net/server.py (listener, limits), net/connection.py (ServerConnection) and net/call.py (Call, LongAnswer, head), so that the states of a connection can be made explicit next. No behaviour changes; _Answer and _head are LongAnswer and head, as they cross a file now. The 210 tests of the node, bodies, upgrades, guards, limits and maintenance pass.

--- /dev/null
+++ b/orchidledge/net/call.py
@@ -0,0 +1,106 @@
+"""One request as it comes from a caller, and the ways in which its answer goes out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from orchidledge.net.body import Body
+from orchidledge.net.http import LAST_CHUNK, chunk
+
+if TYPE_CHECKING:
+    from orchidledge.net.connection import ServerConnection
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One request as it comes, and where its answer goes. A long one is handed on before its end."""
+
+    connection: ServerConnection
+    body: Body
+    arrived: float = 0.0  # the loop's time of its last byte
+    method: bytes = b""
+    target: bytes = b""
+    headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
+    length: int | None = None  # of the body, as declared
+    coming: bool = True  # its last byte has yet to come
+    version: str = "1.1"
+    keep_alive: bool = True
+    answered: bool = False
+    on_gone: Callable[[], None] | None = None
+    on_whole: Callable[[], None] | None = None  # for one that was handed on before
+
+    def answer(self, status: int, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
+        """The final answer; a second one is ignored."""
+        if not self.answered:
+            self.answered = True
+            self.connection.answer(self, status, body, retry_after_ms)
+
+    def begin(self, length: int | None, rest: Body, on_end: Callable[[bool], None]) -> None:
+        """The final answer, a 200 that is passed on as it comes; `on_end` is told whether all of it was."""
+        if self.answered:
+            rest.abandon()
+            on_end(False)
+        else:
+            self.answered = True
+            self.connection.begin(self, length, rest, on_end)
+
+
+class LongAnswer:
+    """A long answer on its way to a caller."""
+
+    def __init__(
+        self,
+        connection: ServerConnection,
+        call: Call,
+        rest: Body,
+        chunked: bool,
+        close: bool,
+        on_end: Callable[[bool], None],
+    ) -> None:
+        self.call = call
+        self.rest = rest
+        self._connection = connection
+        self._chunked = chunked
+        self._close = close
+        self._on_end = on_end
+        self._over = False
+
+    def write(self, data: bytes) -> None:
+        self._connection.write(chunk(data) if self._chunked else data)
+
+    def end(self) -> None:
+        if self._chunked:
+            self._connection.write(LAST_CHUNK)
+        self._connection.finish(self._close)
+        self._tell(True)
+
+    def broken(self) -> None:
+        self._connection.break_off()
+        self._tell(False)
+
+    def lost(self) -> None:
+        """The caller has gone."""
+        self.rest.leave(self)
+        self._tell(False)
+
+    def _tell(self, whole: bool) -> None:
+        if not self._over:
+            self._over = True
+            self._on_end(whole)
+
+
+def head(status: int, length: int | None, close: bool, retry_after_ms: float) -> bytes:
+    """An answer's head; one with no length goes in chunks."""
+    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    else:
+        lines.append("Transfer-Encoding: chunked")
+    if retry_after_ms > 0.0:
+        lines.append(f"Retry-After: {retry_after_ms / 1000.0:.3f}")
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- a/orchidledge/net/jobs.py
+++ b/orchidledge/net/jobs.py
@@ -9,11 +9,12 @@
 
 from orchidledge import interface as api
 from orchidledge.net.body import Body
+from orchidledge.net.call import Call
 from orchidledge.net.clock import Clock
 from orchidledge.net.config import Config
 from orchidledge.net.figures import Figures
 from orchidledge.net.requests import BadRequestError, parse
-from orchidledge.net.server import Call, Server
+from orchidledge.net.server import Server
 from orchidledge.net.upstream import Attempt
 
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
--- a/orchidledge/net/requests.py
+++ b/orchidledge/net/requests.py
@@ -7,7 +7,7 @@
 from urllib.parse import unquote_to_bytes
 
 from orchidledge import interface as api
-from orchidledge.net.server import Call
+from orchidledge.net.call import Call
 
 WAY_BACK_S = 0.015  # an answer leaves this long before the client's time is up
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -11,8 +11,8 @@
 from loopback import Caller, Peer, Scripted, ask, reply, request, running, targets, until
 
 from orchidledge import interface as api
+from orchidledge.net import connection as connection_module
 from orchidledge.net import http as http_module
-from orchidledge.net import server as server_module
 from orchidledge.net import upstream as upstream_module
 from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.node import Node
@@ -635,7 +635,7 @@
 
 def test_a_chunked_request_past_the_limit_gets_413(monkeypatch):
     async def main():
-        monkeypatch.setattr(server_module, "LONGEST", MIB)
+        monkeypatch.setattr(connection_module, "LONGEST", MIB)
         server = Taking()
         async with behind(server.serve) as node:
             caller = await Caller.to(node)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,8 +30,9 @@
 from orchidledge import interface as api
 from orchidledge.net import driver as driver_module
 from orchidledge.net.clock import Clock
+from orchidledge.net.connection import BODY_S, HEAD_S, PACE
 from orchidledge.net.discovery import Listing, Watcher, parse_address
-from orchidledge.net.server import BODY_S, HEAD_S, PACE, SWEEP_S
+from orchidledge.net.server import SWEEP_S
 
 
 def send_to(*names):
