Let a caller's leaving be asked for at any moment, and see it while nothing is read

While a second request waits its turn in the kernel, or a body is held by a slow server, the reading of a caller's connection is paused and the event loop doesn't watch it: an end or a reset went unseen until the next write (connection.py, pause_reading in data_received and in pause), so attempts went on and further ones could begin long after the caller had left. Shown by a caller that sends two requests at once and leaves while the first is out: its request stayed open for as long as the server held it.

Call.caller_gone() polls the socket (RDHUP, HUP, ERR) at the moment of asking, whatever lies unread before the end; it changes nothing. Ruled out: a timer alone, as what begins between two looks would begin after the leaving could be seen.

--- a/orchidledge/net/call.py
+++ b/orchidledge/net/call.py
@@ -32,6 +32,11 @@
     on_gone: Callable[[], None] | None = None
     on_whole: Callable[[], None] | None = None  # for one that was handed on before
 
+    def caller_gone(self) -> bool:
+        """Whether the caller has left, as far as that can be seen at this moment: asked before anything is
+        begun for the request, as an end may be in the kernel and the loop not have delivered it."""
+        return self.connection.hung_up()
+
     def answer(self, status: int, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         """The final answer; a second one is ignored."""
         if not self.answered:
--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import select
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -63,8 +64,16 @@
         self._transport.abort()
         return True
 
+    def hung_up(self) -> bool:
+        """Whether the caller has closed or reset the connection, as the kernel knows it at this moment."""
+        return self._transport.is_closing() or hung_up(self._transport)
+
     def expire(self, now: float) -> bool:
         """End a connection on which a request is overdue by now; whether that was so."""
+        # Guard: nothing is read while a request waits its turn or its body is held, so an end went unseen.
+        if self._calls and not self._transport.is_reading() and self.hung_up():
+            self._transport.abort()
+            return False
         waits = self._calls and self._calls[0] is not self._partial
         if self._closing or waits or self._paused_at is not None or self._answer or now < self._due():
             return False
@@ -328,6 +337,13 @@
             self._server.loop.call_at(due, self._linger, until)
 
 
+def hung_up(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has ended or reset, be there unread bytes before that or not."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)  # HUP and ERR unasked
+    return bool(poll.poll(0))
+
+
 def _nothing() -> None:
     """Stands for the interest of nobody in a caller's going away."""
 
