Take a caller's reset on its last answer for its leaving, not for a fault of the answering

Once the node drains (or a caller has said Connection: close) the answer is written and the sending ended at once. If the caller has closed just before, its reset comes upon the write, within it on loopback, and shutdown() then fails with ENOTCONN; asyncio's write_eof lets that through (connection.py, _end). It went up through Call.answer into whoever answered: Node.stop's fail_all broke off there, so every other held request was left unanswered and the process ended by an exception; and an attempt's result was never told to the module, whose count of calls at that server stayed one too high and whose request's id stayed taken. Shown by callers that close between two steps of one turn of the loop. A reset before the write was harmless: the write itself fails, which closes the transport before.

The failed end is now the caller's leaving. can_write_eof is not asked any more: a TCP transport's is constant.

Both tests were seen to fail without the mend, for a close (2 of 6 cases; half-close and reset pass either way).

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -323,8 +323,11 @@
         self._closing = True
         if not self._transport.is_closing():
             self._transport.resume_reading()
-            if self._transport.can_write_eof():
+            try:
                 self._transport.write_eof()
+            except OSError:  # Guard: the caller has left, and its reset came on the answer just written
+                self._transport.abort()
+                return
             self._linger(self._server.loop.time() + LINGER_MOST_S)
 
     def _linger(self, until: float) -> None:
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -77,3 +77,54 @@
             caller.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_callers_that_leave_as_the_last_answers_go_out_keep_no_other_from_its_answer(leave: Leave):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            callers = [connect(node) for _ in range(5)]
+            for at, caller in enumerate(callers):
+                caller.sendall(request(name=f"q{at}"))
+            await until(lambda: len(server.seen) == len(callers))
+            node.server.drain()
+            for caller in callers[:-1]:
+                leave(caller)  # and the loop has no turn before the answers
+            node.jobs.fail_all()
+            assert callers[-1].recv(12) == b"HTTP/1.1 504"
+            assert node.jobs.open == 0
+            await until(lambda: len(node.server.connections) == 1)  # the last one's, until that has read
+            for caller in callers:
+                caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_a_caller_that_leaves_as_its_last_answer_goes_out_leaves_nothing_behind(leave: Leave):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(request(name="q1"))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            node.server.drain()
+            on_result, left = job.attempts[0]._on_result, []
+
+            def result(
+                *args: object,
+            ) -> None:  # the answer has been read: the caller leaves just before it is used
+                left.append(leave(caller))
+                on_result(*args)
+
+            job.attempts[0]._on_result = result
+            server.release.set()
+            await until(lambda: left)
+            assert not node.jobs.held
+            assert node.driver.balancer.peers["s0"].load == 0.0
+            assert node.pool.size == 1
+            caller.close()
+
+    asyncio.run(main())
