Keep a connection until its caller has taken the answer: idle, and closed, only after that

Neither idle nor the end of a connection looked at the transport's write buffer (connection.py, idle and _linger): a drain, or room made for a new connection, aborted one whose answer was still waiting there for a slow reader, and an answer that said Connection: close was thrown away 1 to 5 s later however steadily its caller read. In both cases the node ends a connection with no whole answer: the request is lost. Shown with small socket buffers on both sides and an answer of 60 KiB: the caller got 10 to 20 KiB and an end.

A connection is idle once what was answered has left, and the reading on begins then. So that a caller which reads nothing can't keep its connection for ever, one that has taken nothing for 10 s is given up, whatever state it is in: that is also the first limit on one that has half-closed and on a long answer not read.

Ruled out: small writes held back by the system; asyncio sets TCP_NODELAY on every accepted connection.

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -23,6 +23,7 @@
     1.0  # how long after a fatal answer, and after the last that a caller still sends, that is dropped,
 )
 LINGER_MOST_S = 5.0  # at the most
+UNREAD_S = 10.0  # a caller that takes nothing of its answer for so long has given up reading
 HEAD_S = (
     2.3  # how long a request's head may take, the first one from its connection's start (a slow one: 2 s),
 )
@@ -49,13 +50,18 @@
         self._closing = False  # the last answer has been written, or will be with what is in hand
         self.opened_at = 0.0  # by the loop's clock
         self.since = 0.0  # the loop's time of the last byte either way
+        self._unsent = 0  # bytes that waited for the caller to read at the last look,
+        self._taken_at = 0.0  # and the loop's time since when there were so many
+        self._end_by = 0.0  # the loop's time until which it is read on at most, once closing
         self._fresh = True  # no whole request has come yet
         self._head_at = 0.0  # the loop's time when a request's head was whole
         self._began = 0.0  # the loop's time of the connection's start, then of the first byte of a request
 
     @property
     def idle(self) -> bool:
-        return not self._calls and self._partial is None and not self._closing
+        """Between requests: nothing of one has been read, and all that was answered has left."""
+        open_or_over = self._calls or self._partial is not None or self._closing
+        return not open_or_over and not self._transport.get_write_buffer_size()
 
     def close_if_idle(self) -> bool:
         """Close between requests, but not with a request already waiting in the kernel."""
@@ -70,6 +76,9 @@
 
     def expire(self, now: float) -> bool:
         """End a connection on which a request is overdue by now; whether that was so."""
+        if self._unread_for(now) >= UNREAD_S or (self._closing and self._lingered(now)):
+            self._transport.abort()
+            return False
         # Guard: nothing is read while a request waits its turn or its body is held, so an end went unseen.
         if self._calls and not self._transport.is_reading() and self.hung_up():
             self._transport.abort()
@@ -83,6 +92,13 @@
         # Guard: judged by the connection's start, as line ends before a request look like traffic for ever.
         return self._fresh and self.close_if_idle()
 
+    def _unread_for(self, now: float) -> float:
+        """For how long the caller has taken nothing of what waits for it."""
+        unsent = self._transport.get_write_buffer_size()
+        if unsent != self._unsent or not unsent:
+            self._unsent, self._taken_at = unsent, now
+        return now - self._taken_at
+
     def _due(self) -> float:
         """When what has come of a request is too little."""
         due = self._began + HEAD_S
@@ -328,16 +344,14 @@
             except OSError:  # Guard: the caller has left, and its reset came on the answer just written
                 self._transport.abort()
                 return
-            self._linger(self._server.loop.time() + LINGER_MOST_S)
+            self.since = self._server.loop.time()
+            self._end_by = self.since + LINGER_MOST_S
 
-    def _linger(self, until: float) -> None:
-        """Read on for as long as a caller is still sending, within limits."""
-        now = self._server.loop.time()
-        due = min(self.since + LINGER_S, until)
-        if due <= now:
-            self._transport.abort()
-        else:
-            self._server.loop.call_at(due, self._linger, until)
+    def _lingered(self, now: float) -> bool:
+        """Whether enough was read on: all has left, and the caller sends no more, or has for too long."""
+        if self._transport.get_write_buffer_size():
+            self.since, self._end_by = now, now + LINGER_MOST_S
+        return now >= min(self.since + LINGER_S, self._end_by)
 
 
 def hung_up(transport: asyncio.BaseTransport) -> bool:
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 
 import pytest
-from loopback import Held, request, running, until
+from loopback import Held, Message, Peer, reply, request, running, until
 
 from orchidledge.net.body import HIGH_WATER
+from orchidledge.net.connection import LINGER_MOST_S, LINGER_S, UNREAD_S, ServerConnection
 from orchidledge.net.node import Node
 
 
@@ -128,3 +129,91 @@
             caller.close()
 
     asyncio.run(main())
+
+
+# ------------------------------------------------------------------ slow readers
+
+ANSWER = bytes(range(256)) * 240  # 60 KiB: held whole, and far more than the small buffers take
+
+
+async def slow_reader(node: Node, server: Peer, **headers: str) -> tuple[socket.socket, ServerConnection]:
+    """A caller whose answer is written, and for the most part still in the node's write buffer."""
+
+    async def answer(_message: Message) -> bytes:
+        return reply(body=ANSWER)
+
+    server.script = answer
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.connect(node.server.address)
+    await until(lambda: node.server.connections)
+    (connection,) = node.server.connections
+    connection._transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    caller.sendall(request(**headers))
+    await until(lambda: node.counts["answered 200"])
+    assert connection._transport.get_write_buffer_size() > 20_000
+    return caller, connection
+
+
+async def read_to_the_end(caller: socket.socket, close: bool = True) -> bytes:
+    caller.setblocking(False)
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+    data = b""
+    async with asyncio.timeout(20):
+        while piece := await asyncio.get_running_loop().sock_recv(caller, 65_536):
+            data += piece
+    if close:
+        caller.close()
+    return data
+
+
+def test_a_connection_is_not_idle_before_its_answer_has_left():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, connection = await slow_reader(node, server)
+            assert not connection.idle
+            assert not connection.close_if_idle()
+            node.server.drain(open_s=0.0)  # closes the idle ones from now on, every 10 ms
+            assert (await read_to_the_end(caller)).endswith(ANSWER)
+
+    asyncio.run(main())
+
+
+def test_the_last_answer_is_not_thrown_away_while_its_caller_reads():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, _ = await slow_reader(node, server, Connection="close")
+            node.server.expire(node.loop.time() + LINGER_MOST_S)  # enough for one whose answer had left
+            answer = await read_to_the_end(caller, close=False)
+            assert answer.endswith(ANSWER)
+            assert node.server.connections  # read on for a moment
+            node.server.expire(node.loop.time() + LINGER_S)
+            await until(lambda: not node.server.connections)
+            caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("headers", [{}, {"Connection": "close"}])
+def test_a_caller_that_takes_nothing_of_its_answer_is_given_up_and_one_that_reads_is_not(headers):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, connection = await slow_reader(node, server, **headers)
+            now = node.loop.time() + 1.0
+            node.server.expire(now)
+            unsent = connection._transport.get_write_buffer_size()
+            while connection._transport.get_write_buffer_size() == unsent:
+                caller.recv(4096)
+                await asyncio.sleep(0)
+            node.server.expire(now + UNREAD_S)  # it has read since
+            node.server.expire(now + 2 * UNREAD_S - 0.1)
+            await asyncio.sleep(0)
+            assert node.server.connections
+            node.server.expire(now + 2 * UNREAD_S)
+            await until(lambda: not node.server.connections)
+            caller.close()
+
+    asyncio.run(main())
