Tell of a caller's end in the turn that reads it, and begin nothing more that waited behind

An end was handed to asyncio's own close (connection.py, eof_received): what was open was told of the leaving a turn later, and only after a write buffer had emptied, so with an answer still on its way to a slow reader the next request, and further attempts for it, went on after the end had been read. Of requests sent at once the next was handed on without a look at whether the caller was still there: after 50 at once and a close, the second was begun. And a caller that had only closed its sending got no final answer, or, when its long answer had an empty buffer just then, a cut one; otherwise the whole: the node ended a connection that it need not have ended.

An end now ends what is open at once, as a leaving, with a 400 for one that still reads (an end can't be told from a half-close, so it isn't served); an answer that is being passed on goes on, as nothing is begun for it and a write finds out the rest. Before a request takes its turn behind another the socket is asked. Ruled out: serving a half-closed caller in full, as its end looks like that of a client which has gone.

The test of its limit could hang on a failure; its sockets now have a timeout.

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -80,8 +80,8 @@
             self._transport.abort()
             return False
         # Guard: nothing is read while a request waits its turn or its body is held, so an end went unseen.
-        if self._calls and not self._transport.is_reading() and self.hung_up():
-            self._transport.abort()
+        if self._calls and self._answer is None and not self._transport.is_reading() and self.hung_up():
+            self._fail(400)
             return False
         waits = self._calls and self._calls[0] is not self._partial
         if self._closing or waits or self._paused_at is not None or self._answer or now < self._due():
@@ -142,6 +142,12 @@
             self._serve()
 
     def eof_received(self) -> bool:
+        """The caller has left, as an end can't be told from a half-close. The latter's final answer is a
+        failure, but one under way is passed on: nothing is begun for it."""
+        if self._answer is not None and self._partial is None:
+            return True
+        if (self._calls or self._partial is not None) and not self._closing:
+            self._fail(400)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -150,13 +156,7 @@
         answer, self._answer = self._answer, None
         if answer is not None:
             answer.lost()
-        calls, self._calls = self._calls, deque()
-        for call in calls:
-            call.answered = True
-            if call.on_gone is not None:
-                call.on_gone()
-        if self._partial is not None:
-            self._partial.body.fail()
+        self._drop_calls()
 
     # ------------------------------------------------------ as the source of a body
 
@@ -296,7 +296,7 @@
         """The long answer has been written."""
         self._answer = None
         if not self._transport.is_closing() and self._calls:
-            self._go_on(close)
+            self._go_on(close or (len(self._calls) == 1 and self.hung_up()))
 
     def break_off(self) -> None:
         """It can't be: the caller has to see that it is not whole."""
@@ -315,7 +315,11 @@
             self._answer.rest.release()
 
     def _next(self) -> None:
-        if self._calls and not self._closing:
+        if not self._calls or self._closing:
+            return
+        if self.hung_up():  # Guard: what waited its turn was begun for a caller that had left
+            self._fail(400)
+        else:
             self._serve()
 
     def _fail(self, status: int) -> None:
@@ -323,16 +327,20 @@
         if self._answer is not None:  # an answer has begun before its request's end
             self._transport.abort()
             return
+        self._drop_calls()
+        self._transport.write(head(status, 0, True, 0.0))
+        self._end()
+
+    def _drop_calls(self) -> None:
+        """Nothing that has come is to be answered any more."""
+        calls, self._calls = self._calls, deque()
         partial, self._partial = self._partial, None
-        if partial is not None and self._calls:  # it was handed on
-            self._calls.clear()
-            partial.answered = True
-            if partial.on_gone is not None:
-                partial.on_gone()
+        for call in calls:
+            call.answered = True
+            if call.on_gone is not None:
+                call.on_gone()
         if partial is not None:
             partial.body.fail()
-        self._transport.write(head(status, 0, True, 0.0))
-        self._end()
 
     def _end(self) -> None:
         """Close, reading on for a moment: closing over unread bytes would reset the answer away."""
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -10,14 +10,14 @@
 import pytest
 from loopback import Held, Message, Peer, reply, request, running, until
 
-from orchidledge.net.body import HIGH_WATER
+from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.connection import LINGER_MOST_S, LINGER_S, UNREAD_S, ServerConnection
 from orchidledge.net.node import Node
 
 
 def connect(node: Node) -> socket.socket:
     """A caller whose acts take no turn of the node's loop: all that it does between two awaits crosses."""
-    return socket.create_connection(node.server.address)
+    return socket.create_connection(node.server.address, timeout=20.0)
 
 
 def half_close(caller: socket.socket) -> None:
@@ -29,6 +29,22 @@
     caller.close()
 
 
+ANSWER = bytes(range(256)) * 240  # 60 KiB: held whole, and far more than the small buffers take
+
+
+class Ends:
+    """A server's end of an answer that is passed on: the test gives the bytes itself."""
+
+    def pause(self) -> None:
+        """As many as may come are given."""
+
+    def resume(self) -> None:
+        """So too."""
+
+    def abandoned(self) -> None:
+        """Nobody else is told."""
+
+
 LEAVING = [socket.socket.close, half_close, reset]
 Leave = Callable[[socket.socket], None]
 
@@ -131,9 +147,106 @@
     asyncio.run(main())
 
 
-# ------------------------------------------------------------------ slow readers
+@pytest.mark.parametrize("first", ["answered by the server", "passed on"])
+@pytest.mark.parametrize("leave", LEAVING)
+def test_what_waits_its_turn_is_not_begun_for_a_caller_that_has_left(leave: Leave, first: str):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(b"".join(request(name=f"q{at}") for at in range(50)))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            body = Body(Ends())
+            if first == "passed on":
+                node.jobs.begin(job, len(ANSWER), body)
+                body.put(ANSWER[:-1])
+            leave(caller)  # much sent at once and gone, and nothing of that read
+            if first == "passed on":
+                body.put(ANSWER[-1:])
+                body.end()
+            else:
+                node.jobs.answer(job, 200, b"done")
+            await until(lambda: not node.server.connections)
+            assert node.counts["taken"] == 1
+            if leave is half_close:
+                assert (await read_to_the_end(caller)).count(b"HTTP/1.1 400 ") == 1
+            caller.close()
 
-ANSWER = bytes(range(256)) * 240  # 60 KiB: held whole, and far more than the small buffers take
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("sent", [request("post", "q1", b"body")[:-1], request(name="q1")[:-1], b"G"])
+def test_a_half_close_within_a_request_is_answered_and_begins_nothing(sent: bytes):
+    async def main():
+        async with running(Peer()) as node:
+            caller = connect(node)
+            caller.sendall(sent)
+            half_close(caller)
+            assert (await read_to_the_end(caller)).startswith(b"HTTP/1.1 400 ")
+            assert node.counts["taken"] == 0
+
+    asyncio.run(main())
+
+
+def test_a_half_close_after_a_request_ends_it_in_the_same_turn_with_a_final_answer():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(request(name="q1"))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            half_close(caller)
+            job.call.connection.eof_received()  # as the loop will: what else comes in that turn finds it over
+            assert (job.done, node.counts["gone"]) == (True, 1)
+            assert (await read_to_the_end(caller)).startswith(b"HTTP/1.1 400 ")
+            await until(lambda: not node.server.connections)
+
+    asyncio.run(main())
+
+
+def test_a_half_close_ends_what_is_asked_while_the_answer_before_has_yet_to_leave():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, _ = await slow_reader(node, server)
+            held = Held()
+            server.script = held.script
+            caller.sendall(request(name="q2"))
+            await until(lambda: len(server.seen) == 2)
+            half_close(caller)
+            await until(lambda: node.counts["gone"])
+            assert b"HTTP/1.1 400 " in (await read_to_the_end(caller)).partition(ANSWER)[2]
+
+    asyncio.run(main())
+
+
+def test_a_half_close_during_an_answer_that_is_passed_on_does_not_cut_it_short():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(request(name="q1"))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            body = Body(Ends())
+            node.jobs.begin(job, len(ANSWER), body)
+            body.put(ANSWER[:1000])
+            ended, eof_received = [], job.call.connection.eof_received
+            job.call.connection.eof_received = lambda: ended.append(True) or eof_received()
+            half_close(caller)
+            await until(lambda: ended)
+            body.put(ANSWER[1000:])
+            body.end()
+            assert (await read_to_the_end(caller)).endswith(ANSWER)
+            await until(lambda: not node.server.connections)
+            assert not node.jobs.passing_on
+
+    asyncio.run(main())
+
+
+# ------------------------------------------------------------------ slow readers
 
 
 async def slow_reader(node: Node, server: Peer, **headers: str) -> tuple[socket.socket, ServerConnection]:
@@ -144,6 +257,7 @@
 
     server.script = answer
     caller = socket.socket()
+    caller.settimeout(20.0)
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     caller.connect(node.server.address)
     await until(lambda: node.server.connections)
