Serve half a request that was read behind the last answer before the connection ends

What had been read whole behind the answer under way was served before a draining or crowded node ended the connection, what had been read in part was not (connection.py, _last asked for whole calls only): the answer said Connection: close, the node ended its sending and dropped the rest of a request that it had begun to read. Between requests a node may close, where that crosses a request that it has not read.

One rule now: the last answer is the one with nothing read behind it. Shown not to be faults, with tests: whole requests behind the last answer (all are served, the last says close); what comes after it (read and dropped, neither served nor a reset of the answer); what follows a request that itself says close (not served).

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -258,9 +258,9 @@
         self._go_on(close)
 
     def _last(self, call: Call) -> bool:
-        """Whether the connection ends with the answer to this call."""
+        """Whether the connection ends with the answer to this call: not while another has been read or begun."""
         close = call.coming or not call.keep_alive or self._server.draining or self._server.crowded
-        return close and len(self._calls) == 1
+        return close and len(self._calls) == 1 and self._partial in (None, call)
 
     def _go_on(self, close: bool) -> None:
         """The first call has its answer: turn to the next, or end the connection."""
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import pytest
-from loopback import Held, Message, Peer, reply, request, running, until
+from loopback import Caller, Held, Message, Peer, reply, request, running, until
 
 from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.connection import LINGER_MOST_S, LINGER_S, UNREAD_S, ServerConnection
@@ -331,3 +331,86 @@
             caller.close()
 
     asyncio.run(main())
+
+
+# ------------------------------------------------------------- last answers, idle closes
+
+
+async def last_answer_due(node: Node, server: Held, end: str, sent: bytes, **headers: str) -> socket.socket:
+    """A caller whose answer is to be the connection's last, with so much read behind its request."""
+    caller = connect(node)
+    caller.sendall(request(name="q1", **headers) + sent)
+    await until(lambda: server.seen)
+    if end == "drain":
+        node.server.drain()
+    return caller
+
+
+@pytest.mark.parametrize("half", [b"G", request(name="q2")[:-1], request("post", "q2", b"body")[:-1]])
+def test_half_a_request_read_behind_the_last_answer_is_waited_for_and_served(half: bytes):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = await last_answer_due(node, server, "drain", half)
+            server.release.set()
+            caller.setblocking(False)
+            stream = Caller(*await asyncio.open_connection(sock=caller))
+            first = await stream.answer()
+            assert (first.status, first.headers.get("connection")) == (200, None)
+            whole = request("post", "q2", b"body") if half.startswith(b"P") else request(name="q2")
+            stream.writer.write(whole[len(half) :])
+            second = await stream.answer()
+            assert (second.status, second.headers["connection"]) == (200, "close")
+            assert await stream.reader.read() == b""
+            assert [message.headers["req-id"] for message in server.seen] == ["q1", "q2"]
+            stream.writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_requests_read_behind_the_last_answer_are_all_served_and_the_last_of_them_says_close(count: int):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            behind = b"".join(request(name=f"q{2 + at}") for at in range(count))
+            caller = await last_answer_due(node, server, "drain", behind)
+            server.release.set()
+            answers = await read_to_the_end(caller)
+            assert answers.count(b"HTTP/1.1 200 ") == count + 1
+            assert answers.count(b"Connection: close") == 1
+            assert answers.rpartition(b"HTTP/1.1 200 ")[2].count(b"Connection: close") == 1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("end", ["drain", "said close"])
+@pytest.mark.parametrize("late", [request(name="q2"), request(name="q2")[:9]])
+def test_what_comes_after_the_last_answer_is_neither_served_nor_does_it_reset_the_answer(
+    end: str, late: bytes
+):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            headers = {"Connection": "close"} if end == "said close" else {}
+            caller = await last_answer_due(node, server, end, b"", **headers)
+            (job,) = node.jobs.held.values()
+            node.jobs.answer(job, 200, ANSWER)
+            caller.sendall(late)  # in the moment of the shutdown
+            assert (await read_to_the_end(caller)).endswith(ANSWER)
+            assert node.counts["taken"] == len(server.seen) == 1
+
+    asyncio.run(main())
+
+
+def test_what_is_read_behind_a_request_that_says_close_is_not_served():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = await last_answer_due(node, server, "said close", request(name="q2"), Connection="close")
+            server.release.set()
+            answers = await read_to_the_end(caller)
+            assert answers.count(b"HTTP/1.1 ") == answers.count(b"HTTP/1.1 200 ") == 1
+            assert node.counts["taken"] == 1
+
+    asyncio.run(main())
