Reset a caller whose long answer breaks off where only the connection's end marks its end

To a caller of HTTP/1.0 a long answer of no length goes to the connection's end. When the server's part broke off, break_off closed the connection (connection.py), which that caller takes for the end of a whole answer: a broken answer passes only if the client can tell. Such a connection now ends in a reset until the last byte has been given, by SO_LINGER, so also where the process ends meanwhile. Answers with a length or in chunks show a break by themselves and end as before.

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -5,6 +5,8 @@
 import asyncio
 import re
 import select
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -258,7 +260,7 @@
         self._go_on(close)
 
     def _last(self, call: Call) -> bool:
-        """Whether the connection ends with the answer to this call: not while another has been read or begun."""
+        """Whether the connection ends with the answer to this call: not if anything was read behind it."""
         close = call.coming or not call.keep_alive or self._server.draining or self._server.crowded
         return close and len(self._calls) == 1 and self._partial in (None, call)
 
@@ -287,6 +289,8 @@
         if length is None and not chunked:
             close = True
             self._transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+            # Guard: with an end for its mark, one that broke off, or whose process ended, passed for whole.
+            end_by_reset(self._transport, True)
         else:
             self._transport.write(head(200, length, close, 0.0))
         self._answer = LongAnswer(self, call, rest, chunked, close, on_end)
@@ -296,6 +300,7 @@
         """The long answer has been written."""
         self._answer = None
         if not self._transport.is_closing() and self._calls:
+            end_by_reset(self._transport, False)
             self._go_on(close or (len(self._calls) == 1 and self.hung_up()))
 
     def break_off(self) -> None:
@@ -369,6 +374,12 @@
     return bool(poll.poll(0))
 
 
+def end_by_reset(transport: asyncio.BaseTransport, on: bool) -> None:
+    """Whether a close, the process's end too, is to reset the connection."""
+    linger = struct.pack("ii", on, 0)
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _nothing() -> None:
     """Stands for the interest of nobody in a caller's going away."""
 
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -414,3 +414,22 @@
             assert node.counts["taken"] == 1
 
     asyncio.run(main())
+
+
+def test_a_long_answer_to_the_close_that_breaks_off_ends_in_a_reset():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(request(name="q1").replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            body = Body(Ends())
+            node.jobs.begin(job, None, body)
+            body.put(ANSWER)
+            body.fail()
+            with pytest.raises(ConnectionResetError):
+                await read_to_the_end(caller)
+            assert not node.jobs.passing_on
+
+    asyncio.run(main())
