--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 
 from tests.members import Fleet
 
+pytest_plugins = ["tests.known_red"]
+
 # Seeded, so that a run can be had again; and no limit on the time an example takes, which on a busy machine
 # is the machine's.
 settings.register_profile(
