--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,4 +1,4 @@
-"""KNOWN-RED.txt: tests that fail for a real fault not mended yet, `test | cause | issue` a line; three at most.
+"""KNOWN-RED.txt: `test | cause | issue` a line, at most three: real faults that have not been mended yet.
 
 `--known-red=apart` runs all tests but these, `--known-red=only` just these. Either way a list that breaks its
 rules, or names a test that is not there, ends the run with pytest's usage error.
