Read on at a connection whose last answer was held to its end, before it is used again

Cause: `Body.hold` stops the reading of the server's connection while a caller takes nothing. If that happens with an answer's last bytes, `ClientConnection._go_on` gave the connection back to the pool with its reading stopped: the caller's side has let go of the body by then and never releases it, and `start` does not resume. The next request on that connection was written and its answer never read, so a request that had been served timed out; an end or stray bytes on the resting connection went unseen too. Ruled out: `resume_writing` at the caller's connection (its answer is over, so it releases nothing). Change: the end of an answer resumes the reading, before the connection is given back. Test: seen to fail without the mend (the pooled transport is not reading).

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -209,6 +209,8 @@
             if self._spoilt:
                 self.abort()
             if self._response.rest is not None:
+                # Guard: its taker may have stopped the reading with the last bytes; nobody else would go on.
+                self.resume()
                 self._response.rest.end()
             exchange.answered(self._response)
         elif self._spoilt:
