Ask at the write whether an attempt may still begin, and look for its caller there

Cause: an attempt was judged when it was chosen (net/attempts.py, `send`) and written up to a whole connect time later (net/upstream.py, `_open`), where only "over" and the body were looked at. - Where cancelling is not allowed the module ends no attempt of a request that is over (decide/attempts.py, `_cancel_others`), so one that still connected as its client left, or as the other copy was answered, was written afterwards. - A client's end or reset that the kernel has and the loop has not delivered (same turn, or reading paused under a long body) was not seen at all: the first attempt on a kept connection, the next one after a refusal and one that came up late all went out.

Change: `Attempt._may_begin` is asked in the turn of the write, on kept and new connections alike: open request, time left, body still held, caller there. For the caller, `Jobs.waits` polls its socket for an end or a reset, never for mere bytes, and lets the request lapse there and then; its connection closes, as it would on the end. A request that is over withdraws whatever of it was not written whole, whether or not cancelling is allowed; nothing written is touched. A refusal is MOOT: not sent, no fault of the server.

Ruled out: a written attempt where cancelling is not allowed is left alone, as before (test). Not seen: an end that the client's kernel still holds back behind unsent bytes, as our buffer is full.

--- a/orchidledge/net/attempts.py
+++ b/orchidledge/net/attempts.py
@@ -37,14 +37,12 @@
         job = self._jobs.get(action.id)
         number = len(job.attempts) if job is not None else 0
         began = self._loop.time()
-        body = job.call.body if job is not None and job.call.body.whole is None else None
-        gone = body is not None and not body.open_to_another
-        over = job is None or job.done or gone or (job.give_up_at <= began and not job.call.coming)
         if job is not None:
             job.attempts.append(None)  # a moot send has a number too
-        if job is None or over or number >= self._settings.max_attempts:
+        if job is None or number >= self._settings.max_attempts:
             self._end(action, number, job, api.Result.MOOT, began)
             return
+        body = job.call.body if job.call.body.whole is None else None
         left = job.give_up_s if job.call.coming else job.give_up_at - began
         timeout = min(left, action.timeout_ms / 1000.0) if action.timeout_ms > 0.0 else left
         job.out += 1
@@ -61,6 +59,7 @@
             on_result,
             body,
             job.call.length is None,
+            lambda: self._jobs.waits(job),
         )
         if attempt is None:
             on_result(api.Result.CONNECT_FAILED, None)
--- a/orchidledge/net/jobs.py
+++ b/orchidledge/net/jobs.py
@@ -72,6 +72,12 @@
     def get(self, name: str) -> Job | None:
         return self.held.get(name)
 
+    def waits(self, job: Job) -> bool:
+        """Whether its caller still waits for an answer; one whose end waits in the kernel has gone now."""
+        if not job.done and job.call.connection.close_if_left():
+            self._on_gone(job)
+        return not job.done
+
     # ------------------------------------------------------------------ from callers
 
     def take(self, call: Call) -> None:
@@ -181,6 +187,11 @@
             self.coming -= 1
         if job.backstop is not None:
             job.backstop.cancel()
+        for attempt in job.attempts:
+            if attempt is not None:
+                # Guard: where cancelling is not allowed the module gives up none, and one that still connected
+                # was written after its caller had gone. This cancels nothing that was written.
+                attempt.withdraw(api.Result.MOOT)
         self.forget(job)
 
     def forget(self, job: Job) -> None:
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -14,6 +14,7 @@
 
 from orchidledge.net.body import HIGH_WATER, LONGEST, Body
 from orchidledge.net.http import LAST_CHUNK, MAX_BODY, MAX_HEAD, chunk, readable
+from orchidledge.net.pending import ended
 
 READY_PATH = b"/up"
 LINGER_S = (
@@ -157,6 +158,13 @@
         self._transport.abort()
         return True
 
+    def close_if_left(self) -> bool:
+        """Whether the caller has gone, also where the event loop has not delivered its end yet: while reading
+        is paused, or later in the same turn."""
+        if not self._transport.is_closing() and ended(self._transport):
+            self._transport.close()
+        return self._transport.is_closing()
+
     def expire(self, now: float) -> bool:
         """End a connection on which a request is overdue by now; whether that was so."""
         waits = self._calls and self._calls[0] is not self._partial
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -45,8 +45,10 @@
         on_result: Callable[[Result, Response | None], None],
         body: Body | None = None,
         chunked: bool = False,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self._pool = pool
+        self._wanted = wanted  # whether anybody still waits for its answer
         self._chunked = chunked
         self._body = body  # what follows those bytes, if it is long
         self._timeout_s = timeout_s
@@ -74,9 +76,10 @@
     def cancel(self) -> None:
         self._finish(Result.CANCELLED)
 
-    def withdraw(self) -> None:
-        """Give up before anything was sent."""
-        self._finish(Result.CONNECT_FAILED)
+    def withdraw(self, result: Result = Result.CONNECT_FAILED) -> None:
+        """Give up, unless it has been written whole and may run by now."""
+        if self._connection is None or not self._connection.written:
+            self._finish(result)
 
     # ----------------------------------------------------------- for the connection
 
@@ -112,16 +115,27 @@
 
     def begin(self, server: _Server) -> None:
         self._server = server
-        connection = self._pool.take_idle(server)
-        if connection is not None:
+        loop = asyncio.get_running_loop()
+        # Told later, as every result is, so that the action that asked for the attempt is over by then.
+        if not self._may_begin():
+            loop.call_soon(self.withdraw, Result.MOOT)
+        elif (connection := self._pool.take_idle(server)) is not None:
             self._write(connection)
         elif self._pool.make_room():
             server.waiting.add(self)
             self._connect = asyncio.create_task(self._open(server))
             self._pool.count_opening(self._connect)
         else:
-            # Told later, as every result is, so that the action that asked for the attempt is over by then.
-            asyncio.get_running_loop().call_soon(self.withdraw)
+            loop.call_soon(self.withdraw)
+
+    def _may_begin(self) -> bool:
+        """Whether its first byte may go now. Asked in the turn of the loop that would write it: at once on a
+        connection that is kept, and once more when a new one has come up. By then its caller may have gone,
+        its request have its answer, its time be over, or its server have left (Pool.remove ends it)."""
+        coming = self._body is not None and not self._body.ended
+        in_time = coming or asyncio.get_running_loop().time() < self._end_at
+        held = self._body is None or self._body.open_to_another  # from its first byte on
+        return not self._over and in_time and held and self._wanted()
 
     async def _open(self, server: _Server) -> None:
         try:
@@ -133,10 +147,11 @@
             return
         self._connect = None
         server.waiting.discard(self)
-        if self._over:
-            connection.abort()
-        else:
+        if self._may_begin():
             self._write(connection)
+        else:
+            self._pool.give_back(server, connection)
+            self.withdraw(Result.MOOT)
 
     def _write(self, connection: ClientConnection) -> None:
         self._connection = connection
@@ -144,10 +159,7 @@
         coming = self._body is not None and not self._body.ended
         left = self._timeout_s if coming else self._end_at - now
         connection.taken_at = now
-        if self._body is not None and not self._body.open_to_another:
-            self.withdraw()  # its beginning is no longer held
-        else:
-            connection.start(self._request(left), self, self._body, self._chunked)
+        connection.start(self._request(left), self, self._body, self._chunked)
 
     def _watch_sending(self) -> None:
         """Give up on a server that takes nothing of a long request; its caller is watched elsewhere."""
@@ -243,12 +255,13 @@
         on_result: Callable[[Result, Response | None], None],
         body: Body | None = None,
         chunked: bool = False,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Attempt | None:
         """Start an attempt; None if no such server is named."""
         server = self._servers.get(name)
         if server is None:
             return None
-        attempt = Attempt(self, request, timeout_s, on_result, body, chunked)
+        attempt = Attempt(self, request, timeout_s, on_result, body, chunked, wanted)
         attempt.begin(server)
         return attempt
 
