Keep one clock for discovery's silence, pushed or asked for: learned within 6 s

Cause: a change counts as told 6 s after discovery had it and could be reached, whatever became of a call. A watch that fell silent right after its call was sent was noticed after the wait of 5 s and 1.2 s more (`_follow`, `_wait_ms` from node.py's WATCH_SHARE), so its news came at 6.5 s or later; for `askWithinMs` 40 s after 21.2 s. Where lists are asked for, the pause was the module's, up to 4 s (decide/servers.py), the call after it had its full wait (`_unheard` was set only where lists are pushed), and whether there was a next call at all was the module's to say: up to 4 + 6.2 s for a call that stayed silent.

Ruled out: the pushed list's first call and its pause (1.25 + 0.5 + 1.25 s at the worst) and a connect that hangs: the connect is within the call's limit.

Change: `Patience` in net/discovery.py is the one clock: the wait, the limit and the pause of every call, derived from the 6 s less 0.3 s for the loop. A long wait is 2.75 s (5 s before), the first call after a start, a move or a failure is the short one in both modes, pauses double from 0.5 s (drawn from half to the whole) up to 3.2 s where lists are asked for, and stay at 0.5 s where the agent is the machine's own. Driver no longer starts a watch in the place of a failed module: nothing waits for it.

Tests: tests/test_discovery_silence.py, budgets for every number of failures and a real watch on a loop whose clock is the test's. In tests/test_node.py the expected waits are 2,750 for 5,000, and after a bad call the next is now awaited (it was left to the module, and the test asserted that none was on).

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -17,11 +17,17 @@
 
 log = logging.getLogger("orchidledge")
 
-# A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
-LATE_S = 1.2
-CONNECT_S = 1.0
+TOLD_S = 6.0  # a change counts as told so long after discovery had it and could be reached
+SLACK_S = 0.3  # of it, for a busy event loop
+LATE_S = 1.2  # a call unanswered so long after its wait has failed
+CONNECT_S = 1.0  # of a call's time
 FIRST_WAIT_MS = 50  # of a call that is to show whether discovery answers at all
-PUSH_PAUSE_S = 0.5  # at the most, before a local agent is asked again after a failure
+FIRST_CALL_S = FIRST_WAIT_MS / 1000.0 + LATE_S
+PAUSE_S = 0.5  # at the most, before discovery is asked again after the first failure
+# What a watch misses in a wait that stays silent is learned by the first call after it;
+WAIT_S = TOLD_S - SLACK_S - LATE_S - PAUSE_S - FIRST_CALL_S
+# and discovery may return right after a first call that it will not answer.
+LONGEST_PAUSE_S = TOLD_S - SLACK_S - 2.0 * FIRST_CALL_S
 MAX_LIST = 16 * 1024 * 1024
 REBUILT_S = 10.0  # older whole lists for so long, and no newer answer, come from a source rebuilt
 
@@ -105,36 +111,70 @@
             self.done.set_exception(ConnectionError("discovery closed the connection"))
 
 
+class Patience:
+    """The one clock for discovery's silence, alike for lists pushed and asked for: how long a call may wait,
+    when it has failed, and how long to pause then, so that what discovery has is learned within TOLD_S."""
+
+    def __init__(self, wait_s: float, pause_s: float, rng: Random) -> None:
+        """`wait_s` and `pause_s`: the most that the node's settings leave to a wait and to a pause."""
+        self._wait_ms = round(min(wait_s, WAIT_S) * 1000.0)
+        self._pause_s = min(pause_s, LONGEST_PAUSE_S)
+        self._rng = rng
+        self.reset()
+
+    def reset(self) -> None:
+        """Nothing is known of discovery: at the start, and at a new address."""
+        self._heard = False
+        self._failures = 0  # in a row
+
+    @property
+    def wait_ms(self) -> int:
+        """How long the next call asks discovery to wait for news."""
+        # Guard: what an agent has counts as told from a process's first moment and at once after an outage,
+        # and 4 s after a move; a first call that stayed silent for its whole wait was noticed after 6 s.
+        return self._wait_ms if self._heard else min(FIRST_WAIT_MS, self._wait_ms)
+
+    @property
+    def limit_s(self) -> float:
+        """How long the next call may take, its connection's opening included."""
+        return self.wait_ms / 1000.0 + LATE_S
+
+    def answered(self) -> None:
+        self._heard, self._failures = True, 0
+
+    def failed(self) -> float:
+        """Seconds to pause before the next call."""
+        self._heard = False
+        longest = min(self._pause_s, PAUSE_S * 2.0 ** min(self._failures, 8))
+        self._failures += 1
+        # Guard: what fails for a whole fleet fails in the same moment, and all nodes asked again in step.
+        return longest * self._rng.uniform(0.5, 1.0)
+
+
 class Watcher:
-    """Follows the list: until a call fails where discovery is asked, endlessly where it pushes."""
+    """Follows the list until it is closed, through all failures."""
 
     def __init__(
         self,
         address: Address,
         revision: int,
-        wait_ms: float,
-        endless: bool,
+        patience: Patience,
         on_news: Callable[[ListForm, Listing | None], None],
-        rng: Random,
     ) -> None:
         self._address = address
         self._revision = revision
         self._oldest = 0  # an answer of a version before this is stale; none is until one has come from there
         self._went_back: float | None = None  # since when the answers have been whole lists of older versions
-        self._wait_ms = int(wait_ms)
-        self._endless = endless
-        # Guard: what an agent has counts as told from a process's first moment and at once after an outage,
-        # and 4 s after a move; a first call that stayed silent for its whole wait was noticed after 6 s.
-        self._unheard = endless  # the next call is answered soon, or discovery is silent
+        self._patience = patience
         self._on_news = on_news
-        self._rng = rng
         self._failing = False
+        self._closed = False
         self._task: asyncio.Task[None] | None = None
         self._connection: ClientConnection | None = None
 
     def start(self) -> None:
-        """Begin a watch unless one is on."""
-        if self._task is None:
+        """Begin a watch unless one is on; none begins after the node's end."""
+        if self._task is None and not self._closed:
             self._task = asyncio.create_task(self._follow())
 
     @property
@@ -152,46 +192,45 @@
             return
         self._address = address
         self._oldest = 0  # where versions may count from elsewhere
-        self._unheard = True
-        self.close()
+        self._went_back = None
+        self._failing = False
+        self._patience.reset()
+        self._end()
         self.start()  # even if the next call was to wait after a failure: that was the old address's
 
     def close(self) -> None:
+        self._closed = True
+        self._end()
+
+    def _end(self) -> None:
         if self._task is not None:
             self._task.cancel()
             self._task = None
         self._drop()
 
-    def pause(self) -> float:
-        """Seconds before discovery is asked again after a failure."""
-        # Guard: what fails for a whole fleet fails in the same moment, and all nodes asked again in step.
-        return PUSH_PAUSE_S * self._rng.uniform(0.5, 1.0)
-
     async def _follow(self) -> None:
         while True:
-            wait_ms = FIRST_WAIT_MS if self._unheard else self._wait_ms
             try:
-                async with asyncio.timeout(wait_ms / 1000.0 + LATE_S):
-                    listing = await self._ask(wait_ms)
+                async with asyncio.timeout(self._patience.limit_s):
+                    listing = await self._ask(self._patience.wait_ms)
             except (OSError, TimeoutError, ValueError) as error:
-                if not self._failing:  # once for each stretch of failures
-                    said = f"{type(error).__name__}: {error}"[:200]
-                    log.warning("discovery at %s:%d failed, the old list holds: %s", *self._address, said)
-                self._failing = True
-                self._unheard = self._endless
-                self._drop()
-                if not self._endless:
-                    self._task = None
-                self._on_news(ListForm.FAILED, None)
-                if not self._endless:
-                    return
-                await asyncio.sleep(self.pause())
+                self._fail(error)
+                await asyncio.sleep(self._patience.failed())
                 continue
-            self._failing = self._unheard = False
-            self._went_back = None
             self._revision = self._oldest = listing.revision
+            self._went_back = None
+            self._failing = False
+            self._patience.answered()
             self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
+    def _fail(self, error: Exception) -> None:
+        if not self._failing:  # once for each stretch of failures
+            said = f"{type(error).__name__}: {error}"[:200]
+            log.warning("discovery at %s:%d failed, the old list holds: %s", *self._address, said)
+        self._failing = True
+        self._drop()
+        self._on_news(ListForm.FAILED, None)
+
     async def _ask(self, wait_ms: int) -> Listing:
         connection = self._connection
         if connection is None or not connection.usable:
--- a/orchidledge/net/driver.py
+++ b/orchidledge/net/driver.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger("orchidledge")
 
-FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
+FAULT_PAUSE_S = 0.5  # before an alarm is tried again that a fault of the module has lost
 
 
 class Driver:
@@ -83,8 +83,6 @@
                 self._events.append(api.Lapsed(event.id))
         elif isinstance(event, api.Alarm):
             self._wake(FAULT_PAUSE_S, event.name)
-        elif isinstance(event, api.Membership) and event.form is api.ListForm.FAILED:
-            self._loop.call_later(FAULT_PAUSE_S, self._watcher.start)
 
     def _act(self, action: api.Action) -> None:
         match action:
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -15,7 +15,7 @@
 from orchidledge.net.clock import Clock
 from orchidledge.net.clockwork import Clockwork
 from orchidledge.net.config import Config
-from orchidledge.net.discovery import Watcher
+from orchidledge.net.discovery import PAUSE_S, Patience, Watcher
 from orchidledge.net.driver import Driver
 from orchidledge.net.figures import Figures
 from orchidledge.net.handover import Handover
@@ -35,7 +35,6 @@
 SPARE_SOCKETS = 32  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.45  # of the other descriptors: callers' connections;
 UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before idle ones have been closed
-LONGEST_WATCH_MS = 20_000.0
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 STOP_LEAST_S = 0.6
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
@@ -138,8 +137,7 @@
         if self.config.operator is not None:
             await self.door.open(self.config.operator)
         await self.server.listen(*self.config.listen, self.config.accept_fd)
-        if not self.config.settings.ask_discovery:
-            self.watcher.start()
+        self.watcher.start()
         self.clockwork.start()
         for part in self.parts:
             await part.start()
@@ -198,12 +196,9 @@
 
 
 def _watcher(config: Config, servers: ServerList) -> Watcher:
-    return Watcher(
-        config.discovery,
-        config.known.revision,
-        # Guard: a discovery that has gone silent must be noticed before the node counts as told.
-        min(LONGEST_WATCH_MS, config.ask_within_ms * WATCH_SHARE),
-        not config.settings.ask_discovery,
-        servers.on_list,
-        Random(config.seed),
-    )
+    # Half of the time within which discovery has to be asked: the other half is for the call's way.
+    share_s = config.ask_within_ms * WATCH_SHARE / 1000.0
+    # An agent that pushes is this machine's own: it is not crowded, and what it gets counts at once.
+    pause_s = share_s if config.settings.ask_discovery else PAUSE_S
+    patience = Patience(share_s, pause_s, Random(config.seed))
+    return Watcher(config.discovery, config.known.revision, patience, servers.on_list)
--- /dev/null
+++ b/tests/test_discovery_silence.py
@@ -0,0 +1,212 @@
+"""What discovery has is learned within 6 s of when it could be had, whatever its calls come to."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import orjson
+import pytest
+from clocks import run
+from loopback import read_message, reply
+
+from orchidledge.interface import ListForm
+from orchidledge.net.discovery import Listing, Patience, Watcher
+
+TOLD_S = 6.0  # by the operators' terms, not by the program's own constant
+PUSH_S, ASK_S = 0.5, 5.0  # the longest pause that a node's settings leave it
+MODES = pytest.mark.parametrize("pause_s", [PUSH_S, ASK_S], ids=["push", "ask"])
+
+
+class Luck(Random):
+    """Every draw at one end of its range."""
+
+    def __init__(self, end: float) -> None:
+        super().__init__(0)
+        self.end = end
+
+    def uniform(self, a: float, b: float) -> float:
+        return a + (b - a) * self.end
+
+
+# ------------------------------------------------------------------------- the clock
+
+
+@MODES
+def test_what_a_silent_watch_misses_is_learned_in_time(pause_s):
+    patience = Patience(20.0, pause_s, Luck(1.0))
+    patience.answered()
+    silent_s = patience.limit_s
+    assert silent_s + patience.failed() + patience.limit_s < TOLD_S
+
+
+@MODES
+def test_the_call_after_any_number_of_failures_comes_in_time(pause_s):
+    """The worst: discovery is back right after a call was sent that it will never answer."""
+    patience = Patience(20.0, pause_s, Luck(1.0))
+    pauses = []
+    for _ in range(5000):  # some hours of an outage
+        unheard_s = patience.limit_s
+        pauses.append(patience.failed())
+        assert unheard_s + pauses[-1] + patience.limit_s < TOLD_S
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == (PUSH_S if pause_s == PUSH_S else pytest.approx(3.2))  # backs off where it may crowd
+    patience.answered()
+    assert patience.failed() == pauses[0]
+
+
+@MODES
+def test_pauses_are_drawn_apart_at_every_failure(pause_s):
+    fleet = [Patience(20.0, pause_s, Random(seed)) for seed in range(40)]
+    for _ in range(6):
+        pauses = sorted(patience.failed() for patience in fleet)
+        assert pauses[-1] > 1.8 * pauses[0]
+        assert max(later - earlier for earlier, later in itertools.pairwise(pauses)) < 0.1 * pauses[-1]
+
+
+def test_settings_may_leave_less():
+    patience = Patience(0.1, 0.1, Luck(1.0))
+    assert patience.wait_ms == 50
+    patience.answered()
+    assert patience.wait_ms == 100
+    assert [patience.failed() for _ in range(4)] == [0.1] * 4
+
+
+# ----------------------------------------------------- a watcher on the test's clock
+
+
+def row(rev: int, whole: bool = True, **more: Any) -> bytes:
+    return orjson.dumps({"rev": rev, "all": whole, "targets": []} | more)
+
+
+@dataclass
+class Source:
+    """A discovery that holds a version, and does to each call what the test has set."""
+
+    rev: int = 1
+    act: str = "answer"
+    calls: list[str] = field(default_factory=list)
+    connections: int = 0
+
+    def __post_init__(self) -> None:
+        self.news = asyncio.Event()
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.lost: dict[asyncio.StreamWriter, str] = {}  # connections on which nothing good comes any more
+
+    async def open(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    def change(self, rev: int | None = None) -> float:
+        """Something new is there from now on; when."""
+        self.rev = self.rev + 1 if rev is None else rev
+        self.news.set()
+        self.news = asyncio.Event()
+        return now()
+
+    def close(self) -> None:
+        """Its listener and what is open: as a process that dies."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        self.connections += 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                target = (await read_message(reader)).first[1]
+                self.calls.append(target)
+                await self._answer(target, writer)
+
+    def fall_silent(self, how: str) -> float:
+        """What is open now brings nothing whole any more; what is opened anew is served. When."""
+        self.lost |= dict.fromkeys(self.writers, how)
+        return now()
+
+    async def _answer(self, target: str, writer: asyncio.StreamWriter) -> None:
+        asked = "since" in target
+        since, _, wait = target.partition("since=")[2].partition("&timeout_ms=")
+        if self.act == "answer" and asked and int(since) >= self.rev:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.news.wait(), int(wait) / 1000.0)
+        act = self.lost.get(writer, self.act)
+        if act == "answer":
+            whole = not asked or int(since) < self.rev
+            writer.write(reply(200, row(self.rev, whole)))
+        elif act == "silent":
+            await asyncio.Event().wait()
+        elif act == "drip":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+            while not writer.is_closing():
+                writer.write(b" ")
+                await asyncio.sleep(0.1)
+        elif act == "cut":
+            writer.write(reply(200, row(self.rev))[:-9])
+            writer.close()
+        elif act == "reset":
+            writer.transport.abort()
+        elif act == "no length":
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + row(self.rev))
+            writer.close()
+        else:
+            writer.write(reply(int(act), Location="http://127.0.0.1:1/"))
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class Listener:
+    """What the node hears, and when."""
+
+    def __init__(self) -> None:
+        self.heard: list[tuple[float, ListForm, int]] = []
+
+    def __call__(self, form: ListForm, news: Listing | None) -> None:
+        self.heard.append((now(), form, 0 if news is None else news.revision))
+
+    async def learned(self, rev: int) -> float:
+        """When this version, or a later one, was heard."""
+        while not (at := [at for at, _, had in self.heard if had >= rev]):
+            await asyncio.sleep(0.01)
+        return at[0]
+
+
+@contextlib.asynccontextmanager
+async def watching(
+    source: Source, pause_s: float = PUSH_S, known: int = 1, luck: float = 1.0
+) -> AsyncIterator[tuple[Watcher, Listener]]:
+    listener = Listener()
+    watcher = Watcher(source.address, known, Patience(20.0, pause_s, Luck(luck)), listener)
+    watcher.start()
+    try:
+        yield watcher, listener
+    finally:
+        watcher.close()
+        source.close()
+
+
+@MODES
+@pytest.mark.parametrize("how", ["silent", "drip"])
+@pytest.mark.parametrize("into_s", [0.0, 0.7, 2.7])
+def test_a_watch_that_falls_silent_is_opened_anew_in_time(pause_s, how, into_s):
+    """Guard: a wait of 5 s that fell silent was noticed 6.2 s after it began."""
+
+    async def main():
+        await (source := Source(rev=2)).open()
+        async with watching(source, pause_s) as (_, listener):
+            began = await listener.learned(2)
+            await asyncio.sleep(into_s)
+            fell_silent = source.fall_silent(how)
+            assert fell_silent - began < 2.75  # in the first long wait
+            source.change()
+            assert await listener.learned(3) - fell_silent < TOLD_S
+            assert source.connections == 2
+
+    run(main())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -31,7 +31,7 @@
 from orchidledge.net import driver as driver_module
 from orchidledge.net.clock import Clock
 from orchidledge.net.connection import BODY_S, HEAD_S, PACE
-from orchidledge.net.discovery import Listing, Watcher, parse_address
+from orchidledge.net.discovery import Listing, Patience, parse_address
 from orchidledge.net.server import SWEEP_S
 
 
@@ -565,13 +565,14 @@
 )
 def test_any_bad_discovery_call_is_a_failure_and_keeps_the_list(news, caplog):
     async def main():
-        async with running(Peer(), discovery=Discovery(news)) as node:
-            node.driver.balancer = scripted = Scripted()
+        discovery = Discovery(news)
+        async with running(Peer(), discovery=discovery) as node:
+            node.driver.balancer = scripted = Scripted()  # asks for no watch
             await until(lambda: scripted.of(api.Membership))
             assert [event.form for event in scripted.of(api.Membership)] == [api.ListForm.FAILED]
             assert (set(node.pool._servers), node.server.ready) == ({"s0"}, True)
-            assert node.watcher._task is None  # it is for the module to ask again
             assert "the old list holds" in caplog.text
+            await until(lambda: len(discovery.seen) == 2)  # whatever the module does
 
     asyncio.run(main())
 
@@ -606,7 +607,7 @@
 
 def test_a_pushed_list_is_followed_unasked_and_through_failures(monkeypatch):
     async def main():
-        monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+        monkeypatch.setattr("orchidledge.net.discovery.PAUSE_S", 0.01)
         discovery = Discovery(reply(503), listing(5, True, s9=("127.0.0.1:9", "Ready")))
         async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
             await until(lambda: set(node.pool._servers) == {"s9"})
@@ -631,14 +632,14 @@
 def test_a_pushed_list_that_is_silent_from_the_start_is_asked_again_at_once(monkeypatch):
     """Guard: what an agent has counts as told from a process's first moment; its silence showed after 6 s."""
     monkeypatch.setattr("orchidledge.net.discovery.LATE_S", 0.05)
-    monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+    monkeypatch.setattr("orchidledge.net.discovery.PAUSE_S", 0.01)
 
     async def main():
         discovery = Deaf(listing(5, True, s9=("127.0.0.1:9", "Ready")), reply(503))
         async with running(Peer(), discovery=discovery, settings={"registryMode": "push"}) as node:
             await until(lambda: set(node.pool._servers) == {"s9"})
             await until(lambda: len(discovery.seen) == 4)
-            assert waits(discovery) == [50, 50, 5000, 50]  # long only while discovery is heard
+            assert waits(discovery) == [50, 50, 2750, 50]  # long only while discovery is heard
 
     asyncio.run(main())
 
@@ -655,7 +656,7 @@
             node.balancer = Scripted()  # asks for no watch of its own
             node.watcher.move(parse_address(elsewhere.endpoint))
             await until(lambda: "s6" in node.pool._servers and len(elsewhere.seen) == 2)
-            assert waits(elsewhere) == [50, 5000]
+            assert waits(elsewhere) == [50, 2750]
         elsewhere.stop()
 
     asyncio.run(main())
@@ -663,7 +664,7 @@
 
 def test_a_stale_list_is_a_failure_and_the_newer_one_holds(monkeypatch, caplog):
     async def main():
-        monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+        monkeypatch.setattr("orchidledge.net.discovery.PAUSE_S", 0.01)
         discovery = Discovery(
             listing(5, True, s5=("127.0.0.1:5", "Ready")),
             listing(3, True, s3=("127.0.0.1:3", "Ready")),
@@ -682,7 +683,7 @@
 
 def test_a_rebuilt_discovery_counting_again_is_taken_once_it_has_said_so_long_enough(monkeypatch, caplog):
     async def main():
-        monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 0.01)
+        monkeypatch.setattr("orchidledge.net.discovery.PAUSE_S", 0.01)
         monkeypatch.setattr("orchidledge.net.discovery.REBUILT_S", 0.0)
         discovery = Discovery(
             listing(50, True, s5=("127.0.0.1:5", "Ready")),
@@ -715,10 +716,7 @@
 
 def test_nodes_whose_discovery_failed_in_the_same_moment_ask_again_spread_out():
     """Guard: the first watches of a whole fleet fell silent, and all of it asked again within some 10 ms."""
-    pauses = sorted(
-        Watcher(("127.0.0.1", 1), 0, 1000.0, True, lambda form, listing: None, Random(seed)).pause()
-        for seed in range(40)
-    )
+    pauses = sorted(Patience(5.0, 5.0, Random(seed)).failed() for seed in range(40))
     assert 0.25 <= pauses[0] < 0.3
     assert 0.45 < pauses[-1] <= 0.5
     assert max(later - earlier for earlier, later in itertools.pairwise(pauses)) < 0.05
