Leave a new connection on which something has already come unused: its request never ran

Cause: `Pool.open` handed a connection on whatever had come on it while it was set up. An end that was in the kernel before the first write let the write pass and then read as a reset ("may have run", so an unsafe request failed), although the connection had broken before the request's last byte; a stray 200 that was there before the request passed for its answer. Pooled connections were looked at before their use, new ones were not. Ruled out: a reset (the write fails at once, so it was "could not connect" already). Change: `Pool.open` asks the same `usable` as the pool does, and fails as a refused connection does. Tests, all with the crossing put into the kernel between two steps: end, reset, half a line and a second answer on a resting connection (seen by the loop or not), between the last look and the write, after the write, and on a new connection before its first write (end, half a line and stray answer seen to fail without the mend); a connection that comes up in the turn in which its attempt is given up.

--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -316,6 +316,10 @@
         _, connection = await loop.create_connection(
             lambda: ClientConnection(self._open.discard, streams=True), *endpoint
         )
+        if not connection.usable:
+            # Guard: a request written after a server's end would be a reset, though it can't have run.
+            connection.abort()
+            raise ConnectionResetError
         self._open.add(connection)
         return connection
 
--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -5,13 +5,15 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import AsyncIterator
 
+import pytest
 from loopback import reply, until
 
 from orchidledge.interface import Result
 from orchidledge.net.body import HIGH_WATER, Body
-from orchidledge.net.http import ClientConnection, Response
+from orchidledge.net.http import ClientConnection, Response, readable
 from orchidledge.net.upstream import Pool
 
 DATA = b"GET /read/1 HTTP/1.1\r\nReq-Id: q\r\n\r\n"
@@ -46,7 +48,7 @@
         """Send a request on a new connection and take it there."""
         self.send()
         peer = await self.accept()
-        await asyncio.get_running_loop().run_in_executor(None, peer.recv, 1000)
+        await heard(peer)
         return peer
 
     async def rested(self) -> tuple[socket.socket, ClientConnection]:
@@ -69,6 +71,13 @@
         return self.ends
 
 
+async def heard(peer: socket.socket) -> bytes:
+    """What comes next at the server's end; nothing is an end, or a reset."""
+    with contextlib.suppress(ConnectionResetError):
+        return await asyncio.to_thread(peer.recv, 1000)
+    return b""
+
+
 @contextlib.asynccontextmanager
 async def bed(limit: int = 10) -> AsyncIterator[Bed]:
     with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -121,8 +130,137 @@
             assert connection._transport.is_reading()
             connection.idle_since -= 1.0
             here.send()
-            assert peer.recv(1000) == DATA
+            assert await heard(peer) == DATA
             peer.sendall(reply())
             assert await here.end(2) == [Result.OK, Result.OK]
 
     asyncio.run(main())
+
+
+# ------------------------------------------------------------ as a connection is taken
+
+HALF = b"HTTP/1.1 2"
+ACTS = ["end", "reset", "half", "second"]
+
+
+def act(peer: socket.socket, how: str, connection: ClientConnection) -> None:
+    """Do this at the server's end; when it returns, the node's kernel has it and its event loop does not."""
+    if how == "half":
+        peer.sendall(HALF)
+    elif how == "second":
+        peer.sendall(reply(200, b"stray"))
+    else:
+        close(peer, how == "reset")
+    while not readable(connection._transport):
+        pass
+
+
+def close(peer: socket.socket, reset: bool) -> None:
+    if reset:
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+
+
+@pytest.mark.parametrize("how", ACTS)
+@pytest.mark.parametrize("seen", [True, False])  # by the event loop
+def test_what_came_on_a_resting_connection_sends_the_request_on_another(how, seen):
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            act(peer, how, connection)
+            if seen:
+                await until(lambda: not here.pool.size)
+            here.send()
+            second = await here.accept()
+            assert await heard(second) == DATA
+            second.sendall(reply())
+            assert await here.end() == [Result.OK]
+            assert here.answers[0].body == b"done"
+            if how in ("half", "second"):  # of the request nothing was sent here
+                assert await heard(peer) == b""
+            await until(lambda: here.pool.size == 1)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("how", "expected"), [("end", Result.RESET), ("reset", Result.CONNECT_FAILED), ("half", Result.RESET)]
+)
+def test_what_comes_between_the_last_look_and_the_write_never_passes_for_an_answer(how, expected):
+    """A reset fails the write itself: nothing has left. After an end the bytes leave, so it may have run."""
+
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+
+            def data(wait: float) -> bytes:
+                act(peer, how, connection)
+                return DATA
+
+            here.pool.send("s", data, 20.0, lambda result, _: here.ends.append(result))
+            if how == "half":
+                peer.sendall(reply())
+            assert await here.end() == [expected]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ["end", "reset", "half"])
+def test_what_comes_after_the_write_may_have_run(how):
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            here.send()
+            act(peer, how, connection)
+            if how == "half":
+                close(peer, reset=True)
+            assert await here.end() == [Result.RESET]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ACTS)
+def test_what_comes_on_a_new_connection_before_the_request_leaves_it_unsent(how, monkeypatch):
+    """Guard: an end that was there before the write made a reset of what had never run."""
+
+    async def main():
+        async with bed() as here:
+            made = ClientConnection.connection_made
+
+            def connection_made(self: ClientConnection, transport: asyncio.BaseTransport) -> None:
+                made(self, transport)
+                peer, _ = here.listener.accept()
+                here.peers.append(peer)
+                act(peer, how, self)
+
+            monkeypatch.setattr(ClientConnection, "connection_made", connection_made)
+            here.send()
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+            if how in ("half", "second"):
+                assert await heard(here.peers[0]) == b""
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ["cancel", "remove"])
+def test_a_connection_that_comes_up_as_its_attempt_is_given_up_is_closed_unused(how, monkeypatch):
+    async def main():
+        async with bed() as here:
+            made = ClientConnection.connection_made
+
+            def connection_made(self: ClientConnection, transport: asyncio.BaseTransport) -> None:
+                made(self, transport)
+                (attempt,) = here.pool._servers["s"].waiting
+                here.pool.remove("s") if how == "remove" else attempt.cancel()
+
+            monkeypatch.setattr(ClientConnection, "connection_made", connection_made)
+            here.send()
+            peer = await here.accept()
+            assert await here.end() == [Result.CONNECT_FAILED if how == "remove" else Result.CANCELLED]
+            await until(lambda: not here.pool.size)
+            assert await heard(peer) == b""
+
+    asyncio.run(main())
