Settings: name the bad key in one line, and refuse what broke or never bound later

Causes, each shown by the tests named: - An address with a NUL byte, an empty or an over-long label passed parse_address; the listener then raised ValueError past main()'s OSError: a traceback and exit code 1 (test_an_address_that_no_listener_takes...). - A figure of 1e308 for an aim made the mean of the aims infinite and the threshold NaN, which no queue meets; as memory_mb it made Jobs' int() of an infinity fail at start. Figures over 1e12 are refused. - credit: null was passed on as a figure, where every other null stands for an absent key. - true passed for a figure; [], 0 and "" for an absent object; any word for registryMode and valueBy; a name of any type for a class, an account or a node; a seed with a sign. - Many a message named no key ("'str' object has no attribute 'get'", "int() can't convert non-string"), and one that quoted a long value was as long as that: cut at 400 characters.

parse_config no longer turns KeyError, TypeError and AttributeError into messages: each key is checked as it is read.

--- a/orchidledge/__main__.py
+++ b/orchidledge/__main__.py
@@ -19,6 +19,8 @@
 from orchidledge.net.node import Node
 from orchidledge.net.snapshot import show
 
+LONGEST_SAID = 400  # characters of what is wrong: a value that it quotes may be of any length
+
 
 def read_config() -> Config:
     path = os.environ.get("PROXY_CONFIG")
@@ -76,7 +78,8 @@
     try:
         config = read_config()
     except (OSError, ValueError) as error:
-        print(f"orchidledge: bad configuration: {' '.join(str(error).split())}", file=sys.stderr)
+        said = " ".join(str(error).split())[:LONGEST_SAID]
+        print(f"orchidledge: bad configuration: {said}", file=sys.stderr)
         return 2
     try:
         asyncio.run(serve(config))
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -70,6 +69,8 @@
 
 # ------------------------------------------------------------------ settings
 
+MOST = 1e12  # of any figure: products and sums of larger ones overflow, and what they bound never binds again
+
 
 @dataclass(slots=True, frozen=True)
 class ServiceClass:
@@ -115,31 +116,35 @@
             raise ValueError("classes: at least one class is needed")
         for at, item in enumerate(self.classes):
             for key in ("aim_ms", "give_up_ms"):
-                _within(f"classes[{at}].{key}", getattr(item, key), 0.001)
+                check_within(f"classes[{at}].{key}", getattr(item, key), 0.001)
             for key in ("worth", "late_worth", "memory_ms"):
-                _within(f"classes[{at}].{key}", getattr(item, key), 0)
+                check_within(f"classes[{at}].{key}", getattr(item, key), 0)
+            check_bool(f"classes[{at}].stream", item.stream)
         for at, tenant in enumerate(self.tenants):
-            _within(f"tenants[{at}].quota_per_s", tenant.quota_per_s, 0)
+            check_within(f"tenants[{at}].quota_per_s", tenant.quota_per_s, 0)
         for key in ("tier", "max_retry_after_ms", "cross_zone_price", "cold_ms"):
-            _within(key, getattr(self, key), 0)
+            check_within(key, getattr(self, key), 0)
         for key in ("siblings", "max_attempts"):
-            _within(key, getattr(self, key), 1)
+            check_within(key, getattr(self, key), 1)
         for key in ("ask_discovery", "worth_by_work", "may_cancel", "retry_after"):
-            if not isinstance(getattr(self, key), bool):
-                raise ValueError(f"{key}: {getattr(self, key)!r} is not true or false")
+            check_bool(key, getattr(self, key))
         if not isinstance(self.zone, str):
             raise ValueError(f"zone: {self.zone!r} is not a text")
-        _within("overload_factor", self.overload_factor, 0.001)
-        _within("over_share_worth", self.over_share_worth, 0, 1)
-        _within("cold_from", self.cold_from, 0.001, 1)
+        check_within("overload_factor", self.overload_factor, 0.001)
+        check_within("over_share_worth", self.over_share_worth, 0, 1)
+        check_within("cold_from", self.cold_from, 0.001, 1)
         for key, names in (("classes", self.classes), ("tenants", self.tenants)):
             _unique(key, (item.name for item in names))
 
 
-def _within(key: str, value: object, low: float, high: float = math.inf) -> None:
-    good = isinstance(value, int | float) and not isinstance(value, bool) and low <= value <= high
-    if not good or not math.isfinite(float(value)):  # type: ignore[arg-type]
-        raise ValueError(f"{key}: {value!r} is not a number from {low} to {high}")
+def check_within(key: str, value: object, low: float, high: float = MOST) -> None:
+    if not isinstance(value, int | float) or isinstance(value, bool) or not low <= value <= high:
+        raise ValueError(f"{key}: {value!r} is not a number from {low:g} to {high:g}")
+
+
+def check_bool(key: str, value: object) -> None:
+    if not isinstance(value, bool):
+        raise ValueError(f"{key}: {value!r} is not true or false")
 
 
 def _unique(key: str, names: Iterable[str]) -> None:
--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -5,20 +5,24 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from string import hexdigits
 from typing import TYPE_CHECKING
 
 import orjson
 
-from orchidledge.interface import Settings
+from orchidledge.interface import Settings, check_within
 from orchidledge.net import handover, maintenance
 from orchidledge.net.discovery import Listing, parse_address, parse_listing
 from orchidledge.net.upstream import Address
-from orchidledge.settings import Row, settings_from
+from orchidledge.settings import Row, section, settings_from, text_of
 
 if TYPE_CHECKING:
     from orchidledge.net.fleet import FleetSettings
 
 
+LEAST = 0.001  # of any figure that has to be above 0
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
@@ -51,6 +55,50 @@
     return Path(tmpdir) / name if tmpdir else None
 
 
+def _address(key: str, value: object) -> Address:
+    try:
+        host, port = parse_address(value)
+        # Guard: these two raised past the listener's OSError, with a traceback.
+        if not host.isprintable():
+            raise ValueError(f"{value!r} is not an address and a port")
+        host.encode("idna")
+    except ValueError as error:
+        raise ValueError(f"{key}: {error}") from error
+    return host, port
+
+
+def _seed(row: Row) -> int:
+    value = text_of(row, "seed")
+    if not set(value) <= set(hexdigits):
+        raise ValueError(f"seed: {value!r} is not hexadecimal")
+    return int(value, 16)
+
+
+def _known(row: Row) -> Listing:
+    try:
+        return parse_listing(row["known"])
+    except ValueError as error:
+        raise ValueError(f"known: {error}") from error
+
+
+def _figures(row: Row, settings: Row) -> Row:
+    """The figures that are given, each by its name in Config: where one is not, Config's default holds."""
+    limits, bounds = section(row, "limits"), section(settings, "bounds")
+    given: Row = {
+        "memory_mb": limits.get("memory_mb"),
+        "sockets": limits.get("sockets"),
+        "max_open": bounds.get("maxOpen"),
+        "conn_idle_ms": bounds.get("connIdleMs"),
+        "connect_timeout_ms": bounds.get("connectTimeoutMs"),
+        "ask_within_ms": section(settings, "invariants").get("askWithinMs"),
+        "state_every_ms": row.get("state_every_ms"),
+    }
+    given = {key: value for key, value in given.items() if value is not None}
+    for key, value in given.items():
+        check_within(key, value, LEAST)
+    return given
+
+
 def _members(row: Row | None) -> FleetSettings | None:
     if row is None:
         return None
@@ -64,41 +112,29 @@
     """The configuration; ValueError says in one line what is wrong with it. What the environment tells
     comes first, as the second process of an upgrade may share the file with the first."""
     told = environment or {}
-    try:
-        row: Row = orjson.loads(data)
-        bounds: Row = row["settings"].get("bounds") or {}
-        given: Row = {
-            "memory_mb": (row.get("limits") or {}).get("memory_mb"),
-            "sockets": (row.get("limits") or {}).get("sockets"),
-            "max_open": bounds.get("maxOpen"),
-            "conn_idle_ms": bounds.get("connIdleMs"),
-            "connect_timeout_ms": bounds.get("connectTimeoutMs"),
-            "ask_within_ms": (row["settings"].get("invariants") or {}).get("askWithinMs"),
-            "state_every_ms": row.get("state_every_ms"),
-        }
-        for key, value in given.items():
-            if value is not None and not (isinstance(value, int | float) and value > 0):
-                raise ValueError(f"{key}: {value!r} is not a number above 0")
-        operator = told.get("PROXY_OPERATOR") or row.get("operator")
-        state = told.get("PROXY_STATE") or row.get("state")
-        if state is not None and not (isinstance(state, str) and state):
-            raise ValueError(f"state: {state!r} is not a path")
-        return Config(
-            name=str(row["name"]),
-            listen=parse_address(row["listen"]),
-            discovery=parse_address(row["discovery"]),
-            seed=int(row["seed"], 16),
-            known=parse_listing(row["known"]),
-            settings=settings_from(row["settings"]),
-            operator=parse_address(operator) if operator else None,
-            maintenance=_folder(told.get("TMPDIR"), maintenance.FOLDER),
-            handover=_folder(told.get("TMPDIR"), handover.FOLDER),
-            accept_fd=told.get("PROXY_ACCEPT_FD") or None,
-            state=Path(state) if state else None,
-            members=_members(row.get("members")),
-            **{key: value for key, value in given.items() if value is not None},
-        )
-    except KeyError as error:
-        raise ValueError(f"{error.args[0]}: missing") from error
-    except (TypeError, AttributeError) as error:
-        raise ValueError(f"malformed: {error}") from error
+    row = orjson.loads(data)
+    if not isinstance(row, dict):
+        raise ValueError("the configuration is not an object")
+    for key in ("listen", "discovery", "known", "settings"):
+        if row.get(key) is None:
+            raise ValueError(f"{key}: missing")
+    settings = section(row, "settings")
+    operator = told.get("PROXY_OPERATOR") or row.get("operator")
+    state = told.get("PROXY_STATE") or row.get("state")
+    if state is not None and not (isinstance(state, str) and state):
+        raise ValueError(f"state: {state!r} is not a path")
+    return Config(
+        name=text_of(row, "name"),
+        listen=_address("listen", row["listen"]),
+        discovery=_address("discovery", row["discovery"]),
+        seed=_seed(row),
+        known=_known(row),
+        settings=settings_from(settings),
+        operator=_address("operator", operator) if operator else None,
+        maintenance=_folder(told.get("TMPDIR"), maintenance.FOLDER),
+        handover=_folder(told.get("TMPDIR"), handover.FOLDER),
+        accept_fd=told.get("PROXY_ACCEPT_FD") or None,
+        state=Path(state) if state else None,
+        members=_members(row.get("members")),
+        **_figures(row, settings),
+    )
--- a/orchidledge/settings.py
+++ b/orchidledge/settings.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import math
-from typing import Any
+from collections.abc import Mapping
+from typing import Any, TypeVar
 
 from orchidledge.interface import Effect, Scope, ServiceClass, Settings, Tenant
 
 Row = dict[str, Any]
+T = TypeVar("T")
+U = TypeVar("U")
 
 EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
+SCOPES = {scope.value: scope for scope in Scope}
+KINDS: dict[type, str] = {dict: "an object", str: "a text"}
 REPORTS = {
     "concurrent": "inflight",
     "depth": "queue",
@@ -20,57 +25,98 @@
 }
 
 
+def section(row: Row, key: str) -> Row:
+    """The object under this key; empty where there is none."""
+    value = row.get(key)
+    if not isinstance(value, dict | None):
+        raise ValueError(f"{key}: {value!r} is not an object")
+    return value or {}
+
+
+def listed(row: Row, key: str, kind: type[T]) -> list[T]:
+    """The list under this key, of items of this type; empty where there is none."""
+    value = row.get(key)
+    if not isinstance(value, list | None):
+        raise ValueError(f"{key}: {value!r} is not a list")
+    for item in value or ():
+        if not isinstance(item, kind):
+            raise ValueError(f"{key}: {item!r} in the list is not {KINDS[kind]}")
+    return value or []
+
+
+def text_of(row: Row, key: str, of: str = "") -> str:
+    """The text under this key, which has to be there."""
+    value = row.get(key)
+    if value is None:
+        raise ValueError(f"{of}{key}: missing")
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{of}{key}: {value!r} is not a text")
+    return value
+
+
+def choice_of(row: Row, key: str, names: Mapping[str, U], of: str = "") -> U:
+    """What the word under this key stands for."""
+    value = row.get(key)
+    if not isinstance(value, str) or value not in names:
+        raise ValueError(f"{of}{key}: {value!r} is not one of {', '.join(names)}")
+    return names[value]
+
+
+def _given(row: Row) -> Row:
+    """Without what is null, which stands for what is absent: defaults hold for it."""
+    return {key: value for key, value in row.items() if value is not None}
+
+
 def settings_from(config: Row) -> Settings:
     """The settings of a node from its first message; keys that are not known are ignored."""
-    bounds: Row = config.get("bounds") or {}
-    rules: Row = config.get("invariants") or {}
-    prices: Row = config.get("prices") or {}
-    feedback: Row = config.get("feedback") or {}
+    bounds, rules = section(config, "bounds"), section(config, "invariants")
+    fields = listed(section(config, "feedback"), "fields", str)
+    modes = {"registryMode": "push", "valueBy": "request"} | _given(config)
     given: Row = {
         "zone": config.get("locality"),
         "tier": config.get("tier"),
         "siblings": config.get("siblings"),
-        "ask_discovery": config.get("registryMode") == "ask",
-        "worth_by_work": config.get("valueBy") == "work",
+        "ask_discovery": choice_of(modes, "registryMode", {"push": False, "ask": True}),
+        "worth_by_work": choice_of(modes, "valueBy", {"request": False, "work": True}),
         "over_share_worth": config.get("overShareWorth"),
-        "report_fields": tuple(REPORTS.get(name, name) for name in feedback.get("fields") or ()),
+        "report_fields": tuple(REPORTS.get(name, name) for name in fields),
         "may_cancel": bounds.get("cancel"),
         "retry_after": bounds.get("retryAfter"),
         "max_retry_after_ms": bounds.get("maxRetryAfterMs"),
         "max_attempts": bounds.get("maxAttempts"),
-        "cross_zone_price": prices.get("crossZone"),
+        "cross_zone_price": section(config, "prices").get("crossZone"),
         "cold_from": rules.get("coldFrom"),
         "cold_ms": rules.get("coldMs"),
         "overload_factor": rules.get("overloadFactor"),
     }
     return Settings(
-        classes=tuple(_service_class(row) for row in config.get("categories") or ()),
+        classes=tuple(_service_class(row) for row in listed(config, "categories", dict)),
         tenants=tuple(
-            Tenant(row["name"], row["quotaPerS"])
-            for row in config.get("accounts") or ()
+            Tenant(text_of(row, "name", "accounts."), row["quotaPerS"])
+            for row in listed(config, "accounts", dict)
             if row.get("quotaPerS") is not None
         ),
-        **{key: value for key, value in given.items() if value is not None},
+        **_given(given),
     )
 
 
 def _service_class(row: Row) -> ServiceClass:
-    for key in ("name", "aimMs", "giveUpMs"):
+    for key in ("aimMs", "giveUpMs"):
         if row.get(key) is None:
             raise ValueError(f"categories.{key}: missing")
-    effect = row.get("effect")
-    if effect not in EFFECTS:
-        raise ValueError(f"categories.effect: {effect!r} is not one of {', '.join(EFFECTS)}")
+    given: Row = {
+        "worth": row.get("credit"),
+        "late_worth": row.get("lateWorth"),
+        "memory_ms": row.get("memorySpanMs"),
+        "stream": row.get("stream"),
+    }
     return ServiceClass(
-        name=row["name"],
+        name=text_of(row, "name", "categories."),
         aim_ms=row["aimMs"],
         give_up_ms=row["giveUpMs"],
-        worth=row.get("credit", 1.0),
-        late_worth=row.get("lateWorth") or 0.0,
-        effect=EFFECTS[effect],
-        scope=Scope(row.get("keyScope") or "all"),
-        memory_ms=row.get("memorySpanMs") or 0.0,
-        stream=bool(row.get("stream")),
+        effect=choice_of(row, "effect", EFFECTS, "categories."),
+        scope=choice_of({"keyScope": "all"} | _given(row), "keyScope", SCOPES, "categories."),
+        **_given(given),
     )
 
 
