Let a tenant with under one call a second at this balancer have calls inside its share

Cause: admission.py kept a bucket of at most one second's tokens, quota / siblings; where that is under 1 it never held the one token that a call takes, so that every call of that tenant fell to the rows of overShareWorth, however few there were. With many balancers, or small quotas, that is the rule. Shown by a tenant of 0.1 to 0.99 calls a second that calls just as often: each call over its share, seen to fail without the mend.

The bucket now holds one call at least where there is any quota; the rate of its filling is as before, and a quota, or a share of the fleet, of 0 still has none.

--- a/orchidledge/decide/admission.py
+++ b/orchidledge/decide/admission.py
@@ -21,6 +21,12 @@
     then: float
 
 
+def _depth(quota: float) -> float:
+    """The most that a bucket of this many tokens a second holds: a second's, and one call's at least."""
+    # Guard: under one call a second here the bucket never held one, and no call was inside its share.
+    return max(1.0, quota) if quota > 0.0 else 0.0
+
+
 class Admission:
     def __init__(self, state: State, now_ms: float) -> None:
         self.state = state
@@ -28,7 +34,7 @@
         self.top_worth = max(kind.worth for kind in cfg.classes) or 1.0
         quotas = {tenant.name: tenant.quota_per_s for tenant in cfg.tenants}
         parts = state.shared.at(now_ms)
-        self.buckets = {name: Bucket(quota, quota / parts, now_ms) for name, quota in quotas.items()}
+        self.buckets = {name: Bucket(quota, _depth(quota / parts), now_ms) for name, quota in quotas.items()}
         self.mean_hint = 0.0
 
     def units(self, request: api.Request) -> float:
@@ -54,7 +60,7 @@
         bucket = self.buckets.get(request.tenant or "")
         if bucket is not None and self.state.cfg.tier == 0:  # a token bucket of one second's share
             quota = bucket.quota_per_s / self.state.shared.at(now)
-            bucket.tokens = min(quota, bucket.tokens + quota * (now - bucket.then) / 1000.0)
+            bucket.tokens = min(_depth(quota), bucket.tokens + quota * (now - bucket.then) / 1000.0)
             bucket.then = now
             if bucket.tokens < 1.0:
                 return worth * self.state.cfg.over_share_worth
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -81,6 +81,23 @@
     assert bed.brain.admission.worth(bed.now + 1000, api.Request("d", "read", 9e9, tenant="t"), SAFE) == worth
 
 
+@pytest.mark.parametrize("quota", [0.1, 0.5, 0.99, 1.0, 1.5])
+def test_a_tenant_whose_quota_is_under_one_call_a_second_here_has_calls_inside_its_share(quota):
+    bed = Bed(siblings=1, tenants=(api.Tenant("t", quota), api.Tenant("none", 0.0)), over_share_worth=0.2)
+
+    def worth(tenant: str, after: float) -> float:
+        bed.now += after
+        return bed.brain.admission.worth(bed.now, api.Request("c", "read", 9e9, tenant=tenant), SAFE)
+
+    whole, apart = worth("unknown", 0.0), 1000.0 / quota + 0.01
+    assert [worth("t", apart) for _ in range(5)] == [whole] * 5  # as many as it may
+    assert worth("t", 0.0) < whole  # and no more,
+    assert worth("t", 0.4 * apart) < whole
+    assert worth("t", 20.0 * apart) == whole  # nor saved up beyond a second's, or one
+    assert [worth("t", 0.0) for _ in range(2)] == [pytest.approx(0.2 * whole)] * 2
+    assert worth("none", 1e6) == pytest.approx(0.2 * whole)
+
+
 def test_over_quota_counts_at_the_front_only():
     bed = Bed(tenants=(api.Tenant("t", 0.0),), over_share_worth=0.2, tier=1)
     assert bed.brain.admission.worth(bed.now, api.Request("c", "read", 9e9, tenant="t"), SAFE) == 1.0
