Read a tenant's name as UTF-8, as the settings hold it

Cause: requests.py decoded Req-Owner as latin-1, while the configuration is UTF-8: a tenant with any letter beyond ASCII never met its account, so that its quota held no call back and overShareWorth never applied. The class was read as UTF-8 from its path already. Seen to fail without the mend: no token taken from the tenant's bucket. Bytes that are no UTF-8 name no tenant of the settings, as before.

--- a/orchidledge/net/requests.py
+++ b/orchidledge/net/requests.py
@@ -52,7 +52,7 @@
         id=name,
         service=kind.name,
         give_up_at_ms=arrived_ms + give_up_ms,
-        tenant=owner.decode("latin-1") if owner else None,
+        tenant=owner.decode("utf-8", "replace") if owner else None,
         cost_hint_ms=None if cost_us is None else cost_us / 1000.0,
         is_retry=headers.get(b"req-retry") == b"1",
         coming=call.coming,
--- a/tests/test_settings_kinds.py
+++ b/tests/test_settings_kinds.py
@@ -200,3 +200,26 @@
                 await until(lambda: not node.pool.size)
 
     asyncio.run(main())
+
+
+def test_names_that_are_not_ascii_are_those_of_the_settings():
+    """A class by its percent-encoded path, a tenant by its header's bytes: UTF-8, as the settings are."""
+
+    async def main():
+        settings = {
+            "categories": [READ | {"name": name} for name in ("tänk it", "a/b")],
+            "accounts": [{"name": "nörd", "quotaPerS": 0.001}],
+        }
+        async with running(Peer(), settings=settings) as node:
+            bucket = node.driver.balancer.admission.buckets["nörd"]
+            for path, owner, cost in (
+                ("/t%C3%A4nk%20it/1", "nörd".encode(), 1.0),
+                ("/a%2Fb/1", b"\xff\xfe", 0.0),
+            ):
+                bucket.tokens = 1.0
+                head = f"GET {path} HTTP/1.1\r\nHost: x\r\nReq-Id: {path}\r\nReq-Owner: "
+                answer = await ask(node, head.encode() + owner + b"\r\n\r\n")
+                assert answer.status == 200
+                assert 1.0 - bucket.tokens == pytest.approx(cost, abs=0.01)
+
+    asyncio.run(main())
