--- a/orchidledge/net/jobs.py
+++ b/orchidledge/net/jobs.py
@@ -189,8 +189,8 @@
             job.backstop.cancel()
         for attempt in job.attempts:
             if attempt is not None:
-                # Guard: where cancelling is not allowed the module gives up none, and one that still connected
-                # was written after its caller had gone. This cancels nothing that was written.
+                # Guard: where cancelling is not allowed the module gives none up, and one still connecting
+                # was written after its caller had gone. This cancels nothing that was written whole.
                 attempt.withdraw(api.Result.MOOT)
         self.forget(job)
 
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -42,13 +42,13 @@
     """Connections to servers that come up only when told, and what happens in the very turn they do."""
 
     def __init__(self, node: Node, just_before: Callable[[], None] = lambda: None) -> None:
-        self.asked = 0
+        self.ready = 0
         self.up = asyncio.Event()
         opened = node.pool.open
 
         async def late(endpoint):
-            self.asked += 1
             connection = await opened(endpoint)
+            self.ready += 1
             if not self.up.is_set():
                 await self.up.wait()
                 just_before()
@@ -94,7 +94,7 @@
         async with running(Peer(), bounds=can(cancel)) as node:
             client = Leaver(node, request(), how)
             late = LateConnections(node, (lambda: None) if seen else client.leave)
-            await until(lambda: late.asked)
+            await until(lambda: late.ready)
             if seen:
                 client.leave()
                 await until(lambda: node.counts["gone"])
@@ -143,7 +143,7 @@
             data = request("post", "q1", bytes(8 * HIGH_WATER))
             late = LateConnections(node)
             client = Leaver(node, data[: len(data) - 8 * HIGH_WATER + size], how)
-            await until(lambda: late.asked)
+            await until(lambda: late.ready)
             (connection,) = node.server.connections
             assert connection._paused_at is not None  # so the loop will see no end
             client.leave()
@@ -167,11 +167,11 @@
                     clients.pop().leave()
 
             late = LateConnections(node, all_leave)
-            await until(lambda: late.asked + node.counts["answered 503"] == 24)
+            await until(lambda: late.ready + node.counts["answered 503"] == 24)
             late.up.set()
             await until(lambda: not node.jobs.held)
             assert node.figures.dispatches == 0
-            assert late.asked > 1
+            assert late.ready > 1
 
     asyncio.run(main())
 
