--- a/orchidledge/net/jobs.py
+++ b/orchidledge/net/jobs.py
@@ -9,11 +9,12 @@
 
 from orchidledge import interface as api
 from orchidledge.net.body import Body
+from orchidledge.net.call import Call
 from orchidledge.net.clock import Clock
 from orchidledge.net.config import Config
 from orchidledge.net.figures import Figures
 from orchidledge.net.requests import BadRequestError, parse
-from orchidledge.net.server import Call, Server
+from orchidledge.net.server import Server
 from orchidledge.net.upstream import Attempt
 
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
@@ -189,8 +190,8 @@
             job.backstop.cancel()
         for attempt in job.attempts:
             if attempt is not None:
-                # Guard: where cancelling is not allowed the module gives none up, and one still connecting
-                # was written after its caller had gone. This cancels nothing that was written whole.
+                # Guard: where cancelling is not allowed the module gives up none, and one that still
+                # connected was written after its caller had gone. Nothing that was written is cancelled.
                 attempt.withdraw(api.Result.MOOT)
         self.forget(job)
 
