Answer what lies in the accept queue or comes late as a stopping process ends

What was seen: a process frozen for a moment after SIGTERM (as a busy machine does) that woke past the least or the last moment of its drain ended with connections still in the kernel's accept queue: 87 of 150 requests, all taken as their last bytes were written, met a reset.

Cause: Node.stop looked at the accepted connections only, and then closed the listener, which makes the kernel reset what it had accepted for it. Connections accepted but without a transport yet were not counted either, and their transports fail once the asyncio.Server is closed (Server._attach asserts). After the last moment the loop had one turn, so what was read then, and answers that didn't fit into the socket, went with the process.

Change: the listener is the node's own reader of the listening socket. It is closed after the kernel's queue has been emptied, before the last look at who is there.

Ruled out: a single connection in the queue was taken in by the turn in which the process woke.

--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 from collections import Counter
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from orchidledge import interface as api
 from orchidledge.decide import Balancer
 from orchidledge.net.attempts import Attempts
+from orchidledge.net.call import Call
 from orchidledge.net.clock import Clock
 from orchidledge.net.clockwork import Clockwork
 from orchidledge.net.config import Config
@@ -39,6 +41,8 @@
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 STOP_LEAST_S = 0.6
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
+STOP_STEP_S = 0.01
+FAREWELL_S = 5.0  # what SIGKILL finds unanswered is no loss, as what the process leaves at its own end is
 LONGEST_DEADLINE_S = 3.0
 HANDOVER_S = 1.5  # idle callers may send one more request, as one that crosses a close is turned back unheard
 YOUNG_S = 0.5  # in standby a connection so new is left open for its first request
@@ -159,16 +163,34 @@
             self.server.drain()
         longest = max(kind.give_up_ms for kind in self.config.settings.classes) / 1000.0
         latest = began + min(longest, LONGEST_DEADLINE_S) + STOP_SLACK_S
-        while self.loop.time() < latest:
-            if not self.server.connections and self.loop.time() - began >= STOP_LEAST_S:
-                break
-            await asyncio.sleep(0.01)
-        self.jobs.fail_all()
-        await asyncio.sleep(0)
+        while self.loop.time() < latest and not self._all_served(began + STOP_LEAST_S):
+            await asyncio.sleep(STOP_STEP_S)
+        self.server.stop_accepting()
+        if not self.server.deserted:
+            await self._turn_away()
         for part in self.parts:
             await part.stop()
         self.close()
 
+    async def _turn_away(self) -> None:
+        """The time is over: what is held is failed, what still comes is refused, and the process stays for
+        as long as a caller has yet to get its answer, or to see the end of its connection."""
+        self.server.on_call = _refuse
+        self.server.resume()
+        self.server.drain(open_s=0.0)  # at once, where it was to wait for longer
+        self.server.expire(math.inf)
+        self.jobs.fail_all()
+        until = self.loop.time() + FAREWELL_S
+        while not self.server.deserted and self.loop.time() < until:
+            await asyncio.sleep(STOP_STEP_S)
+
+    def _all_served(self, least: float) -> bool:
+        """Whether no caller is left, nor any to come, as none is from this time of the loop on."""
+        if self.loop.time() >= least and self.server.deserted:
+            self.server.stop_accepting()  # before the last look at who is there
+            return self.server.deserted
+        return False
+
     def standby(self) -> bool:
         """The operators' drain: what is held is finished, callers go elsewhere, the process runs on."""
         if not self.stopping:
@@ -197,6 +219,10 @@
         self.driver.close()
 
 
+def _refuse(call: Call) -> None:
+    call.answer(503)
+
+
 def _watcher(config: Config, servers: ServerList) -> Watcher:
     return Watcher(
         config.discovery,
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -43,7 +43,8 @@
         self.draining = False  # answers end their connections
         self.expired = 0  # connections ended for want of a request
         self.connections: dict[ServerConnection, None] = {}  # in the order of their opening
-        self._listener: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._drain_timer: asyncio.TimerHandle | None = None
 
@@ -56,24 +57,48 @@
     def crowded(self) -> bool:
         return len(self.connections) > self.limit
 
+    @property
+    def deserted(self) -> bool:
+        """Whether no caller is connected, as far as has been accepted."""
+        return not self.connections and not self._coming
+
     @property
     def address(self) -> tuple[str, int]:
         assert self._listener is not None
-        host, port = self._listener.sockets[0].getsockname()[:2]
+        host, port = self._listener.getsockname()[:2]
         return host, port
 
     async def listen(self, host: str, port: int, accept_fd: str | None = None) -> None:
         """Accept at this address, or from the listening socket that the platform holds for it."""
         self.shares_socket = accept_fd is not None
         raw = socket.create_server((host, port)) if accept_fd is None else inherited(accept_fd)
-        # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
-        # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
-        self._listener = await self.loop.create_server(
-            lambda: ServerConnection(self), sock=raw, backlog=max(1, self.limit // 7)
-        )
+        raw.setblocking(False)
         raw.listen(BACKLOG)
+        self._listener = raw
+        self.loop.add_reader(raw, self._accept)
         self._sweep()
 
+    def _accept(self) -> None:
+        """Take in some of what the kernel has accepted; the rest has its turn in the loop's next ones."""
+        # Guard: closed connections go a turn or two later: a burst of a few keeps within the descriptors.
+        for _ in range(max(1, self.limit // 7)):
+            if not self._accept_one():
+                break
+
+    def _accept_one(self) -> bool:
+        """Whether there was one to take in."""
+        assert self._listener is not None
+        try:
+            raw, _ = self._listener.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False
+        # Guard: a transport that asyncio.Server makes for a connection fails once that server is closed,
+        # and lost the requests of those accepted in the turn before.
+        task = asyncio.create_task(self.loop.connect_accepted_socket(lambda: ServerConnection(self), raw))
+        self._coming.add(task)
+        task.add_done_callback(self._coming.discard)
+        return True
+
     def opened(self, connection: ServerConnection) -> None:
         self.connections[connection] = None
         if self.crowded:  # Guard: idle connections go first; accepting never stops
@@ -107,13 +132,21 @@
         self._drain_timer = self.loop.call_later(DRAIN_STEP_S, self._close_idle, young_s)
 
     def stop_accepting(self) -> None:
-        """Leave what still comes to the process that accepts from the same socket."""
+        """Stop listening. What the kernel has accepted is taken in first, unless another process accepts from
+        the same socket: the kernel resets what a closed listener leaves behind."""
         if self._listener is not None:
-            self._listener.close()
+            while not self.shares_socket and self._accept_one():
+                pass
+            self._stop_listening()
 
-    def close(self) -> None:
+    def _stop_listening(self) -> None:
         if self._listener is not None:
+            self.loop.remove_reader(self._listener)
             self._listener.close()
+            self._listener = None
+
+    def close(self) -> None:
+        self._stop_listening()
         if self._drain_timer is not None:
             self._drain_timer.cancel()
         if self._sweep_timer is not None:
