--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import re
-import select
 import socket
 import struct
 from collections import deque
@@ -16,6 +15,7 @@
 from orchidledge.net.body import HIGH_WATER, LONGEST, Body
 from orchidledge.net.call import Call, LongAnswer, head
 from orchidledge.net.http import MAX_BODY, MAX_HEAD, readable
+from orchidledge.net.pending import ended
 
 if TYPE_CHECKING:
     from orchidledge.net.server import Server
@@ -72,19 +72,30 @@
         self._transport.abort()
         return True
 
-    def hung_up(self) -> bool:
-        """Whether the caller has closed or reset the connection, as the kernel knows it at this moment."""
-        return self._transport.is_closing() or hung_up(self._transport)
+    @property
+    def left(self) -> bool:
+        """Whether the caller has gone, also where the event loop has not delivered its end yet: while reading
+        is paused, or later in the same turn."""
+        return self._transport.is_closing() or ended(self._transport)
+
+    def close_if_left(self) -> bool:
+        """Whether the caller has gone; what it asked for is then over."""
+        if not self.left:
+            return False
+        if self._calls and self._answer is None and not self._transport.is_closing():
+            self._fail(400)
+        return True
 
-    def expire(self, now: float) -> bool:
-        """End a connection on which a request is overdue by now; whether that was so."""
+    def sweep(self, now: float) -> None:
+        """End what nobody reads or waits for any more by now."""
         if self._unread_for(now) >= UNREAD_S or (self._closing and self._lingered(now)):
             self._transport.abort()
-            return False
         # Guard: nothing is read while a request waits its turn or its body is held, so an end went unseen.
-        if self._calls and self._answer is None and not self._transport.is_reading() and self.hung_up():
-            self._fail(400)
-            return False
+        elif self._calls and not self._transport.is_reading():
+            self.close_if_left()
+
+    def expire(self, now: float) -> bool:
+        """End a connection on which a request is overdue by now; whether that was so."""
         waits = self._calls and self._calls[0] is not self._partial
         if self._closing or waits or self._paused_at is not None or self._answer or now < self._due():
             return False
@@ -301,7 +312,7 @@
         self._answer = None
         if not self._transport.is_closing() and self._calls:
             end_by_reset(self._transport, False)
-            self._go_on(close or (len(self._calls) == 1 and self.hung_up()))
+            self._go_on(close or (len(self._calls) == 1 and self.left))
 
     def break_off(self) -> None:
         """It can't be: the caller has to see that it is not whole."""
@@ -322,7 +333,7 @@
     def _next(self) -> None:
         if not self._calls or self._closing:
             return
-        if self.hung_up():  # Guard: what waited its turn was begun for a caller that had left
+        if self.left:  # Guard: what waited its turn was begun for a caller that had left
             self._fail(400)
         else:
             self._serve()
@@ -367,13 +378,6 @@
         return now >= min(self.since + LINGER_S, self._end_by)
 
 
-def hung_up(transport: asyncio.BaseTransport) -> bool:
-    """Whether the other side has ended or reset, be there unread bytes before that or not."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)  # HUP and ERR unasked
-    return bool(poll.poll(0))
-
-
 def end_by_reset(transport: asyncio.BaseTransport, on: bool) -> None:
     """Whether a close, the process's end too, is to reset the connection."""
     linger = struct.pack("ii", on, 0)
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 from collections import Counter
 from collections.abc import Callable
@@ -12,10 +13,11 @@
 from orchidledge import interface as api
 from orchidledge.decide import Balancer
 from orchidledge.net.attempts import Attempts
+from orchidledge.net.call import Call
 from orchidledge.net.clock import Clock
 from orchidledge.net.clockwork import Clockwork
 from orchidledge.net.config import Config
-from orchidledge.net.discovery import Watcher
+from orchidledge.net.discovery import PAUSE_S, Patience, Watcher
 from orchidledge.net.driver import Driver
 from orchidledge.net.figures import Figures
 from orchidledge.net.handover import Handover
@@ -35,10 +37,11 @@
 SPARE_SOCKETS = 32  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.45  # of the other descriptors: callers' connections;
 UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before idle ones have been closed
-LONGEST_WATCH_MS = 20_000.0
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 STOP_LEAST_S = 0.6
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
+STOP_STEP_S = 0.01
+FAREWELL_S = 5.0  # what SIGKILL finds unanswered is no loss, as what the process leaves at its own end is
 LONGEST_DEADLINE_S = 3.0
 HANDOVER_S = 1.5  # idle callers may send one more request, as one that crosses a close is turned back unheard
 YOUNG_S = 0.5  # in standby a connection so new is left open for its first request
@@ -138,8 +141,7 @@
         if self.config.operator is not None:
             await self.door.open(self.config.operator)
         await self.server.listen(*self.config.listen, self.config.accept_fd)
-        if not self.config.settings.ask_discovery:
-            self.watcher.start()
+        self.watcher.start()
         self.clockwork.start()
         for part in self.parts:
             await part.start()
@@ -159,16 +161,34 @@
             self.server.drain()
         longest = max(kind.give_up_ms for kind in self.config.settings.classes) / 1000.0
         latest = began + min(longest, LONGEST_DEADLINE_S) + STOP_SLACK_S
-        while self.loop.time() < latest:
-            if not self.server.connections and self.loop.time() - began >= STOP_LEAST_S:
-                break
-            await asyncio.sleep(0.01)
-        self.jobs.fail_all()
-        await asyncio.sleep(0)
+        while self.loop.time() < latest and not self._all_served(began + STOP_LEAST_S):
+            await asyncio.sleep(STOP_STEP_S)
+        self.server.stop_accepting()
+        if not self.server.deserted:
+            await self._turn_away()
         for part in self.parts:
             await part.stop()
         self.close()
 
+    async def _turn_away(self) -> None:
+        """The time is over: what is held is failed, what still comes is refused, and the process stays for
+        as long as a caller has yet to get its answer, or to see the end of its connection."""
+        self.server.on_call = _refuse
+        self.server.resume()
+        self.server.drain(open_s=0.0)  # at once, where it was to wait for longer
+        self.server.expire(math.inf)
+        self.jobs.fail_all()
+        until = self.loop.time() + FAREWELL_S
+        while not self.server.deserted and self.loop.time() < until:
+            await asyncio.sleep(STOP_STEP_S)
+
+    def _all_served(self, least: float) -> bool:
+        """Whether no caller is left, nor any to come, as none is from this time of the loop on."""
+        if self.loop.time() >= least and self.server.deserted:
+            self.server.stop_accepting()  # before the last look at who is there
+            return self.server.deserted
+        return False
+
     def standby(self) -> bool:
         """The operators' drain: what is held is finished, callers go elsewhere, the process runs on."""
         if not self.stopping:
@@ -197,13 +217,14 @@
         self.driver.close()
 
 
+def _refuse(call: Call) -> None:
+    call.answer(503)
+
+
 def _watcher(config: Config, servers: ServerList) -> Watcher:
-    return Watcher(
-        config.discovery,
-        config.known.revision,
-        # Guard: a discovery that has gone silent must be noticed before the node counts as told.
-        min(LONGEST_WATCH_MS, config.ask_within_ms * WATCH_SHARE),
-        not config.settings.ask_discovery,
-        servers.on_list,
-        Random(config.seed),
-    )
+    # Half of the time within which discovery has to be asked: the other half is for the call's way.
+    share_s = config.ask_within_ms * WATCH_SHARE / 1000.0
+    # An agent that pushes is this machine's own: it is not crowded, and what it gets counts at once.
+    pause_s = share_s if config.settings.ask_discovery else PAUSE_S
+    patience = Patience(share_s, pause_s, Random(config.seed))
+    return Watcher(config.discovery, config.known.revision, patience, servers.on_list)
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -68,9 +68,9 @@
                 caller.sendall(request(name="q2") + b"GET /half")
                 await until(lambda: not job.call.connection._transport.is_reading())
                 caller.sendall(b"unread")
-            assert not job.call.caller_gone()
+            assert not job.call.connection.left
             leave(caller)
-            assert job.call.caller_gone()
+            assert job.call.connection.left
             caller.close()
 
     asyncio.run(main())
@@ -88,7 +88,7 @@
             assert not job.call.connection._transport.is_reading()
             caller.sendall(request(name="q3"))
             leave(caller)
-            node.server.expire(node.loop.time())
+            job.call.connection.sweep(node.loop.time())
             await until(lambda: not node.server.connections)
             assert (node.counts["gone"], node.jobs.open, node.counts["taken"]) == (1, 0, 1)
             caller.close()
@@ -298,12 +298,12 @@
     async def main():
         server = Peer()
         async with running(server) as node:
-            caller, _ = await slow_reader(node, server, Connection="close")
-            node.server.expire(node.loop.time() + LINGER_MOST_S)  # enough for one whose answer had left
+            caller, connection = await slow_reader(node, server, Connection="close")
+            connection.sweep(node.loop.time() + LINGER_MOST_S)  # enough for one whose answer had left
             answer = await read_to_the_end(caller, close=False)
             assert answer.endswith(ANSWER)
             assert node.server.connections  # read on for a moment
-            node.server.expire(node.loop.time() + LINGER_S)
+            connection.sweep(node.loop.time() + LINGER_S)
             await until(lambda: not node.server.connections)
             caller.close()
 
@@ -317,16 +317,16 @@
         async with running(server) as node:
             caller, connection = await slow_reader(node, server, **headers)
             now = node.loop.time() + 1.0
-            node.server.expire(now)
+            connection.sweep(now)
             unsent = connection._transport.get_write_buffer_size()
             while connection._transport.get_write_buffer_size() == unsent:
                 caller.recv(4096)
                 await asyncio.sleep(0)
-            node.server.expire(now + UNREAD_S)  # it has read since
-            node.server.expire(now + 2 * UNREAD_S - 0.1)
+            connection.sweep(now + UNREAD_S)  # it has read since
+            connection.sweep(now + 2 * UNREAD_S - 0.1)
             await asyncio.sleep(0)
             assert node.server.connections
-            node.server.expire(now + 2 * UNREAD_S)
+            connection.sweep(now + 2 * UNREAD_S)
             await until(lambda: not node.server.connections)
             caller.close()
 
