Give a caller's connection explicit states, apart from the parsing of its requests

connection.py now holds the node's side as a state machine with the names that h11 gives a server's: IDLE, SEND_RESPONSE, SEND_BODY, MUST_CLOSE, CLOSED.

One fault went with the two hands on pause_reading: a long body that had been stopped behind another request was read on whole once that was answered (the resume knew nothing of the body's pause, and the body's own pause was taken for done), up to 32 MiB held while its attempt was still connecting. Reading now has its reasons to wait in one place.

Tests changed only in the names by which they look inside (test_node, test_bodies, test_writes).

--- a/orchidledge/net/call.py
+++ b/orchidledge/net/call.py
@@ -28,6 +28,7 @@
     coming: bool = True  # its last byte has yet to come
     version: str = "1.1"
     keep_alive: bool = True
+    handed_on: bool = False  # to be answered
     answered: bool = False
     on_gone: Callable[[], None] | None = None
     on_whole: Callable[[], None] | None = None  # for one that was handed on before
@@ -56,18 +57,26 @@
         connection: ServerConnection,
         call: Call,
         rest: Body,
-        chunked: bool,
+        length: int | None,
         close: bool,
         on_end: Callable[[bool], None],
     ) -> None:
         self.call = call
         self.rest = rest
         self._connection = connection
-        self._chunked = chunked
-        self._close = close
+        self._length = length
+        # Guard: a caller of HTTP/1.0 knows no chunks; a length that is not known ends with its connection.
+        self.to_the_end = length is None and call.version == "1.0"
+        self._chunked = length is None and not self.to_the_end
+        self._close = close or self.to_the_end
         self._on_end = on_end
         self._over = False
 
+    def head(self) -> bytes:
+        if self.to_the_end:
+            return b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+        return head(200, self._length, self._close, 0.0)
+
     def write(self, data: bytes) -> None:
         self._connection.write(chunk(data) if self._chunked else data)
 
--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -1,75 +1,70 @@
-"""A caller's connection: parses its requests and writes the one answer to each."""
+"""A caller's connection: what state it is in, when it may be closed, and the one answer to each request."""
 
 from __future__ import annotations
 
 import asyncio
-import re
-import socket
-import struct
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import TYPE_CHECKING
 
-import httptools
-
-from orchidledge.net.body import HIGH_WATER, LONGEST, Body
+from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.call import Call, LongAnswer, head
-from orchidledge.net.http import MAX_BODY, MAX_HEAD, readable
+from orchidledge.net.flow import Linger, Reading, Writing
+from orchidledge.net.http import readable
 from orchidledge.net.pending import ended
+from orchidledge.net.request_parser import Receiving, RequestParser
 
 if TYPE_CHECKING:
     from orchidledge.net.server import Server
 
 READY_PATH = b"/up"
-LINGER_S = (
-    1.0  # how long after a fatal answer, and after the last that a caller still sends, that is dropped,
-)
-LINGER_MOST_S = 5.0  # at the most
-UNREAD_S = 10.0  # a caller that takes nothing of its answer for so long has given up reading
-HEAD_S = (
-    2.3  # how long a request's head may take, the first one from its connection's start (a slow one: 2 s),
-)
-PACE = 48_000.0  # how many bytes a second its body must bring from then on (a slow one: 64 kB/s),
-BODY_S = 0.5  # after this long:
+
+
+class State(Enum):
+    """The node's side of a connection; the parser has the caller's, as requests may come meanwhile."""
+
+    IDLE = "no request is being answered"
+    SEND_RESPONSE = "one is, or is due to be, and nothing of its answer has been written"
+    SEND_BODY = "a long answer is being passed on"
+    MUST_CLOSE = "the sending has ended; what still comes is read and dropped for a moment"
+    CLOSED = "nothing goes either way"
 
 
 class ServerConnection(asyncio.Protocol):
-    """One caller's connection. Requests that come at once are answered in turn."""
+    """One caller's connection. Requests that come at once are answered in turn.
+
+    IDLE -> SEND_RESPONSE -> IDLE, or by way of SEND_BODY, for each request; from any of them to MUST_CLOSE
+    with the last answer, and to CLOSED. Whoever closes goes by `idle`, `_last`, `sweep` or `expire`.
+    """
 
     def __init__(self, server: Server) -> None:
         self._server = server
         self._transport: asyncio.Transport
-        self._parser = httptools.HttpRequestParser(self)
+        self._requests: RequestParser
+        self._reading: Reading
+        self._writing: Writing
+        self.state = State.IDLE
         self._calls: deque[Call] = deque()  # those handed on or due to be, the first of them being answered
-        self._partial: Call | None = None  # the one coming in; the only one of the others if its body is long
-        self._paused_at: float | None = None  # the loop's time since when its body has had to wait
-        self._size = 0  # of a body
-        self._named = 0  # of the target, headers and trailers
-        self._in_head = False
-        self._head = 0  # bytes that have come of a head that is not whole
-        self._answer: LongAnswer | None = None  # a long one under way
-        self._fault = 0  # the status that ends this connection, once something was wrong on it
-        self._closing = False  # the last answer has been written, or will be with what is in hand
+        self._answer: LongAnswer | None = None  # in SEND_BODY
+        self._linger: Linger | None = None  # in MUST_CLOSE
         self.opened_at = 0.0  # by the loop's clock
         self.since = 0.0  # the loop's time of the last byte either way
-        self._unsent = 0  # bytes that waited for the caller to read at the last look,
-        self._taken_at = 0.0  # and the loop's time since when there were so many
-        self._end_by = 0.0  # the loop's time until which it is read on at most, once closing
-        self._fresh = True  # no whole request has come yet
-        self._head_at = 0.0  # the loop's time when a request's head was whole
-        self._began = 0.0  # the loop's time of the connection's start, then of the first byte of a request
 
     @property
     def idle(self) -> bool:
         """Between requests: nothing of one has been read, and all that was answered has left."""
-        open_or_over = self._calls or self._partial is not None or self._closing
-        return not open_or_over and not self._transport.get_write_buffer_size()
+        between = self.state is State.IDLE and self._requests.state is Receiving.IDLE
+        return between and not self._writing.unsent
 
     def close_if_idle(self) -> bool:
-        """Close between requests, but not with a request already waiting in the kernel."""
+        """Close between requests, but not with a request already waiting in the kernel.
+
+        One that comes after this look is left unread, so its caller sends it again on a new connection.
+        """
         if not self.idle or self._transport.is_closing() or readable(self._transport):
             return False
-        self._transport.abort()
+        self._abort()
         return True
 
     @property
@@ -82,316 +77,206 @@
         """Whether the caller has gone; what it asked for is then over."""
         if not self.left:
             return False
-        if self._calls and self._answer is None and not self._transport.is_closing():
+        if self.state is State.SEND_RESPONSE and not self._transport.is_closing():
             self._fail(400)
         return True
 
     def sweep(self, now: float) -> None:
         """End what nobody reads or waits for any more by now."""
-        if self._unread_for(now) >= UNREAD_S or (self._closing and self._lingered(now)):
-            self._transport.abort()
+        lingered = self._linger is not None and self._linger.over(now, self._writing.unsent)
+        if lingered or self._writing.stalled(now):
+            self._abort()
         # Guard: nothing is read while a request waits its turn or its body is held, so an end went unseen.
-        elif self._calls and not self._transport.is_reading():
+        elif self.state is State.SEND_RESPONSE and not self._transport.is_reading():
             self.close_if_left()
 
     def expire(self, now: float) -> bool:
         """End a connection on which a request is overdue by now; whether that was so."""
-        waits = self._calls and self._calls[0] is not self._partial
-        if self._closing or waits or self._paused_at is not None or self._answer or now < self._due():
+        coming = self._requests.call
+        receives = self.state is State.IDLE or (
+            self.state is State.SEND_RESPONSE and self._calls[0] is coming and not self._reading.body_held
+        )
+        if not receives or now < self._requests.due():
             return False
-        if self._partial is not None:
+        if coming is not None:
             self._fail(408)
             return True
         # Guard: judged by the connection's start, as line ends before a request look like traffic for ever.
-        return self._fresh and self.close_if_idle()
+        return self._requests.fresh and self.close_if_idle()
+
+    def _last(self, call: Call) -> bool:
+        """Whether the connection ends with the answer to this call: not if anything was read behind it."""
+        close = call.coming or not call.keep_alive or self._server.draining or self._server.crowded
+        return close and len(self._calls) == 1 and self._requests.call in (None, call)
+
+    def _fail(self, status: int) -> None:
+        """Answer what can't be read as a request or won't be served, and end the connection."""
+        if self.state is State.SEND_BODY:  # an answer has begun before its request's end
+            self._abort()
+            return
+        self._transport.write(head(status, 0, True, 0.0))
+        self._end()
+        self._drop_calls()
 
-    def _unread_for(self, now: float) -> float:
-        """For how long the caller has taken nothing of what waits for it."""
-        unsent = self._transport.get_write_buffer_size()
-        if unsent != self._unsent or not unsent:
-            self._unsent, self._taken_at = unsent, now
-        return now - self._taken_at
+    def _drop_calls(self) -> None:
+        """Nothing that has come is to be answered any more."""
+        calls, self._calls = self._calls, deque()
+        for call in calls:
+            call.answered = True
+            if call.on_gone is not None:
+                call.on_gone()
+        self._requests.drop()
 
-    def _due(self) -> float:
-        """When what has come of a request is too little."""
-        due = self._began + HEAD_S
-        if self._partial is None or self._in_head:
-            return due
-        # Guard: a limit on the whole request cut off callers that kept to their pace.
-        return max(due, self._head_at + BODY_S + self._size / PACE)
+    def _end(self) -> None:
+        """The last answer has been written."""
+        self.state = State.MUST_CLOSE
+        self._linger = Linger(self._server.loop.time())
+        self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:  # Guard: the caller has left, and its reset came on the answer just written
+            self._abort()
 
-    # ---------------------------------------------------------- asyncio.Protocol
+    def _abort(self) -> None:
+        self.state = State.CLOSED
+        self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self.opened_at = self.since = self._began = self._server.loop.time()
+        self.opened_at = self.since = self._server.loop.time()
+        self._requests = RequestParser(
+            lambda: Call(self, Body(self._reading)), self._on_head, self._on_whole, self.opened_at
+        )
+        self._reading = Reading(self._server.loop, transport, self._requests.allow)
+        self._writing = Writing(transport)
         self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._closing:
-            self.since = self._server.loop.time()
-            return  # read and dropped, so that the answer is not lost to a reset
-        if self._partial is None:
-            self.since = self._server.loop.time()
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fault = self._fault or 400
-        if self._in_head:  # Guard: the parser keeps a header back until it is whole
-            self._head += len(data)
-            if self._head > MAX_HEAD + MAX_BODY:  # a body before it may have come with its first part
-                self._fault = self._fault or 400
-        partial = self._partial
-        if partial is not None and not self._calls and partial.body.size >= HIGH_WATER:
-            partial.arrived = self._server.loop.time()  # for now
-            self._calls.append(partial)  # too long to be held whole
-        if self._fault and (not self._calls or self._calls[0] is partial is not None):
-            self._fail(self._fault)
-        elif self._calls:
-            # A caller sends one request at a time; another is left in the kernel until its turn.
-            if len(self._calls) > 1 or self._partial not in (None, self._calls[0]):
-                self._transport.pause_reading()
-            self._serve()
+        now = self._server.loop.time()
+        if self._linger is not None:  # read and dropped, so that the answer is not lost to a reset
+            self._linger.heard(now)
+        elif self.state is not State.CLOSED:
+            if self._requests.call is None:
+                self.since = now
+            self._requests.feed(data, now)
+            self._advance()
 
     def eof_received(self) -> bool:
-        """The caller has left, as an end can't be told from a half-close. The latter's final answer is a
-        failure, but one under way is passed on: nothing is begun for it."""
-        if self._answer is not None and self._partial is None:
+        """The caller has left: an end can't be told from a half-close. One that still reads gets a failure as
+        its answer, or the rest of one that is being passed on, as nothing is begun for that."""
+        if self.state is State.SEND_BODY and self._requests.call is None:
             return True
-        if (self._calls or self._partial is not None) and not self._closing:
+        if self._linger is None and (self._calls or self._requests.call is not None):
             self._fail(400)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._closing = True
+        self.state = State.CLOSED
         self._server.closed(self)
         answer, self._answer = self._answer, None
         if answer is not None:
             answer.lost()
         self._drop_calls()
 
-    # ------------------------------------------------------ as the source of a body
-
-    def pause(self) -> None:
-        if self._paused_at is None:
-            self._paused_at = self._server.loop.time()
-            self._transport.pause_reading()
-
-    def resume(self) -> None:
-        if self._paused_at is not None:
-            self._head_at += self._server.loop.time() - self._paused_at  # its pace could not be kept
-            self._paused_at = None
-            if not self._transport.is_closing():
-                self._transport.resume_reading()
-
-    def abandoned(self) -> None:
-        """The rest is read and dropped."""
-        self.resume()
-
-    # --------------------------------------------------------- httptools callbacks
-
-    def on_message_begin(self) -> None:
-        self._partial = Call(self, Body(self))
-        if not self._fresh:
-            self._began = self._server.loop.time()
-        self._size = self._head = self._named = 0
-        self._in_head = True
-
-    def on_url(self, url: bytes) -> None:
-        self._grow_head(len(url))
-        if self._partial is not None:
-            self._partial.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._grow_head(len(name) + len(value))
-        if self._partial is not None and self._in_head:  # a trailer must not pass for a header
-            self._partial.headers[name.lower()] = value
-
-    def on_headers_complete(self) -> None:
-        self._in_head = False
-        self._head_at = self._server.loop.time()
-        if self._partial is None or self._fault:
-            return
-        call = self._partial
-        call.target = origin_form(call.target)
-        call.method = self._parser.get_method()
-        call.version = self._parser.get_http_version()
-        call.keep_alive = self._parser.should_keep_alive()
-        length = call.headers.get(b"content-length", b"")
-        call.length = int(length) if length.isdigit() else None
-        if call.length is not None and call.length > LONGEST:
-            self._fault = 413
-        elif call.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    def pause_writing(self) -> None:
+        if self._answer is not None:
+            self._answer.rest.hold()
+
+    def resume_writing(self) -> None:
+        if self._answer is not None:
+            self._answer.rest.release()
 
-    def on_body(self, body: bytes) -> None:
-        self._size += len(body)
-        if self._size > LONGEST:
-            self._fault = self._fault or 413
-        if self._partial is not None and not self._fault:
-            self._partial.body.put(body)
+    def _on_head(self, call: Call) -> None:
+        if call.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_message_complete(self) -> None:
-        call, self._partial = self._partial, None
-        if call is None or self._fault:
-            return
-        self._fresh = False
-        call.arrived = self._server.loop.time()
-        call.coming = False
-        call.body.end()
-        self.resume()  # a body of just the high-water mark has stopped the reading
-        if call not in self._calls:
+    def _on_whole(self, call: Call) -> None:
+        self._reading.resume()  # a body of just the high-water mark has stopped the reading
+        if not self._calls or self._calls[0] is not call:
             self._calls.append(call)
         elif call.on_whole is not None:
             call.on_whole()
 
-    def _grow_head(self, size: int) -> None:
-        self._named += size
-        if self._named > MAX_HEAD:
-            self._fault = self._fault or 400
-
-    # -------------------------------------------------------------------- answers
+    def _advance(self) -> None:
+        """Act on what has been read: hand the first request on, or read on, or fail what is none."""
+        coming, fault = self._requests.call, self._requests.fault
+        if coming is not None and not self._calls and coming.body.size >= HIGH_WATER:
+            coming.arrived = self._server.loop.time()  # for now
+            self._calls.append(coming)  # too long to be held whole
+        if self._calls and self.state is State.IDLE:
+            self.state = State.SEND_RESPONSE
+        if fault and (self.state is State.IDLE or self._calls[0] is coming):
+            self._fail(fault)
+            return
+        # A caller sends one request at a time; another is left in the kernel until its turn.
+        first = self._calls[0] if self._calls else None
+        self._reading.set_full(first is not None and (len(self._calls) > 1 or coming not in (None, first)))
+        if first is not None and not first.handed_on:
+            self._hand_on(first)
+
+    def _hand_on(self, call: Call) -> None:
+        call.handed_on = True
+        if call.target.partition(b"?")[0] == READY_PATH:
+            call.answer(200 if self._server.takes_clients else 503)
+        else:
+            self._server.on_call(call)
 
-    def _serve(self) -> None:
-        """Hand the first whole request on, unless that has been done."""
-        call = self._calls[0]
-        if call.on_gone is None and not call.answered:
-            call.on_gone = _nothing
-            if call.target.partition(b"?")[0] == READY_PATH:
-                call.answer(200 if self._server.takes_clients else 503)
-            else:
-                self._server.on_call(call)
+    def _next(self) -> None:
+        # Guard: what waited its turn was begun for a caller that had left.
+        if self.state is State.SEND_RESPONSE and not self.close_if_left():
+            self._advance()
 
     def answer(self, call: Call, status: int, body: bytes, retry_after_ms: float) -> None:
-        if self._transport.is_closing() or not self._calls or self._calls[0] is not call:
+        if not self._awaits(call):
             return
         close = self._last(call)
         self._transport.write(head(status, len(body), close, retry_after_ms) + body)
         self._go_on(close)
 
-    def _last(self, call: Call) -> bool:
-        """Whether the connection ends with the answer to this call: not if anything was read behind it."""
-        close = call.coming or not call.keep_alive or self._server.draining or self._server.crowded
-        return close and len(self._calls) == 1 and self._partial in (None, call)
-
-    def _go_on(self, close: bool) -> None:
-        """The first call has its answer: turn to the next, or end the connection."""
-        self._calls.popleft()
-        # What waited its turn to be read is due from now.
-        self.since = self._began = self._head_at = self._server.loop.time()
-        if close:
-            self._end()
-        elif self._calls:
-            self._server.loop.call_soon(self._next)
-        elif self._fault:
-            self._fail(self._fault)
-        else:
-            self._transport.resume_reading()
+    def _awaits(self, call: Call) -> bool:
+        """Whether the answer to this call can still be written."""
+        waits = self.state is State.SEND_RESPONSE and self._calls[0] is call
+        return waits and not self._transport.is_closing()
 
     def begin(self, call: Call, length: int | None, rest: Body, on_end: Callable[[bool], None]) -> None:
-        if self._transport.is_closing() or not self._calls or self._calls[0] is not call:
+        if not self._awaits(call):
             rest.abandon()
             on_end(False)
             return
-        close = self._last(call)
-        # Guard: a caller of HTTP/1.0 knows no chunks; a length that is not known ends with its connection.
-        chunked = length is None and call.version != "1.0"
-        if length is None and not chunked:
-            close = True
-            self._transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+        self.state = State.SEND_BODY
+        self._answer = LongAnswer(self, call, rest, length, self._last(call), on_end)
+        self._transport.write(self._answer.head())
+        if self._answer.to_the_end:
             # Guard: with an end for its mark, one that broke off, or whose process ended, passed for whole.
-            end_by_reset(self._transport, True)
-        else:
-            self._transport.write(head(200, length, close, 0.0))
-        self._answer = LongAnswer(self, call, rest, chunked, close, on_end)
+            self._writing.set_reset(True)
         rest.attach(self._answer)
 
+    def write(self, data: bytes) -> None:
+        self._transport.write(data)
+
     def finish(self, close: bool) -> None:
         """The long answer has been written."""
         self._answer = None
-        if not self._transport.is_closing() and self._calls:
-            end_by_reset(self._transport, False)
+        if self.state is State.SEND_BODY and not self._transport.is_closing():
+            self._writing.set_reset(False)
             self._go_on(close or (len(self._calls) == 1 and self.left))
 
     def break_off(self) -> None:
         """It can't be: the caller has to see that it is not whole."""
         self._answer = None
-        self._transport.abort()
+        self._abort()
 
-    def write(self, data: bytes) -> None:
-        self._transport.write(data)
-
-    def pause_writing(self) -> None:
-        if self._answer is not None:
-            self._answer.rest.hold()
-
-    def resume_writing(self) -> None:
-        if self._answer is not None:
-            self._answer.rest.release()
-
-    def _next(self) -> None:
-        if not self._calls or self._closing:
+    def _go_on(self, close: bool) -> None:
+        """The first call has its answer: turn to the next, or end the connection."""
+        self._calls.popleft()
+        self.since = self._server.loop.time()
+        self._requests.restart_clock(self.since)
+        if close:
+            self._end()
             return
-        if self.left:  # Guard: what waited its turn was begun for a caller that had left
-            self._fail(400)
+        self.state = State.SEND_RESPONSE if self._calls else State.IDLE
+        if self._calls:
+            self._server.loop.call_soon(self._next)
         else:
-            self._serve()
-
-    def _fail(self, status: int) -> None:
-        """Answer what can't be read as a request, and end the connection."""
-        if self._answer is not None:  # an answer has begun before its request's end
-            self._transport.abort()
-            return
-        self._drop_calls()
-        self._transport.write(head(status, 0, True, 0.0))
-        self._end()
-
-    def _drop_calls(self) -> None:
-        """Nothing that has come is to be answered any more."""
-        calls, self._calls = self._calls, deque()
-        partial, self._partial = self._partial, None
-        for call in calls:
-            call.answered = True
-            if call.on_gone is not None:
-                call.on_gone()
-        if partial is not None:
-            partial.body.fail()
-
-    def _end(self) -> None:
-        """Close, reading on for a moment: closing over unread bytes would reset the answer away."""
-        self._closing = True
-        if not self._transport.is_closing():
-            self._transport.resume_reading()
-            try:
-                self._transport.write_eof()
-            except OSError:  # Guard: the caller has left, and its reset came on the answer just written
-                self._transport.abort()
-                return
-            self.since = self._server.loop.time()
-            self._end_by = self.since + LINGER_MOST_S
-
-    def _lingered(self, now: float) -> bool:
-        """Whether enough was read on: all has left, and the caller sends no more, or has for too long."""
-        if self._transport.get_write_buffer_size():
-            self.since, self._end_by = now, now + LINGER_MOST_S
-        return now >= min(self.since + LINGER_S, self._end_by)
-
-
-def end_by_reset(transport: asyncio.BaseTransport, on: bool) -> None:
-    """Whether a close, the process's end too, is to reset the connection."""
-    linger = struct.pack("ii", on, 0)
-    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
-def _nothing() -> None:
-    """Stands for the interest of nobody in a caller's going away."""
-
-
-def origin_form(target: bytes) -> bytes:
-    """A target's path and query: servers are sent these, whichever form the caller chose."""
-    scheme, _, rest = target.partition(b"://")
-    if target.startswith(b"/") or scheme.lower() not in (b"http", b"https"):
-        return target
-    path = rest[len(re.split(rb"[/?]", rest, maxsplit=1)[0]) :]
-    return path if path.startswith(b"/") else b"/" + path
+            self._advance()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -11,8 +11,8 @@
 from loopback import Caller, Peer, Scripted, ask, reply, request, running, targets, until
 
 from orchidledge import interface as api
-from orchidledge.net import connection as connection_module
 from orchidledge.net import http as http_module
+from orchidledge.net import request_parser as request_parser_module
 from orchidledge.net import upstream as upstream_module
 from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.node import Node
@@ -490,10 +490,11 @@
             caller.writer.write(data[:end])
             await until(lambda: node.server.connections)
             (connection,) = node.server.connections
-            await until(lambda: connection._partial and connection._partial.body.size >= HIGH_WATER - 5)
+            coming = connection._requests
+            await until(lambda: coming.call and coming.call.body.size >= HIGH_WATER - 5)
             connection._transport.resume_reading()
             caller.writer.write(data[end:])
-            await until(lambda: connection._partial is None)
+            await until(lambda: coming.call is None)
             up.set()
             assert (await caller.answer()).status == 200
             assert server.bodies == [LONG[:HIGH_WATER]]
@@ -518,9 +519,13 @@
             caller = await Caller.to(node)
             caller.writer.write(request("post", "q1", bytes(16 * MIB)))
             # not only its first bytes held back, as they are while the attempt still connects
-            await until(lambda: [c for c in node.server.connections if c._partial and c._partial.body.held])
+            await until(
+                lambda: [
+                    c for c in node.server.connections if c._requests.call and c._requests.call.body.held
+                ]
+            )
             (connection,) = node.server.connections
-            assert connection._paused_at is not None
+            assert connection._reading.body_held
             node.server.expire(node.loop.time() + 60.0)  # not the caller's fault
             assert node.server.expired == 0
             go_on.set()
@@ -635,7 +640,7 @@
 
 def test_a_chunked_request_past_the_limit_gets_413(monkeypatch):
     async def main():
-        monkeypatch.setattr(connection_module, "LONGEST", MIB)
+        monkeypatch.setattr(request_parser_module, "LONGEST", MIB)
         server = Taking()
         async with behind(server.serve) as node:
             caller = await Caller.to(node)
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -11,7 +11,8 @@
 from loopback import Caller, Held, Message, Peer, reply, request, running, until
 
 from orchidledge.net.body import HIGH_WATER, Body
-from orchidledge.net.connection import LINGER_MOST_S, LINGER_S, UNREAD_S, ServerConnection
+from orchidledge.net.connection import ServerConnection
+from orchidledge.net.flow import LINGER_MOST_S, LINGER_S, UNREAD_S
 from orchidledge.net.node import Node
 
 
@@ -45,6 +46,7 @@
         """Nobody else is told."""
 
 
+MIB = 1024 * 1024
 LEAVING = [socket.socket.close, half_close, reset]
 Leave = Callable[[socket.socket], None]
 
@@ -433,3 +435,40 @@
             assert not node.jobs.passing_on
 
     asyncio.run(main())
+
+
+async def turns(loop_turns: int = 1000) -> None:
+    """Far more of the node's loop than what could still happen takes."""
+    for _ in range(loop_turns):
+        await asyncio.sleep(0)
+
+
+def test_a_long_body_behind_another_request_is_held_back_while_nobody_takes_it():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            opening, loop = asyncio.Event(), asyncio.get_running_loop()
+
+            async def never(_endpoint: object) -> None:
+                opening.set()
+                await asyncio.Event().wait()
+
+            caller = connect(node)
+            caller.sendall(request(name="q1"))
+            await until(lambda: server.seen)
+            node.pool.take_idle = lambda *_: None  # the connection that q1 has left is not used
+            node.pool.open = never
+            (connection,) = node.server.connections
+            caller.setblocking(False)
+            sending = loop.create_task(loop.sock_sendall(caller, request("post", "q2", bytes(16 * MIB))))
+            await until(lambda: not connection._transport.is_reading())
+            body = connection._requests.call.body
+            server.release.set()
+            await opening.wait()
+            await turns()
+            assert not connection._transport.is_reading()
+            assert body.size < 8 * HIGH_WATER
+            sending.cancel()
+            caller.close()
+
+    asyncio.run(main())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,8 +30,8 @@
 from orchidledge import interface as api
 from orchidledge.net import driver as driver_module
 from orchidledge.net.clock import Clock
-from orchidledge.net.connection import BODY_S, HEAD_S, PACE
 from orchidledge.net.discovery import Listing, Patience, parse_address
+from orchidledge.net.request_parser import BODY_S, HEAD_S, PACE, Receiving
 from orchidledge.net.server import SWEEP_S
 
 
@@ -418,9 +418,11 @@
             (connection,) = node.server.connections
             data = request("post", "q1", b"x" * 65_536)
             caller.writer.write(data[: len(data) - 65_536 + size])
-            await until(lambda: connection._partial and connection._size == size and not connection._in_head)
-            connection._head_at = connection._began + head_s
-            now = connection._head_at + after_s
+            await until(
+                lambda: connection._requests.state is Receiving.BODY and connection._requests.size == size
+            )
+            connection._requests.head_at = connection._requests.began + head_s
+            now = connection._requests.head_at + after_s
             node.server.expire(now)
             assert node.server.expired == cut_off
             assert size / after_s < PACE or not cut_off
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -145,7 +145,7 @@
             client = Leaver(node, data[: len(data) - 8 * HIGH_WATER + size], how)
             await until(lambda: late.ready)
             (connection,) = node.server.connections
-            assert connection._paused_at is not None  # so the loop will see no end
+            assert connection._reading.body_held  # so the loop will see no end
             client.leave()
             late.up.set()
             await is_over(node)
