Begin no further request for a caller that does not read the answers it has

Answers that are held whole were written whatever waited before them (connection.py: pause_writing held long answers only): a caller that asks on and on and reads nothing, at once or one by one, had them pile up in the node's memory without a limit. One look at the buffer between requests now holds the next back, and the reading with it, until the caller has taken some; such a request is not overdue meanwhile, and a caller that takes nothing at all is given up after 10 s as before.

Not affected: callers that send a request when they have read the answer before.

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -32,18 +32,13 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One caller's connection. Requests that come at once are answered in turn.
-
-    IDLE -> SEND_RESPONSE -> IDLE, or by way of SEND_BODY, for each request; from any of them to MUST_CLOSE
-    with the last answer, and to CLOSED. Whoever closes goes by `idle`, `_last`, `sweep` or `expire`.
-    """
+    """One caller's connection; requests that come at once are answered in turn. Each goes from IDLE to
+    SEND_RESPONSE and back, some by way of SEND_BODY; from any of these MUST_CLOSE is reached with the last
+    answer, and CLOSED. Whoever closes goes by `idle`, `_last`, `sweep` or `expire`."""
 
     def __init__(self, server: Server) -> None:
         self._server = server
         self._transport: asyncio.Transport
-        self._requests: RequestParser
-        self._reading: Reading
-        self._writing: Writing
         self.state = State.IDLE
         self._calls: deque[Call] = deque()  # those handed on or due to be, the first of them being answered
         self._answer: LongAnswer | None = None  # in SEND_BODY
@@ -51,6 +46,10 @@
         self.opened_at = 0.0  # by the loop's clock
         self.since = 0.0  # the loop's time of the last byte either way
 
+    @property
+    def _first(self) -> Call | None:
+        return self._calls[0] if self._calls else None
+
     @property
     def idle(self) -> bool:
         """Between requests: nothing of one has been read, and all that was answered has left."""
@@ -58,10 +57,8 @@
         return between and not self._writing.unsent
 
     def close_if_idle(self) -> bool:
-        """Close between requests, but not with a request already waiting in the kernel.
-
-        One that comes after this look is left unread, so its caller sends it again on a new connection.
-        """
+        """Close between requests, but not with one waiting in the kernel. What comes after this look is left
+        unread, so its caller sends it again on a new connection."""
         if not self.idle or self._transport.is_closing() or readable(self._transport):
             return False
         self._abort()
@@ -75,11 +72,10 @@
 
     def close_if_left(self) -> bool:
         """Whether the caller has gone; what it asked for is then over."""
-        if not self.left:
-            return False
-        if self.state is State.SEND_RESPONSE and not self._transport.is_closing():
+        left = self.left
+        if left and self.state is State.SEND_RESPONSE and not self._transport.is_closing():
             self._fail(400)
-        return True
+        return left
 
     def sweep(self, now: float) -> None:
         """End what nobody reads or waits for any more by now."""
@@ -93,10 +89,8 @@
     def expire(self, now: float) -> bool:
         """End a connection on which a request is overdue by now; whether that was so."""
         coming = self._requests.call
-        receives = self.state is State.IDLE or (
-            self.state is State.SEND_RESPONSE and self._calls[0] is coming and not self._reading.body_held
-        )
-        if not receives or now < self._requests.due():
+        receives = self.state is State.IDLE or (self.state is State.SEND_RESPONSE and self._first is coming)
+        if not receives or not self._transport.is_reading() or now < self._requests.due():
             return False
         if coming is not None:
             self._fail(408)
@@ -111,12 +105,12 @@
 
     def _fail(self, status: int) -> None:
         """Answer what can't be read as a request or won't be served, and end the connection."""
-        if self.state is State.SEND_BODY:  # an answer has begun before its request's end
-            self._abort()
-            return
-        self._transport.write(head(status, 0, True, 0.0))
-        self._end()
-        self._drop_calls()
+        if self.state is State.SEND_BODY:
+            self._abort()  # an answer has begun before its request's end
+        else:
+            self._transport.write(head(status, 0, True, 0.0))
+            self._end()
+            self._drop_calls()
 
     def _drop_calls(self) -> None:
         """Nothing that has come is to be answered any more."""
@@ -174,18 +168,23 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.state = State.CLOSED
         self._server.closed(self)
-        answer, self._answer = self._answer, None
-        if answer is not None:
-            answer.lost()
+        if self._answer is not None:
+            self._answer.lost()
+        self._answer = None
         self._drop_calls()
 
     def pause_writing(self) -> None:
+        self._writing.full = True
         if self._answer is not None:
             self._answer.rest.hold()
 
     def resume_writing(self) -> None:
+        self._writing.full = False
         if self._answer is not None:
             self._answer.rest.release()
+        else:
+            self._requests.restart_clock(self._server.loop.time())
+            self._server.loop.call_soon(self._next)
 
     def _on_head(self, call: Call) -> None:
         if call.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
@@ -193,7 +192,7 @@
 
     def _on_whole(self, call: Call) -> None:
         self._reading.resume()  # a body of just the high-water mark has stopped the reading
-        if not self._calls or self._calls[0] is not call:
+        if self._first is not call:
             self._calls.append(call)
         elif call.on_whole is not None:
             call.on_whole()
@@ -206,13 +205,16 @@
             self._calls.append(coming)  # too long to be held whole
         if self._calls and self.state is State.IDLE:
             self.state = State.SEND_RESPONSE
-        if fault and (self.state is State.IDLE or self._calls[0] is coming):
+        first = self._first
+        if fault and first in (None, coming):
             self._fail(fault)
             return
         # A caller sends one request at a time; another is left in the kernel until its turn.
-        first = self._calls[0] if self._calls else None
-        self._reading.set_full(first is not None and (len(self._calls) > 1 or coming not in (None, first)))
-        if first is not None and not first.handed_on:
+        behind = first is not None and (len(self._calls) > 1 or coming not in (None, first))
+        # Guard: answers piled up for a caller that asked on and on and read none.
+        waits = self._writing.full and (first is None or not first.handed_on)
+        self._reading.set_full(behind or waits)
+        if first is not None and not first.handed_on and not waits:
             self._hand_on(first)
 
     def _hand_on(self, call: Call) -> None:
@@ -224,7 +226,7 @@
 
     def _next(self) -> None:
         # Guard: what waited its turn was begun for a caller that had left.
-        if self.state is State.SEND_RESPONSE and not self.close_if_left():
+        if self.state is State.IDLE or (self.state is State.SEND_RESPONSE and not self.close_if_left()):
             self._advance()
 
     def answer(self, call: Call, status: int, body: bytes, retry_after_ms: float) -> None:
@@ -236,8 +238,7 @@
 
     def _awaits(self, call: Call) -> bool:
         """Whether the answer to this call can still be written."""
-        waits = self.state is State.SEND_RESPONSE and self._calls[0] is call
-        return waits and not self._transport.is_closing()
+        return self.state is State.SEND_RESPONSE and self._first is call and not self._transport.is_closing()
 
     def begin(self, call: Call, length: int | None, rest: Body, on_end: Callable[[bool], None]) -> None:
         if not self._awaits(call):
@@ -272,11 +273,10 @@
         self._calls.popleft()
         self.since = self._server.loop.time()
         self._requests.restart_clock(self.since)
+        self.state = State.SEND_RESPONSE if self._calls else State.IDLE
         if close:
             self._end()
-            return
-        self.state = State.SEND_RESPONSE if self._calls else State.IDLE
-        if self._calls:
+        elif self._calls:
             self._server.loop.call_soon(self._next)
         else:
             self._advance()
--- a/orchidledge/net/flow.py
+++ b/orchidledge/net/flow.py
@@ -63,6 +63,7 @@
 
     def __init__(self, transport: asyncio.Transport) -> None:
         self._transport = transport
+        self.full = False  # so much that nothing more is to be begun for this caller
         self._unsent = 0  # at the last look,
         self._since = 0.0  # and the loop's time since when it has been so much
 
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -261,6 +261,7 @@
     caller = socket.socket()
     caller.settimeout(20.0)
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     caller.connect(node.server.address)
     await until(lambda: node.server.connections)
     (connection,) = node.server.connections
@@ -271,18 +272,27 @@
     return caller, connection
 
 
-async def read_to_the_end(caller: socket.socket, close: bool = True) -> bytes:
+async def read_to_the_end(caller: socket.socket, answers: int | None = None, close: bool = True) -> bytes:
+    """All that comes, or so many of the answers."""
     caller.setblocking(False)
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
     data = b""
     async with asyncio.timeout(20):
-        while piece := await asyncio.get_running_loop().sock_recv(caller, 65_536):
+        while data.count(ANSWER) != answers and (
+            piece := await asyncio.get_running_loop().sock_recv(caller, 65_536)
+        ):
             data += piece
     if close:
         caller.close()
     return data
 
 
+async def turns(count: int = 1000) -> None:
+    """Far more of the node's loop than what could still happen takes."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
 def test_a_connection_is_not_idle_before_its_answer_has_left():
     async def main():
         server = Peer()
@@ -437,12 +447,6 @@
     asyncio.run(main())
 
 
-async def turns(loop_turns: int = 1000) -> None:
-    """Far more of the node's loop than what could still happen takes."""
-    for _ in range(loop_turns):
-        await asyncio.sleep(0)
-
-
 def test_a_long_body_behind_another_request_is_held_back_while_nobody_takes_it():
     async def main():
         server = Held()
@@ -472,3 +476,24 @@
             caller.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+def test_answers_that_a_caller_does_not_read_hold_its_further_requests_back(at_once: bool):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, connection = await slow_reader(node, server)
+            node.server.on_call = lambda call: call.answer(200, ANSWER)  # with no wait for a server
+            further = [request(name=f"q{2 + at}") for at in range(40)]
+            for data in [b"".join(further)] if at_once else further:
+                caller.sendall(data)
+                await turns(20)
+            await turns()
+            assert connection._transport.get_write_buffer_size() < 3 * HIGH_WATER
+            node.server.expire(node.loop.time() + 60.0)  # what is held back is not overdue
+            assert node.server.expired == 0
+            assert (await read_to_the_end(caller, answers=41)).count(b"HTTP/1.1 200 ") == 41
+            await until(lambda: connection.idle)
+
+    asyncio.run(main())
