Take no ended connection for room: the pool could go over its limit

Cause: a connection that ends while it rests stays in its server's list until it is taken or swept. `Pool.make_room` closed the one idle for longest, took that for room whatever it was, and let one connection too many be opened. Change: it goes on until there is room by count, or nothing left to close. Test: seen to fail without the mend (two connections where one is allowed). Beside it, one for descriptors used up (no fault: the attempt could not connect, nothing stays counted, the next one works).

--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -295,15 +295,14 @@
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; closes the one idle for longest if need be."""
-        if self.size < self.limit:
-            return True
-        idle = [(server.idle[0].idle_since, server) for server in self._servers.values() if server.idle]
-        if not idle:
-            return False
-        _, server = min(idle, key=lambda pair: pair[0])
-        connection = server.idle.pop(0)
-        self._open.discard(connection)
-        connection.abort()
+        while self.size >= self.limit:
+            idle = [(server.idle[0].idle_since, server) for server in self._servers.values() if server.idle]
+            if not idle:
+                return False
+            _, server = min(idle, key=lambda pair: pair[0])
+            connection = server.idle.pop(0)  # one that had ended by itself makes no room
+            self._open.discard(connection)
+            connection.abort()
         return True
 
     def count_opening(self, task: asyncio.Task[None]) -> None:
--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import os
+import resource
 import socket
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import pytest
 from loopback import reply, until
@@ -39,7 +41,8 @@
         self.pool.send("s", lambda wait: data, timeout_s, on_result, body)
 
     async def accept(self) -> socket.socket:
-        peer, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        async with asyncio.timeout(20):
+            peer, _ = await asyncio.get_running_loop().sock_accept(self.listener)
         peer.settimeout(20)
         self.peers.append(peer)
         return peer
@@ -71,10 +74,10 @@
         return self.ends
 
 
-async def heard(peer: socket.socket) -> bytes:
+async def heard(peer: socket.socket, most: int = 1000) -> bytes:
     """What comes next at the server's end; nothing is an end, or a reset."""
     with contextlib.suppress(ConnectionResetError):
-        return await asyncio.to_thread(peer.recv, 1000)
+        return await asyncio.to_thread(peer.recv, most)
     return b""
 
 
@@ -264,3 +267,50 @@
             assert await heard(peer) == b""
 
     asyncio.run(main())
+
+
+# -------------------------------------------------------------------- the limit
+
+
+def test_a_resting_connection_that_has_ended_makes_no_room():
+    """Guard: closing it once more passed for room, and the pool went over its limit."""
+
+    async def main():
+        async with bed(limit=1) as here:
+            here.pool.add("other", here.listener.getsockname())
+            peer, connection = await here.rested()
+            act(peer, "end", connection)
+            await until(lambda: not here.pool.size)
+            for name in ("other", "other"):
+                here.pool.send(name, lambda wait: DATA, 20.0, lambda result, _: here.ends.append(result))
+            assert await here.end() == [Result.CONNECT_FAILED]
+            assert here.pool.size == 1
+
+    asyncio.run(main())
+
+
+@contextlib.contextmanager
+def no_descriptors() -> Iterator[None]:
+    """Every descriptor of this process is in use."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest = os.dup(0)
+    os.close(lowest)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_with_no_descriptor_left_an_attempt_could_not_connect_and_the_next_one_can():
+    async def main():
+        async with bed() as here:
+            with no_descriptors():
+                here.send()
+                assert await here.end() == [Result.CONNECT_FAILED]
+            assert not here.pool._opening
+            assert not here.pool._servers["s"].waiting
+            here.ends.clear()
+            await here.rested()
+
+    asyncio.run(main())
