Count a connection that has just come up once, not twice

Cause: `Pool.open` adds the connection while the task that opened it is still counted, which ends only with its done callback in the loop's next turn. In between `size` was one too high for each connection that came up, and an attempt begun then (another answer of the same turn, a retry) was refused for want of room, or an idle connection was closed for it. Change: the task's place goes over to its connection in one step. Test: seen to fail without the mend (size 2 with one connection; the second attempt refused at a limit of 2).

--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -320,6 +320,10 @@
             connection.abort()
             raise ConnectionResetError
         self._open.add(connection)
+        # Guard: counted once from here on; its task is over only in the loop's next turn.
+        task = asyncio.current_task()
+        assert task is not None
+        self._opening.discard(task)
         return connection
 
     def _sweep(self) -> None:
--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -289,6 +289,30 @@
     asyncio.run(main())
 
 
+def test_a_connection_that_has_just_come_up_counts_once():
+    """Guard: in that turn it was counted as opening too, and another attempt was refused for want of room."""
+
+    async def main():
+        async with bed(limit=2) as here:
+            sizes: list[int] = []
+
+            def on_sent() -> None:
+                sizes.append(here.pool.size)
+                if len(sizes) == 1:
+                    here.send()
+
+            here.pool.on_sent = on_sent
+            here.send()
+            for _ in range(2):
+                peer = await here.accept()
+                assert await heard(peer) == DATA
+                peer.sendall(reply())
+            assert await here.end(2) == [Result.OK, Result.OK]
+            assert sizes == [1, 2]
+
+    asyncio.run(main())
+
+
 @contextlib.contextmanager
 def no_descriptors() -> Iterator[None]:
     """Every descriptor of this process is in use."""
