Stop a request at its server's end instead of writing out the rest

Cause: `eof_received` left the end to asyncio's `close`, which first writes out all that is still in its buffer. A server that had ended its sending while a request was under way was sent the rest of it and could run it; the attempt hung until that was taken (seen: up to its time-out) and then counted as a reset. Pieces of a long body that came meanwhile were dropped, yet the emptied buffer passed for the request's last byte. Owed: "breaks before the request's last byte is written: could not connect, never ran". Change: an end that does not end the answer loses the exchange at once. Test: seen to fail without the mend (the whole request reached the server).

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -247,8 +247,9 @@
 
     def eof_received(self) -> bool:
         self._spoilt = True
-        if self._to_the_end and self._exchange is not None:
-            self._whole = True
+        if self._exchange is not None:
+            # Guard: left to asyncio, what it still holds of the request would be written out first.
+            self._whole = self._to_the_end
             self._go_on()
         return False
 
--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -338,3 +338,26 @@
             await here.rested()
 
     asyncio.run(main())
+
+
+# ----------------------------------------------------- before the request is whole
+
+BIG = 30_000_000  # more than the kernel's buffers take
+
+
+def test_an_end_before_the_last_byte_is_written_stops_the_request():
+    """Guard: the rest was still written out to a server that had ended its sending, which then ran it."""
+
+    async def main():
+        async with bed() as here:
+            here.send(data=bytes(BIG))
+            peer = await here.accept()
+            size = len(await heard(peer))  # so the node is writing
+            peer.shutdown(socket.SHUT_WR)
+            while data := await heard(peer, 1_000_000):
+                size += len(data)
+            assert size < BIG
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
