Let a request's first write hold its body

Cause: `ClientConnection.start` wrote the head before it named the upload, so a `pause_writing` of that very write reached no body. Its caller was then read on, however little the server took, until the buffer had emptied once. Change: the upload is known before the first write. Test: seen to fail without the mend (the source was told to resume, never to pause).

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -124,11 +124,12 @@
         assert self._exchange is None
         self._exchange = exchange
         self._response, self._size, self._whole, self._to_the_end = Response(), 0, False, False
-        self._transport.write(data)
         self._written = False
-        if body is not None:
-            self._upload = _Upload(self, body, chunked)
-            body.attach(self._upload)
+        # Guard: known before the first write, as that may already be more than the kernel takes.
+        upload = self._upload = _Upload(self, body, chunked) if body is not None else None
+        self._transport.write(data)
+        if upload is not None:
+            upload.body.attach(upload)
         else:
             self.written_whole()
 
--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -361,3 +361,35 @@
             await until(lambda: not here.pool.size)
 
     asyncio.run(main())
+
+
+class Coming:
+    """The source of a body that is still on its way."""
+
+    def __init__(self) -> None:
+        self.said: list[str] = []
+
+    def pause(self) -> None:
+        self.said.append("pause")
+
+    def resume(self) -> None:
+        self.said.append("resume")
+
+    def abandoned(self) -> None:
+        self.said.append("abandoned")
+
+
+def test_a_head_that_the_kernel_does_not_take_whole_holds_the_body():
+    async def main():
+        async with bed() as here:
+            here.send(data=bytes(BIG), body=Body(source := Coming()))
+            peer = await here.accept()
+            await until(lambda: source.said)
+            assert source.said == ["pause"]
+            size = 0
+            while size < BIG and (data := await heard(peer, 1_000_000)):
+                size += len(data)
+            assert size == BIG
+            await until(lambda: source.said[-1] == "resume")
+
+    asyncio.run(main())
