Take no 200 that begins before its request's last byte for its answer

Cause: `_go_on` took whatever answer came while a request was still being written. A second answer to the request before, late by more than the connection rests (8 ms), passed for a 200 to a long request whose body was still coming; one that began before and ended after the last byte even kept the connection. Owed: a server begins a request when its last byte has come, so such a 200 is another's; serving it is a loss. Refusals stay as they were (a server may turn a request away early; that has never run either way). What can't be known: a stray answer that comes once the whole request has been written. Nothing in it names its request; only the rest after an answer (`SETTLE_S`) and the look before the write guard against that. Change: a 200 whose head comes before the last byte is written ends the connection; the request has never run. Test: seen to fail without the mend (both ways: ended before and after the request's last byte).

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -294,6 +294,9 @@
             # close means that by an end; any other end is a break.
             closes = b"close" in self._response.headers.get(b"connection", b"").lower()
             self._to_the_end = not framed and closes and self._response.status >= 200
+            if self._response.status == 200 and not self._written:
+                # Guard: a server begins once the last byte has come; this is another request's answer, late.
+                self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
         if self._streams and self._response.status != 200:
--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -393,3 +393,43 @@
             await until(lambda: source.said[-1] == "resume")
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("ends", ["after", "before"])  # the body, after or before this answer's own end
+def test_a_200_that_begins_before_the_request_is_whole_is_another_requests(ends):
+    """A server begins once the last byte has come. A second answer come late must not pass for this one's."""
+
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            here.send(body=(body := Body(Coming())))
+            assert await heard(peer) == DATA
+            answer = reply(200, b"stray")
+            peer.sendall(answer[:-1] if ends == "before" else answer)
+            await until(lambda: connection.heard_at > connection.taken_at or here.ends)
+            body.put(b"x")
+            body.end()
+            if ends == "before":
+                with contextlib.suppress(OSError):
+                    peer.sendall(answer[-1:])
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_server_that_turns_a_request_away_before_its_end_is_heard_and_sent_no_more():
+    async def main():
+        async with bed() as here:
+            here.send(body=(body := Body(source := Coming())))
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            peer.sendall(reply(503, Srv_Declined="1"))
+            assert await here.end() == [Result.FULL]
+            body.put(b"x")
+            body.end()
+            assert await heard(peer) == b""
+            assert "abandoned" not in source.said  # another server may take it from its start
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
