--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import os
+import resource
 import socket
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import pytest
 from loopback import reply, until
@@ -39,7 +41,8 @@
         self.pool.send("s", lambda wait: data, timeout_s, on_result, body)
 
     async def accept(self) -> socket.socket:
-        peer, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        async with asyncio.timeout(20):
+            peer, _ = await asyncio.get_running_loop().sock_accept(self.listener)
         peer.settimeout(20)
         self.peers.append(peer)
         return peer
@@ -71,10 +74,10 @@
         return self.ends
 
 
-async def heard(peer: socket.socket) -> bytes:
+async def heard(peer: socket.socket, most: int = 1000) -> bytes:
     """What comes next at the server's end; nothing is an end, or a reset."""
     with contextlib.suppress(ConnectionResetError):
-        return await asyncio.to_thread(peer.recv, 1000)
+        return await asyncio.to_thread(peer.recv, most)
     return b""
 
 
@@ -264,3 +267,169 @@
             assert await heard(peer) == b""
 
     asyncio.run(main())
+
+
+# -------------------------------------------------------------------- the limit
+
+
+def test_a_resting_connection_that_has_ended_makes_no_room():
+    """Guard: closing it once more passed for room, and the pool went over its limit."""
+
+    async def main():
+        async with bed(limit=1) as here:
+            here.pool.add("other", here.listener.getsockname())
+            peer, connection = await here.rested()
+            act(peer, "end", connection)
+            await until(lambda: not here.pool.size)
+            for name in ("other", "other"):
+                here.pool.send(name, lambda wait: DATA, 20.0, lambda result, _: here.ends.append(result))
+            assert await here.end() == [Result.CONNECT_FAILED]
+            assert here.pool.size == 1
+
+    asyncio.run(main())
+
+
+def test_a_connection_that_has_just_come_up_counts_once():
+    """Guard: in that turn it was counted as opening too, and another attempt was refused for want of room."""
+
+    async def main():
+        async with bed(limit=2) as here:
+            sizes: list[int] = []
+
+            def on_sent() -> None:
+                sizes.append(here.pool.size)
+                if len(sizes) == 1:
+                    here.send()
+
+            here.pool.on_sent = on_sent
+            here.send()
+            for _ in range(2):
+                peer = await here.accept()
+                assert await heard(peer) == DATA
+                peer.sendall(reply())
+            assert await here.end(2) == [Result.OK, Result.OK]
+            assert sizes == [1, 2]
+
+    asyncio.run(main())
+
+
+@contextlib.contextmanager
+def no_descriptors() -> Iterator[None]:
+    """Every descriptor of this process is in use."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest = os.dup(0)
+    os.close(lowest)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_with_no_descriptor_left_an_attempt_could_not_connect_and_the_next_one_can():
+    async def main():
+        async with bed() as here:
+            with no_descriptors():
+                here.send()
+                assert await here.end() == [Result.CONNECT_FAILED]
+            assert not here.pool._opening
+            assert not here.pool._servers["s"].waiting
+            here.ends.clear()
+            await here.rested()
+
+    asyncio.run(main())
+
+
+# ----------------------------------------------------- before the request is whole
+
+BIG = 30_000_000  # more than the kernel's buffers take
+
+
+def test_an_end_before_the_last_byte_is_written_stops_the_request():
+    """Guard: the rest was still written out to a server that had ended its sending, which then ran it."""
+
+    async def main():
+        async with bed() as here:
+            here.send(data=bytes(BIG))
+            peer = await here.accept()
+            size = len(await heard(peer))  # so the node is writing
+            peer.shutdown(socket.SHUT_WR)
+            while data := await heard(peer, 1_000_000):
+                size += len(data)
+            assert size < BIG
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+class Coming:
+    """The source of a body that is still on its way."""
+
+    def __init__(self) -> None:
+        self.said: list[str] = []
+
+    def pause(self) -> None:
+        self.said.append("pause")
+
+    def resume(self) -> None:
+        self.said.append("resume")
+
+    def abandoned(self) -> None:
+        self.said.append("abandoned")
+
+
+def test_a_head_that_the_kernel_does_not_take_whole_holds_the_body():
+    async def main():
+        async with bed() as here:
+            here.send(data=bytes(BIG), body=Body(source := Coming()))
+            peer = await here.accept()
+            await until(lambda: source.said)
+            assert source.said == ["pause"]
+            size = 0
+            while size < BIG and (data := await heard(peer, 1_000_000)):
+                size += len(data)
+            assert size == BIG
+            await until(lambda: source.said[-1] == "resume")
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("ends", ["after", "before"])  # the body, after or before this answer's own end
+def test_a_200_that_begins_before_the_request_is_whole_is_another_requests(ends):
+    """A server begins once the last byte has come. A second answer come late must not pass for this one's."""
+
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            here.send(body=(body := Body(Coming())))
+            assert await heard(peer) == DATA
+            answer = reply(200, b"stray")
+            peer.sendall(answer[:-1] if ends == "before" else answer)
+            await until(lambda: connection.heard_at > connection.taken_at or here.ends)
+            body.put(b"x")
+            body.end()
+            if ends == "before":
+                with contextlib.suppress(OSError):
+                    peer.sendall(answer[-1:])
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_server_that_turns_a_request_away_before_its_end_is_heard_and_sent_no_more():
+    async def main():
+        async with bed() as here:
+            here.send(body=(body := Body(source := Coming())))
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            peer.sendall(reply(503, Srv_Declined="1"))
+            assert await here.end() == [Result.FULL]
+            body.put(b"x")
+            body.end()
+            assert await heard(peer) == b""
+            assert "abandoned" not in source.said  # another server may take it from its start
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
