Read aimStretch: an attempt of such a class is not ended at the bare aim

The work is told nowhere, so such a class's attempts run until the deadline.

Seen to fail without the condition: the attempt's limit was 98 ms of 900. No class without the key changes.

--- a/orchidledge/decide/attempts.py
+++ b/orchidledge/decide/attempts.py
@@ -69,8 +69,9 @@
     def _send(self, now: float, job: Job, acts: list[api.Action]) -> bool:
         state = self.state
         left = job.request.give_up_at_ms - now
-        if job.kind.late_worth <= 0.0 and not job.kind.stream:
+        if job.kind.late_worth <= 0.0 and not job.kind.stream and job.kind.aim_stretch <= 0.0:
             # Guard: late work is worth nothing, so it is stopped at the aim and does not crowd out the rest.
+            # Where the aim moves with the work, which nobody tells, one past the bare aim may be in time.
             left = min(left, job.taken_ms + job.kind.aim_ms * AIM_MARGIN - now)
         if job.done or left <= 1.0 or len(job.tries) >= state.cfg.max_attempts:
             return False
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -83,6 +83,7 @@
     scope: Scope = Scope.ALL
     memory_ms: float = 0.0  # how long the group remembers a key
     stream: bool = False
+    aim_stretch: float = 0.0  # multiple of a request's work by which its aim is later
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,7 +118,7 @@
         for at, item in enumerate(self.classes):
             for key in ("aim_ms", "give_up_ms"):
                 check_within(f"classes[{at}].{key}", getattr(item, key), 0.001)
-            for key in ("worth", "late_worth", "memory_ms"):
+            for key in ("worth", "late_worth", "aim_stretch", "memory_ms"):
                 check_within(f"classes[{at}].{key}", getattr(item, key), 0)
             check_bool(f"classes[{at}].stream", item.stream)
         for at, tenant in enumerate(self.tenants):
--- a/orchidledge/settings.py
+++ b/orchidledge/settings.py
@@ -107,6 +107,7 @@
     given: Row = {
         "worth": row.get("credit"),
         "late_worth": row.get("lateWorth"),
+        "aim_stretch": row.get("aimStretch"),
         "memory_ms": row.get("memorySpanMs"),
         "stream": row.get("stream"),
     }
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -326,3 +326,13 @@
         bed.brain.state.window.ended, bed.brain.state.window.full = 10.0, 9.0
         bed.period()
     assert "right by answers as full 30" in bed.brain.figures()
+
+
+def test_only_an_aim_that_does_not_move_with_the_work_ends_an_attempt_that_is_worth_nothing_after_it():
+    kinds = [
+        api.ServiceClass("fixed", 100.0, 900.0),
+        api.ServiceClass("stretched", 100.0, 900.0, aim_stretch=3.0),
+    ]
+    bed = Bed(classes=tuple(kinds))
+    limits = [sent(bed.ask(kind.name, left=900.0)[1])[0].timeout_ms for kind in kinds]
+    assert limits == [98.0, 900.0]
--- a/tests/test_settings_bad.py
+++ b/tests/test_settings_bad.py
@@ -69,7 +69,14 @@
             "zones": ["a", "b"],
         },
     )
-    every = {"credit": 2.0, "lateWorth": 0.5, "keyScope": "zone", "memorySpanMs": 300.0, "stream": False}
+    every = {
+        "aimStretch": 1.0,
+        "credit": 2.0,
+        "lateWorth": 0.5,
+        "keyScope": "zone",
+        "memorySpanMs": 300.0,
+        "stream": False,
+    }
     row["settings"]["categories"] = [every | kind for kind in row["settings"]["categories"]]
     return orjson.loads(
         orjson.dumps(row | {"operator": "127.0.0.1:7", "state_every_ms": 500.0, "state": "s"})
