--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -124,11 +124,12 @@
         assert self._exchange is None
         self._exchange = exchange
         self._response, self._size, self._whole, self._to_the_end = Response(), 0, False, False
-        self._transport.write(data)
         self._written = False
-        if body is not None:
-            self._upload = _Upload(self, body, chunked)
-            body.attach(self._upload)
+        # Guard: known before the first write, as that may already be more than the kernel takes.
+        upload = self._upload = _Upload(self, body, chunked) if body is not None else None
+        self._transport.write(data)
+        if upload is not None:
+            upload.body.attach(upload)
         else:
             self.written_whole()
 
@@ -247,8 +248,9 @@
 
     def eof_received(self) -> bool:
         self._spoilt = True
-        if self._to_the_end and self._exchange is not None:
-            self._whole = True
+        if self._exchange is not None:
+            # Guard: left to asyncio, what it still holds of the request would be written out first.
+            self._whole = self._to_the_end
             self._go_on()
         return False
 
@@ -292,6 +294,9 @@
             # close means that by an end; any other end is a break.
             closes = b"close" in self._response.headers.get(b"connection", b"").lower()
             self._to_the_end = not framed and closes and self._response.status >= 200
+            if self._response.status == 200 and not self._written:
+                # Guard: a server begins once the last byte has come; this is another request's answer, late.
+                self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
         if self._streams and self._response.status != 200:
