Test what crosses an idle close: a request, half of one, an end or a reset on either side of the look

No fault found: what lies in the kernel before the look keeps the connection open and is served, half a request too; what comes after it is left unread and reaches no server, so its caller asks again on a new connection. The crossing is forced, before by bytes that are sent with no turn of the loop in between, after by a look that sends them itself; for a drain's round, standby, overdue first requests and room made for another connection.

--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Callable
 
 import pytest
-from loopback import Caller, Held, Message, Peer, reply, request, running, until
+from loopback import Caller, Held, Message, Peer, ask, reply, request, running, until
 
+from orchidledge.net import connection as connection_module
 from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.connection import ServerConnection
 from orchidledge.net.flow import LINGER_MOST_S, LINGER_S, UNREAD_S
+from orchidledge.net.http import readable
 from orchidledge.net.node import Node
 
 
@@ -497,3 +500,105 @@
             await until(lambda: connection.idle)
 
     asyncio.run(main())
+
+
+# ------------------------------------------------------------- crossings of an idle close
+
+Put = Callable[[socket.socket], None]
+Close = Callable[[Node], None]
+RESTING: dict[str, Put] = {
+    "a request": lambda caller: caller.sendall(request(name="q2")),
+    "half a request": lambda caller: caller.sendall(request(name="q2")[:9]),
+    "a line end": lambda caller: caller.sendall(b"\r\n"),
+    "an end": half_close,
+    "a reset": reset,
+    "nothing": lambda caller: None,
+}
+CLOSES: dict[str, Close] = {
+    "drain": lambda node: node.server._close_idle(0.0),
+    "standby": lambda node: node.standby() and node.server._close_idle(0.0),
+    "overdue": lambda node: node.server.expire(node.loop.time() + 60.0),
+    "room for another": lambda node: [one for one in node.server.connections if one.close_if_idle()],
+}
+
+
+async def resting(node: Node, asked: bool) -> socket.socket:
+    """A caller between requests, or one that has sent none yet."""
+    caller = connect(node)
+    await until(lambda: node.server.connections)
+    if asked:
+        caller.sendall(request(name="q1"))
+        await until(lambda: node.counts["answered 200"])
+        caller.recv(65_536)
+    return caller
+
+
+async def asked_anew(node: Node) -> int:
+    """The status that a caller gets on a new connection."""
+    return (await ask(node, request(name="q2"))).status
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("put", RESTING)
+@pytest.mark.parametrize("close", CLOSES)
+def test_what_came_just_before_an_idle_close_is_served(close: str, put: str, asked: bool):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller = await resting(node, asked)
+            (connection,) = node.server.connections
+            RESTING[put](caller)  # lies in the kernel: the loop has no turn before the close
+            CLOSES[close](node)
+            if "request" in put:
+                if put == "half a request":
+                    await until(lambda: connection._requests.call)
+                    CLOSES["drain"](node)
+                    caller.sendall(request(name="q2")[9:])
+                await until(lambda: node.counts["answered 200"] == 1 + asked)
+                assert caller.recv(12) == b"HTTP/1.1 200"
+            elif put != "a reset":
+                if asked and close == "overdue" and put != "an end":
+                    assert connection.idle  # a caller between requests is never overdue
+                    caller.close()
+                await until(lambda: CLOSES["drain"](node) or not node.server.connections)
+                if caller.fileno() >= 0:
+                    assert caller.recv(12) == b""
+            caller.close()
+            await until(lambda: not node.server.connections)
+            assert node.counts["taken"] == asked + ("request" in put)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("put", RESTING)
+@pytest.mark.parametrize("close", CLOSES)
+def test_what_comes_just_after_the_look_of_an_idle_close_is_not_read(
+    close: str, put: str, asked: bool, monkeypatch: pytest.MonkeyPatch
+):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller = await resting(node, asked)
+
+            def look(transport: asyncio.BaseTransport) -> bool:
+                found = readable(transport)
+                RESTING[put](caller)
+                return found
+
+            with monkeypatch.context() as patch:
+                patch.setattr(connection_module, "readable", look)
+                CLOSES[close](node)
+            if asked and close == "overdue":
+                assert node.server.connections  # not even looked at
+                caller.close()
+            await until(lambda: not node.server.connections)
+            if caller.fileno() >= 0:
+                with contextlib.suppress(ConnectionResetError):
+                    assert caller.recv(12) == b""  # so it asks again
+            assert node.counts["taken"] == asked
+            assert await asked_anew(node) == 200
+            assert len(server.seen) == 1 + asked
+            caller.close()
+
+    asyncio.run(main())
