Let an HTTP/1.0 answer of no length end with its connection, as its version says

Cause: `on_headers_complete` took an end for the answer's only if a header said `Connection: close`. HTTP/1.0 closes unless it says `keep-alive` (RFC 9112, 9.3), so a whole answer of such a server was a reset: an unsafe request failed though it had been served, a safe one ran again. Unchanged: a reset is no end, an HTTP/1.1 answer that has announced no close is not ended by one, nor is one of HTTP/1.0 that is to be kept alive. Tests: a table of answers (whole, with the connection's end, cut short at every step of either framing, interim, 204 and 304, more bytes behind the answer), each followed by an end and by a reset that the loop meets in the same turn. Seen to fail without the mend: the one row of HTTP/1.0. Also a server that hangs within its answer, and a long answer reset while its reader is slow (no faults: what came before the reset is passed on, then it breaks).

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -292,7 +292,9 @@
             framed = self._response.headers.keys() & {b"content-length", b"transfer-encoding"}
             # Guard: an answer of no length ends with its connection, but only a server that has said it will
             # close means that by an end; any other end is a break.
-            closes = b"close" in self._response.headers.get(b"connection", b"").lower()
+            said = self._response.headers.get(b"connection", b"").lower()
+            old = self._parser.get_http_version() == "1.0"  # which closes unless it says otherwise
+            closes = b"close" in said or (old and b"keep-alive" not in said)
             self._to_the_end = not framed and closes and self._response.status >= 200
             if self._response.status == 200 and not self._written:
                 # Guard: a server begins once the last byte has come; this is another request's answer, late.
