Begin no answer that is known to be broken

Cause: `_go_on` passed on what had come before it looked whether the answer had turned out unreadable. If the bytes that made an answer long came together with those that broke it, the caller got the start of a 200 and a break in place of another server's answer. Change: an answer is begun only while nothing is wrong with it. Test: seen to fail without the mend (the outcome was OK).

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -199,7 +199,8 @@
 
     def _go_on(self) -> None:
         """Pass on what has come, and end the exchange if that was the end of it."""
-        self._pass_on()
+        if self._response.rest is not None or not self._spoilt:  # nothing is begun that is known to break
+            self._pass_on()
         if self._exchange is None:
             return
         if self._whole:
--- a/tests/test_pooled_answers.py
+++ b/tests/test_pooled_answers.py
@@ -94,6 +94,24 @@
     asyncio.run(main())
 
 
+def test_an_answer_known_to_be_broken_is_not_begun():
+    """Guard: its caller was given the start of a 200, though its request could still have gone elsewhere."""
+
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            here.send()
+            assert await heard(peer) == DATA
+            size = HIGH_WATER + 1
+            peer.sendall(CHUNKED + b"%x\r\n" % size + bytes(size - 10))
+            await until(lambda: connection._size == size - 10)
+            peer.sendall(bytes(10) + b"\r\nno length\r\n")
+            assert await here.end() == [Result.RESET]
+            assert here.pool.unreadable == 1
+
+    asyncio.run(main())
+
+
 # ---------------------------------------------------------- answers that never end
 
 
