Give an answer up whose line never ends, before it fills the memory

Cause: the parser tells of a header once it is whole, so `MAX_HEAD` was never reached by a header or trailer without an end: its bytes piled up in the parser until the attempt's time-out, as fast as the server sent them. The callers' side has this guard. Change: bytes that have brought neither a body nor a new answer are counted, with the same limit as there. Tests: answers that never end, eleven kinds; interim answers and the text of an error, which cost no memory, end with the attempt's time-out. Seen to fail without the mend: status line, header, header's name, trailer, chunk extension (first and later), line ends for ever.

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -88,6 +88,7 @@
         self._size = 0
         self._in_head = False
         self._head_size = 0  # of head and trailers
+        self._kept_back = 0  # bytes since the last of a body: a line that has not ended is in the parser
         self._whole = False
         self._to_the_end = False  # the answer's end is the connection's
         self._spoilt = False
@@ -191,10 +192,13 @@
             self.abort()
             return
         self.heard_at = asyncio.get_running_loop().time()
+        self._kept_back += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._spoilt = self.unreadable = True
+        if self._kept_back > MAX_HEAD + MAX_BODY:  # Guard: the parser tells of a header once it is whole
+            self._spoilt = self.unreadable = True
         self._go_on()
 
     def _go_on(self) -> None:
@@ -271,7 +275,7 @@
     def on_message_begin(self) -> None:
         if self._whole:
             self._spoilt = True  # more than was asked for
-        self._in_head, self._head_size = not self._whole, 0
+        self._in_head, self._head_size, self._kept_back = not self._whole, 0, 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._head_size += len(name) + len(value)
@@ -302,6 +306,7 @@
                 self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
+        self._kept_back = 0
         if self._streams and self._response.status != 200:
             self._skip(len(body))
             return
--- a/tests/test_pooled_answers.py
+++ b/tests/test_pooled_answers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import tracemalloc
 
 import pytest
 from loopback import reply, until
@@ -115,6 +117,53 @@
 # ---------------------------------------------------------- answers that never end
 
 
+@pytest.mark.parametrize(
+    ("start", "more", "expected"),
+    [
+        (b"HTTP/1.1 200 O", b"k" * 1000, Result.RESET),
+        (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 1000, Result.RESET),
+        (b"HTTP/1.1 200 OK\r\nX", b"x" * 1000, Result.RESET),
+        (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 100, Result.RESET),
+        (CHUNKED + b"0\r\nX: ", b"x" * 1000, Result.RESET),
+        (CHUNKED + b"0\r\n", b"X: y\r\n" * 100, Result.RESET),
+        (CHUNKED + b"1;", b"x" * 1000, Result.RESET),
+        (CHUNKED + b"1;a=1\r\nx\r\n1;", b"x" * 1000, Result.RESET),
+        (HINT, HINT * 20, Result.TIMEOUT),
+        (b"", b"\r\n" * 500, Result.RESET),
+        (CHUNKED.replace(b"200", b"503"), b"1\r\nx\r\n", Result.TIMEOUT),
+    ],
+)
+def test_an_answer_that_never_ends_is_over_in_time_and_costs_little_memory(start, more, expected):
+    async def main():
+        async with bed() as here:
+            peer, _ = await here.rested()
+            peer.setblocking(False)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            here.send(timeout_s=0.5)
+            assert await loop.sock_recv(peer, 1000) == DATA
+            sent = 0
+            tracemalloc.start()
+            with contextlib.suppress(ConnectionError):
+                await loop.sock_sendall(peer, start)
+                while sent < 100_000_000:
+                    await loop.sock_sendall(peer, more)
+                    sent += len(more)
+                    await asyncio.sleep(0)
+            _, peak = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            assert await here.end() == [expected]
+            assert here.pool.unreadable == (expected is Result.RESET)
+            assert peak < 2_000_000
+            if expected is Result.RESET:
+                assert sent < 2_000_000
+            else:
+                assert loop.time() - began >= 0.5
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     "part", [b"", HALF, LENGTH, LENGTH + b"do", CHUNKED + b"4\r\n", HINT, CLOSE + b"done"]
 )
