--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,199 @@
+"""Planned restarts, on the real program: what crosses SIGTERM, the drain and the process's end.
+
+Crossings are forced: the process is stopped, bytes, ends and signals are put in place, and it goes on, so
+that it finds all of them in one turn of its loop.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import request
+
+from tests.fleet import ROOT, until
+from tests.nodes import Node
+from tests.servers import ServerPool
+
+UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+LONGEST_S = 0.3  # deadline of the short-lived class
+SHORT = [{"name": "read", "aimMs": 200.0, "giveUpMs": LONGEST_S * 1000.0, "credit": 1.0, "effect": "free"}]
+LONG = [{"name": "read", "aimMs": 5000.0, "giveUpMs": 9000.0, "credit": 1.0, "effect": "free"}]
+
+
+def connect(node: Node) -> socket.socket:
+    found = socket.create_connection(("127.0.0.1", node.port), timeout=20)
+    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return found
+
+
+def status(caller: socket.socket) -> int:
+    """Of the next answer on this connection; 0 where the node ended it with no whole one."""
+    with caller.makefile("rb") as reader, contextlib.suppress(ConnectionError):
+        words, length = reader.readline().split(), -1
+        while line := reader.readline().strip():
+            if line.startswith(b"Content-Length: "):
+                length = int(line[16:])
+        if words and len(reader.read(max(0, length))) == length:
+            return int(words[1])
+    return 0
+
+
+@contextlib.contextmanager
+def frozen(node: Node) -> Iterator[None]:
+    """The process sees nothing of this until its end, and then all of it at once."""
+    assert node.process is not None
+    node.send(signal.SIGSTOP)
+    stat = Path(f"/proc/{node.process.pid}/stat")
+    until(lambda: stat.read_text().rpartition(")")[2].split()[0] == "T", what="the process stopped")
+    try:
+        yield
+    finally:
+        node.send(signal.SIGCONT)
+
+
+@contextlib.contextmanager
+def serving(folder: Path, pool: ServerPool, **row: Any) -> Iterator[Node]:
+    """A node that is ready."""
+    node = Node(folder, pool.known(), **row)
+    node.start()
+    try:
+        yield node
+    finally:
+        assert node.process is not None
+        node.send(signal.SIGCONT)
+        node.kill()
+
+
+@pytest.fixture(scope="module")
+def pool() -> Iterator[ServerPool]:
+    servers = ServerPool(2)
+    yield servers
+    servers.close()
+
+
+def draining(node: Node) -> bool:
+    """Whether a new connection is told that it is not welcome."""
+    with connect(node) as caller:
+        caller.sendall(UP)
+        return caller.recv(12) == b"HTTP/1.1 503"
+
+
+def ended(node: Node) -> int:
+    assert node.process is not None
+    return node.process.wait(20)
+
+
+def wait_for(moment: float) -> None:
+    """Stay until this time of the clock: what is timed is the program's end, so its clock has to go on."""
+    time.sleep(max(0.0, moment - time.monotonic()))
+
+
+@pytest.mark.parametrize("count", [1, 150])  # of these, more than the loop takes in at one turn
+@pytest.mark.parametrize("after_s", [0.7, 1.2])  # past the least time, and past the last moment
+def test_what_waits_in_the_accept_queue_as_the_process_ends_is_answered(tmp_path, pool, count, after_s):
+    with serving(tmp_path, pool, settings={"categories": SHORT}) as node:
+        told = time.monotonic()
+        node.send(signal.SIGTERM)
+        until(lambda: draining(node))
+        with contextlib.ExitStack() as stack, frozen(node):
+            callers = [stack.enter_context(connect(node)) for _ in range(count)]
+            for at, caller in enumerate(callers):
+                caller.sendall(request(name=f"q{at}"))
+            wait_for(told + after_s)
+            node.send(signal.SIGCONT)
+            assert [status(caller) in (200, 503, 504) for caller in callers].count(False) == 0
+        assert ended(node) == 0
+        assert not node.lines("Traceback")
+
+
+def test_a_request_that_comes_as_the_process_ends_is_answered_on_a_connection_still_open(tmp_path):
+    """Half of it lies in the node as the time ends, the rest comes then; the other is whole and unread."""
+    servers = ServerPool(1)
+    servers.set(0, "hang")
+    try:
+        with serving(tmp_path, servers, settings={"categories": SHORT}) as node:
+            half, busy = connect(node), connect(node)
+            busy.sendall(request(name="held"))
+            until(lambda: servers.hits["s0"] == 1)
+            told = time.monotonic()
+            node.send(signal.SIGTERM)
+            until(lambda: draining(node))
+            half.sendall(request(name="half")[:20])
+            with connect(node) as late:
+                late.sendall(request(name="late"))
+                until(lambda: servers.hits["s0"] == 2)  # which have been read by then
+                with frozen(node):
+                    wait_for(told + 1.1)
+                    half.sendall(request(name="half")[20:])
+                    node.send(signal.SIGCONT)
+                    for caller in (busy, late, half):  # each has its answer, as refused or as failed
+                        assert status(caller) in (408, 503, 504)
+            assert ended(node) == 0
+            half.close()
+            busy.close()
+    finally:
+        servers.close()
+
+
+# ------------------------------------------------------------------------- hand-over
+
+
+def start_on(node: Node, raw: socket.socket, folder: Path) -> None:
+    """Start this process on the platform's listening socket."""
+
+    def run(arguments: list[str], log: Path, env: dict[str, str]) -> subprocess.Popen[bytes]:
+        told = {"PROXY_ACCEPT_FD": str(raw.fileno()), "TMPDIR": str(folder), "PYTHONPATH": str(ROOT)}
+        with log.open("ab") as out:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=out,
+                stderr=out,
+                cwd=folder,
+                env=dict(os.environ) | env | told,
+                pass_fds=[raw.fileno()],
+            )
+
+    node.port = raw.getsockname()[1]
+    node.row["listen"] = f"127.0.0.1:{node.port}"
+    node.launch(run)
+    until(lambda: node.lines("serves on"), what=f"{node.log.name} accepting")
+
+
+def test_a_burst_and_sigterm_in_one_turn_of_a_hand_over_lose_no_request(tmp_path):
+    servers = ServerPool(1)
+    raw = socket.create_server(("127.0.0.1", 0))
+    old, new = (Node(tmp_path, servers.known(), settings={"categories": LONG}) for _ in range(2))
+    try:
+        start_on(old, raw, tmp_path)
+        servers.set(0, "hang")
+        with contextlib.ExitStack() as stack:
+            held = stack.enter_context(connect(old))
+            held.sendall(request(name="held"))
+            until(lambda: servers.hits["s0"] == 1)
+            with frozen(old):
+                callers = [stack.enter_context(connect(old)) for _ in range(150)]
+                for at, caller in enumerate(callers):
+                    caller.sendall(request(name=f"q{at}"))
+                old.send(signal.SIGTERM)
+            start_on(new, raw, tmp_path)
+            servers.set(0, "answer")
+            assert status(held) == 200
+            assert [status(caller) in (200, 503) for caller in callers].count(False) == 0
+        assert ended(old) == 0
+        assert not old.lines("Traceback") + new.lines("Traceback")
+    finally:
+        for node in (old, new):
+            if node.process is not None and node.process.poll() is None:
+                node.kill()
+        raw.close()
+        servers.close()
