Count what is being given up no longer, so that a repeat at once finds room

Cause: a connection that was closed counted until `connection_lost`, and a task that was cancelled, or had failed to connect, until its done callback, both in the loop's next turn. An attempt begun by the outcome itself (the repeat of a time-out, a cut answer, a refused connect) was refused for want of room at the limit, though that one's descriptor closes before the new one opens: asyncio has both in its queue in this order. Change: `abort` tells the pool at once, and tasks being cancelled are not counted. `make_room` needs no rule of its own any more, and `connection_lost` none beside that of `abort`. Test: seen to fail without the mend in all five ways (answered with a close, unreadable, cut short, silent, never connected). `never_up` moves to the shared stand-ins, unchanged.

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -73,7 +73,8 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """The calling end of a connection. `on_closed` is told when it is gone."""
+    """The calling end of a connection. `on_closed` is told when it is gone, or will be before
+    whatever the loop is given from then on; perhaps more than once."""
 
     def __init__(
         self, on_closed: Callable[[ClientConnection], None], max_body: int = MAX_BODY, streams: bool = False
@@ -163,6 +164,7 @@
         upload, self._upload = self._upload, None
         if self._transport is not None:
             self._transport.abort()
+        self._on_closed(self)
         if upload is not None:
             upload.body.leave(upload)
 
@@ -260,8 +262,6 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._spoilt = True
-        self._on_closed(self)
         self._lose(self._written)
 
     def _lose(self, written: bool) -> None:
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -225,7 +225,8 @@
 
     @property
     def size(self) -> int:
-        return len(self._open) + len(self._opening)
+        # Guard: what is being given up goes before what is begun now; counted, it left no room for a repeat.
+        return len(self._open) + sum(not task.cancelling() for task in self._opening)
 
     def add(self, name: str, endpoint: Address, launched_ms: float | None = None) -> None:
         """Name a server, its new endpoint or its latest start."""
@@ -313,9 +314,7 @@
             if not idle:
                 return False
             _, server = min(idle, key=lambda pair: pair[0])
-            connection = server.idle.pop(0)  # one that had ended by itself makes no room
-            self._open.discard(connection)
-            connection.abort()
+            server.idle.pop(0).abort()  # one that had ended by itself makes no room
         return True
 
     def count_opening(self, task: asyncio.Task[None]) -> None:
@@ -324,19 +323,20 @@
         task.add_done_callback(self._opening.discard)
 
     async def open(self, endpoint: Address) -> ClientConnection:
-        loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            lambda: ClientConnection(self._open.discard, streams=True), *endpoint
-        )
+        task = asyncio.current_task()
+        assert task is not None
+        try:
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: ClientConnection(self._open.discard, streams=True), *endpoint
+            )
+        finally:
+            # Guard: counted once from here on; the task is over only in the loop's next turn.
+            self._opening.discard(task)
         if not connection.usable:
             # Guard: a request written after a server's end would be a reset, though it can't have run.
             connection.abort()
             raise ConnectionResetError
         self._open.add(connection)
-        # Guard: counted once from here on; its task is over only in the loop's next turn.
-        task = asyncio.current_task()
-        assert task is not None
-        self._opening.discard(task)
         return connection
 
     def _sweep(self) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -239,3 +240,16 @@
     async with asyncio.timeout(20):
         while not condition():
             await asyncio.sleep(0.005)
+
+
+@contextlib.contextmanager
+def never_up() -> Iterator[socket.socket]:
+    """An address where connections stay half made: its queue is full and nobody accepts."""
+    with socket.socket() as listener, contextlib.ExitStack() as stack:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        yield listener
--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -10,12 +10,12 @@
 from collections.abc import Iterator
 
 import pytest
-from loopback import reply, until
+from loopback import never_up, reply, until
 from pooled import ACTS, BIG, DATA, Coming, Full, act, bed, close, heard
 
 from orchidledge.interface import Result
 from orchidledge.net.body import HIGH_WATER, Body
-from orchidledge.net.http import ClientConnection
+from orchidledge.net.http import ClientConnection, Response
 
 
 def test_a_connection_whose_last_answer_was_held_to_its_end_is_read_on():
@@ -298,3 +298,45 @@
             await until(lambda: not here.pool.size)
 
     asyncio.run(main())
+
+
+GIVEN_UP = {
+    "answered": reply(200, Connection="close"),
+    "unreadable": b"no answer\r\n\r\n",
+    "cut short": reply()[:-1],
+    "silent": b"",
+}
+
+
+@pytest.mark.parametrize("how", [*GIVEN_UP, "connecting"])
+def test_what_has_just_been_given_up_leaves_room_for_a_repeat_at_once(how):
+    """Guard: its connection counted until the loop's next turn, so at the limit the repeat was refused."""
+
+    async def main():
+        async with bed(limit=1) as here:
+            ends: list[Result] = []
+
+            def on_result(result: Result, _response: Response | None) -> None:
+                ends.append(result)
+                here.send()
+
+            here.pool.connect_timeout_s = 0.1 if how == "connecting" else 20.0
+            timeout_s = 0.5 if how == "silent" else 20.0
+            with never_up() if how == "connecting" else contextlib.nullcontext(here.listener) as listener:
+                here.pool.add("first", listener.getsockname())
+                here.pool.send("first", lambda wait: DATA, timeout_s, on_result)
+                if how != "connecting":
+                    peer = await here.accept()
+                    assert await heard(peer) == DATA
+                    peer.sendall(GIVEN_UP[how])
+                    if how == "cut short":
+                        peer.close()
+                await until(lambda: ends)
+            here.pool.connect_timeout_s = 20.0
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            peer.sendall(reply())
+            assert await here.end() == [Result.OK]
+            assert here.pool.size == 1
+
+    asyncio.run(main())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,7 +8,7 @@
 import struct
 
 import pytest
-from loopback import Held, Message, Peer, reply, until
+from loopback import Held, Message, Peer, never_up, reply, until
 
 from orchidledge.interface import Result
 from orchidledge.net.http import ClientConnection, Response, readable
@@ -319,19 +319,6 @@
     asyncio.run(main())
 
 
-@contextlib.contextmanager
-def never_up():
-    """An address where connections stay half made: its queue is full and nobody accepts."""
-    with socket.socket() as listener, contextlib.ExitStack() as stack:
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(0)
-        for _ in range(4):
-            filler = stack.enter_context(socket.socket())
-            filler.setblocking(False)
-            filler.connect_ex(listener.getsockname())
-        yield listener
-
-
 def test_a_connection_that_never_comes_up_could_not_connect():
     async def main():
         with never_up() as listener:
