Pace a cold server by the calls let in: a lull is no refusal, and does not raise its share

Cause: `paced` took a cold server's share of the calls sent in the last second (`sends / peak`). That is right where the threshold refuses the rest; after a lull, in which nothing was refused, `sends` had faded to almost nothing and the calls that came back together were each drawn for with up to the whole COLD_SHARE x factor x warmth, as if they were those of one server, for the second or so that the rate takes to follow. A zone lost for 5 s and back cold is just that.

Mend: the number of servers whose ordinary calls those of the time are is not under the ready ones times the share that the threshold let in (`let_in`, by request, so that silence leaves it).

`test_a_cold_server_is_paced_by_a_servers_ordinary_calls_...` says of its few calls that the others were refused, which is the case it guards; its bounds are unchanged.

--- a/orchidledge/decide/admission.py
+++ b/orchidledge/decide/admission.py
@@ -9,6 +9,7 @@
 from orchidledge.decide.state import State
 
 RETRY_WORTH = 0.5  # a marked retry counts as this share of its class's worth
+LET_IN_GAIN = 0.1  # smoothing of the share let in, per request
 HINT_GAIN = 0.03  # smoothing of the mean cost hint, per call
 
 
@@ -51,7 +52,9 @@
         queue = sum([peer.held for peer in state.ready])
         room = table.threshold(state, self.worth(now, request, kind), len(state.ready)) - queue
         # Guard: one call from each of hundreds of balancers kept a jam alive, so a fraction of one is drawn.
-        return room < 1.0 and state.rng.random() >= room
+        refused = room < 1.0 and state.rng.random() >= room
+        state.let_in += LET_IN_GAIN * ((not refused) - state.let_in)
+        return refused
 
     def worth(self, now: float, request: api.Request, kind: api.ServiceClass) -> float:
         worth = kind.worth / self.top_worth
--- a/orchidledge/decide/ranking.py
+++ b/orchidledge/decide/ranking.py
@@ -5,7 +5,7 @@
 import math
 
 from orchidledge import interface as api
-from orchidledge.decide import fleet, table
+from orchidledge.decide import fleet, load, table
 from orchidledge.decide.state import Job, Peer, State
 
 FORGET_MS = 8000.0  # an unheard server drifts back to the mean at this pace
@@ -96,7 +96,18 @@
     if age >= cfg.cold_ms:
         return True
     warmth = cfg.cold_from + (1.0 - cfg.cold_from) * age / cfg.cold_ms
+    return state.rng.random() * _servers_worth(state) < COLD_SHARE * cfg.overload_factor * warmth
+
+
+def _servers_worth(state: State) -> float:
+    """How many servers' ordinary calls the calls of the time are."""
+    ready = len(state.ready)
+    if state.peak <= 0.0:
+        return ready
     # Guard: of the calls sent at the time, the share fell with them: where most servers were jammed, cold
     # or gone, the few calls let in went to the jammed ones while the cold ones idled.
-    servers = max(1.0, state.sends / state.peak) if state.peak > 0.0 else len(state.ready)
-    return state.rng.random() * servers < COLD_SHARE * cfg.overload_factor * warmth
+    # Guard: a lull looked the same, and calls that came back together all passed as few. They are few only
+    # where the threshold refuses the others; a node with few calls can't tell a lull from chance.
+    usual = state.peak * ready * load.RATE_MS
+    let_in = ready * state.let_in * usual / (usual + load.WEIGHTY)
+    return max(1.0, state.sends / state.peak, let_in)
--- a/orchidledge/decide/state.py
+++ b/orchidledge/decide/state.py
@@ -122,6 +122,7 @@
     rate: float = 0.0  # completed units per ms and ready server,
     peak: float = 0.0  # and the most of it lately
     sends: float = 0.0  # smoothed rate of units sent per ms
+    let_in: float = 1.0  # smoothed share of requests that the threshold let in
     mean_aim: float = field(init=False)
     class_ms: dict[str, float] = field(default_factory=dict)  # each class's smoothed latency
     util: float | None = None  # median reported utilisation of the last period
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -391,6 +391,7 @@
         bed.give(api.Membership(api.ListForm.DELTA, (api.Server("cold", "a", launched_ms=bed.now),)))
         bed.brain.state.peak = 1.0 / bed.brain.period_ms  # one call a period is a server's ordinary pace
         bed.brain.state.sends = calls * bed.brain.state.peak
+        bed.brain.state.let_in = min(1.0, calls / len(bed.brain.ready))  # the others were refused
         cold = bed.brain.peers["cold"]
         took += sum(paced(bed.brain.state, bed.now, cold) for _ in range(calls))
     share = 0.4 * 5.0 * 0.2  # of an ordinary pace, at the server's start
