--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import re
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -23,6 +25,7 @@
     1.0  # how long after a fatal answer, and after the last that a caller still sends, that is dropped,
 )
 LINGER_MOST_S = 5.0  # at the most
+UNREAD_S = 10.0  # a caller that takes nothing of its answer for so long has given up reading
 HEAD_S = (
     2.3  # how long a request's head may take, the first one from its connection's start (a slow one: 2 s),
 )
@@ -49,13 +52,18 @@
         self._closing = False  # the last answer has been written, or will be with what is in hand
         self.opened_at = 0.0  # by the loop's clock
         self.since = 0.0  # the loop's time of the last byte either way
+        self._unsent = 0  # bytes that waited for the caller to read at the last look,
+        self._taken_at = 0.0  # and the loop's time since when there were so many
+        self._end_by = 0.0  # the loop's time until which it is read on at most, once closing
         self._fresh = True  # no whole request has come yet
         self._head_at = 0.0  # the loop's time when a request's head was whole
         self._began = 0.0  # the loop's time of the connection's start, then of the first byte of a request
 
     @property
     def idle(self) -> bool:
-        return not self._calls and self._partial is None and not self._closing
+        """Between requests: nothing of one has been read, and all that was answered has left."""
+        open_or_over = self._calls or self._partial is not None or self._closing
+        return not open_or_over and not self._transport.get_write_buffer_size()
 
     def close_if_idle(self) -> bool:
         """Close between requests, but not with a request already waiting in the kernel."""
@@ -64,12 +72,27 @@
         self._transport.abort()
         return True
 
-    def close_if_left(self) -> bool:
+    @property
+    def left(self) -> bool:
         """Whether the caller has gone, also where the event loop has not delivered its end yet: while reading
         is paused, or later in the same turn."""
-        if not self._transport.is_closing() and ended(self._transport):
-            self._transport.close()
-        return self._transport.is_closing()
+        return self._transport.is_closing() or ended(self._transport)
+
+    def close_if_left(self) -> bool:
+        """Whether the caller has gone; what it asked for is then over."""
+        if not self.left:
+            return False
+        if self._calls and self._answer is None and not self._transport.is_closing():
+            self._fail(400)
+        return True
+
+    def sweep(self, now: float) -> None:
+        """End what nobody reads or waits for any more by now."""
+        if self._unread_for(now) >= UNREAD_S or (self._closing and self._lingered(now)):
+            self._transport.abort()
+        # Guard: nothing is read while a request waits its turn or its body is held, so an end went unseen.
+        elif self._calls and not self._transport.is_reading():
+            self.close_if_left()
 
     def expire(self, now: float) -> bool:
         """End a connection on which a request is overdue by now; whether that was so."""
@@ -82,6 +105,13 @@
         # Guard: judged by the connection's start, as line ends before a request look like traffic for ever.
         return self._fresh and self.close_if_idle()
 
+    def _unread_for(self, now: float) -> float:
+        """For how long the caller has taken nothing of what waits for it."""
+        unsent = self._transport.get_write_buffer_size()
+        if unsent != self._unsent or not unsent:
+            self._unsent, self._taken_at = unsent, now
+        return now - self._taken_at
+
     def _due(self) -> float:
         """When what has come of a request is too little."""
         due = self._began + HEAD_S
@@ -125,6 +155,12 @@
             self._serve()
 
     def eof_received(self) -> bool:
+        """The caller has left, as an end can't be told from a half-close. The latter's final answer is a
+        failure, but one under way is passed on: nothing is begun for it."""
+        if self._answer is not None and self._partial is None:
+            return True
+        if (self._calls or self._partial is not None) and not self._closing:
+            self._fail(400)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -133,13 +169,7 @@
         answer, self._answer = self._answer, None
         if answer is not None:
             answer.lost()
-        calls, self._calls = self._calls, deque()
-        for call in calls:
-            call.answered = True
-            if call.on_gone is not None:
-                call.on_gone()
-        if self._partial is not None:
-            self._partial.body.fail()
+        self._drop_calls()
 
     # ------------------------------------------------------ as the source of a body
 
@@ -241,9 +271,9 @@
         self._go_on(close)
 
     def _last(self, call: Call) -> bool:
-        """Whether the connection ends with the answer to this call."""
+        """Whether the connection ends with the answer to this call: not if anything was read behind it."""
         close = call.coming or not call.keep_alive or self._server.draining or self._server.crowded
-        return close and len(self._calls) == 1
+        return close and len(self._calls) == 1 and self._partial in (None, call)
 
     def _go_on(self, close: bool) -> None:
         """The first call has its answer: turn to the next, or end the connection."""
@@ -270,6 +300,8 @@
         if length is None and not chunked:
             close = True
             self._transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+            # Guard: with an end for its mark, one that broke off, or whose process ended, passed for whole.
+            end_by_reset(self._transport, True)
         else:
             self._transport.write(head(200, length, close, 0.0))
         self._answer = LongAnswer(self, call, rest, chunked, close, on_end)
@@ -279,7 +311,8 @@
         """The long answer has been written."""
         self._answer = None
         if not self._transport.is_closing() and self._calls:
-            self._go_on(close)
+            end_by_reset(self._transport, False)
+            self._go_on(close or (len(self._calls) == 1 and self.left))
 
     def break_off(self) -> None:
         """It can't be: the caller has to see that it is not whole."""
@@ -298,7 +331,11 @@
             self._answer.rest.release()
 
     def _next(self) -> None:
-        if self._calls and not self._closing:
+        if not self._calls or self._closing:
+            return
+        if self.left:  # Guard: what waited its turn was begun for a caller that had left
+            self._fail(400)
+        else:
             self._serve()
 
     def _fail(self, status: int) -> None:
@@ -306,34 +343,45 @@
         if self._answer is not None:  # an answer has begun before its request's end
             self._transport.abort()
             return
+        self._drop_calls()
+        self._transport.write(head(status, 0, True, 0.0))
+        self._end()
+
+    def _drop_calls(self) -> None:
+        """Nothing that has come is to be answered any more."""
+        calls, self._calls = self._calls, deque()
         partial, self._partial = self._partial, None
-        if partial is not None and self._calls:  # it was handed on
-            self._calls.clear()
-            partial.answered = True
-            if partial.on_gone is not None:
-                partial.on_gone()
+        for call in calls:
+            call.answered = True
+            if call.on_gone is not None:
+                call.on_gone()
         if partial is not None:
             partial.body.fail()
-        self._transport.write(head(status, 0, True, 0.0))
-        self._end()
 
     def _end(self) -> None:
         """Close, reading on for a moment: closing over unread bytes would reset the answer away."""
         self._closing = True
         if not self._transport.is_closing():
             self._transport.resume_reading()
-            if self._transport.can_write_eof():
+            try:
                 self._transport.write_eof()
-            self._linger(self._server.loop.time() + LINGER_MOST_S)
+            except OSError:  # Guard: the caller has left, and its reset came on the answer just written
+                self._transport.abort()
+                return
+            self.since = self._server.loop.time()
+            self._end_by = self.since + LINGER_MOST_S
 
-    def _linger(self, until: float) -> None:
-        """Read on for as long as a caller is still sending, within limits."""
-        now = self._server.loop.time()
-        due = min(self.since + LINGER_S, until)
-        if due <= now:
-            self._transport.abort()
-        else:
-            self._server.loop.call_at(due, self._linger, until)
+    def _lingered(self, now: float) -> bool:
+        """Whether enough was read on: all has left, and the caller sends no more, or has for too long."""
+        if self._transport.get_write_buffer_size():
+            self.since, self._end_by = now, now + LINGER_MOST_S
+        return now >= min(self.since + LINGER_S, self._end_by)
+
+
+def end_by_reset(transport: asyncio.BaseTransport, on: bool) -> None:
+    """Whether a close, the process's end too, is to reset the connection."""
+    linger = struct.pack("ii", on, 0)
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def _nothing() -> None:
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -153,7 +153,10 @@
             self._sweep_timer.cancel()
 
     def _sweep(self) -> None:
-        self.expire(self.loop.time())
+        now = self.loop.time()
+        for connection in list(self.connections):
+            connection.sweep(now)
+        self.expire(now)
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
 
     def expire(self, now: float) -> None:
