Serve nothing that is parsed in one piece behind a request that ends the connection

The answer to a long request can be written while the piece with its last byte is still being parsed (on_whole, from the parser). If that is the connection's last answer, or its caller is found to have left there, the sending ends within; what the same piece held behind was still queued and handed on (connection.py, data_received going on to _advance): requests read after the shutdown and sent on, which are lost. One with Expect: 100-continue was written to after the end of the sending, and the exception closed the connection with its answer's fate open.

Nothing is handed on, and no 100 sent, once the connection is ending.

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -38,7 +38,6 @@
 
     def __init__(self, server: Server) -> None:
         self._server = server
-        self._transport: asyncio.Transport
         self.state = State.IDLE
         self._calls: deque[Call] = deque()  # those handed on or due to be, the first of them being answered
         self._answer: LongAnswer | None = None  # in SEND_BODY
@@ -154,7 +153,8 @@
             if self._requests.call is None:
                 self.since = now
             self._requests.feed(data, now)
-            self._advance()
+            if self._linger is None:  # Guard: requests parsed behind the end were served
+                self._advance()
 
     def eof_received(self) -> bool:
         """The caller has left: an end can't be told from a half-close. One that still reads gets a failure as
@@ -187,7 +187,8 @@
             self._server.loop.call_soon(self._next)
 
     def _on_head(self, call: Call) -> None:
-        if call.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
+        expects = call.headers.get(b"expect", b"").lower() == b"100-continue"
+        if expects and self.state is State.IDLE and not self._calls:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _on_whole(self, call: Call) -> None:
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -50,6 +50,21 @@
 
 
 MIB = 1024 * 1024
+
+
+class Taken:
+    """A server that takes all of a body."""
+
+    def write(self, data: bytes) -> None:
+        """It goes nowhere."""
+
+    def end(self) -> None:
+        """Nothing waits for it."""
+
+    def broken(self) -> None:
+        """Nor for this."""
+
+
 LEAVING = [socket.socket.close, half_close, reset]
 Leave = Callable[[socket.socket], None]
 
@@ -602,3 +617,41 @@
             caller.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("ends", ["its caller has left", "it is the last answer"])
+@pytest.mark.parametrize("headers", [{}, {"Expect": "100-continue"}])
+def test_what_is_parsed_behind_a_request_that_ends_the_connection_is_not_served(
+    ends: str, headers: dict[str, str], caplog: pytest.LogCaptureFixture
+):
+    """All in the one piece whose first bytes are the last of a long request."""
+
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            served = []
+            node.server.on_call = served.append
+            long = request("post", "q1", bytes(2 * HIGH_WATER))
+            caller = connect(node)
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, long[:-1])
+            await until(lambda: served)
+            (call,) = served
+            call.body.attach(Taken())
+            connection = call.connection
+            await until(lambda: call.body.size == 2 * HIGH_WATER - 1)
+            left = ends == "its caller has left"
+            call.on_whole = connection.close_if_left if left else lambda: call.answer(503)
+            node.server.draining = True
+            behind = request(name="q2", **headers) + request(name="q3")
+            await loop.sock_sendall(caller, long[-1:] + behind)
+            if left:
+                half_close(caller)
+            answers = await read_to_the_end(caller)
+            assert answers.startswith(b"HTTP/1.1 400 " if left else b"HTTP/1.1 503 ")
+            assert answers.count(b"HTTP/1.1 ") == 1
+            assert served == [call]
+            assert not caplog.records
+
+    asyncio.run(main())
