Take an operator's reset on its answer for its leaving at the door too

The same cause as at a caller's connection: write_eof lets ENOTCONN through when the other side has closed and its reset comes on the answer just written (operator.py, _answer). An answer that came later ended in an unhandled exception of a callback, in the log and with no timer set. The connection itself is gone by then, so nothing was lost; the order is put right so that no timer outlives it.

The test was seen to fail without the mend (1 of 6 cases: a close before an answer that comes later; for one that is given at once asyncio takes the exception for a broken connection and says nothing).

--- a/orchidledge/net/operator.py
+++ b/orchidledge/net/operator.py
@@ -96,11 +96,14 @@
             "Connection: close\r\n\r\n"
         )
         self._transport.write(head.encode() + answer.text)
-        if self._transport.can_write_eof() and not self._transport.is_closing():
-            self._transport.write_eof()
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._door.loop.call_later(LINGER_S, self._transport.abort)
+        try:
+            self._transport.write_eof()
+        except OSError:  # Guard: the operator has left, and a reset came on the answer just written
+            self._transport.abort()
+        else:
+            self._timer = self._door.loop.call_later(LINGER_S, self._transport.abort)
 
     # --------------------------------------------------------- httptools callbacks
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import orjson
 import pytest
+from callers import LEAVING, Leave
 from loopback import Caller, Held, Message, Peer, config_row, read_message, request, running, until
 
 from orchidledge.net import operator as door_module
@@ -88,6 +90,31 @@
     assert "failed" in caplog.text
 
 
+@pytest.mark.parametrize("leave", LEAVING)
+@pytest.mark.parametrize("later", [False, True])
+def test_an_operator_that_leaves_as_its_answer_goes_out_is_no_fault(leave: Leave, later: bool, caplog):
+    async def main():
+        caller, gone = socket.socket(), []
+
+        def left(_: bytes) -> Answer:  # between the call and its answer, with no turn of the loop
+            gone.append(leave(caller))
+            return Answer(200)
+
+        async def left_later(body: bytes) -> Answer:
+            return left(body)
+
+        door = Door({(b"GET", b"/left"): left_later if later else left})
+        await door.open(("127.0.0.1", 0))
+        caller.connect(door.address)
+        caller.sendall(call("GET", "/left"))
+        await until(lambda: gone and not door._visits)
+        door.close()
+        caller.close()
+
+    asyncio.run(main())
+    assert not caplog.records
+
+
 def test_callers_that_finish_no_call_keep_nobody_out_and_are_closed(monkeypatch):
     async def main():
         async with running(Peer(), **DOOR) as node:
