Hold no source whose body has ended

Cause: `Body.hold` stopped the caller's reading also when all of its request had come (a body that ended while its attempt was connecting, then written to a server that takes it slowly). Nothing more could come but the caller's leaving, and that went unseen until the server had taken the rest. Change: a body that has ended is not held. Test: seen to fail without the mend (the source was told to pause). The tests of the pool's limit move to a file of their own, unchanged, with new ones that found no fault: a late connection (used, or given up with nothing left open), a closing connection is asked nothing of the kernel, an error in whoever hears an outcome, an outcome that sends on the connection that brought it, an early answer and a reset met by a write.

--- a/orchidledge/net/body.py
+++ b/orchidledge/net/body.py
@@ -92,7 +92,7 @@
             self._source.resume()
 
     def hold(self) -> None:
-        if not self.held:
+        if not self.held and not self.ended:  # Guard: all that can still come is its caller's leaving
             self.held = True
             self._source.pause()
 
--- a/tests/pooled.py
+++ b/tests/pooled.py
@@ -62,7 +62,7 @@
         await until(lambda: self.ends)
         assert self.ends.pop() is Result.OK
         self.answers.clear()
-        (connection,) = self.idle
+        connection = self.idle[-1]
         connection.idle_since -= 1.0
         return peer, connection
 
--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -4,18 +4,15 @@
 
 import asyncio
 import contextlib
-import os
-import resource
 import socket
-from collections.abc import Iterator
 
 import pytest
-from loopback import never_up, reply, until
+from loopback import reply, until
 from pooled import ACTS, BIG, DATA, Coming, Full, act, bed, close, heard
 
 from orchidledge.interface import Result
 from orchidledge.net.body import HIGH_WATER, Body
-from orchidledge.net.http import ClientConnection, Response
+from orchidledge.net.http import ClientConnection
 
 
 def test_a_connection_whose_last_answer_was_held_to_its_end_is_read_on():
@@ -152,77 +149,6 @@
     asyncio.run(main())
 
 
-# -------------------------------------------------------------------- the limit
-
-
-def test_a_resting_connection_that_has_ended_makes_no_room():
-    """Guard: closing it once more passed for room, and the pool went over its limit."""
-
-    async def main():
-        async with bed(limit=1) as here:
-            here.pool.add("other", here.listener.getsockname())
-            peer, connection = await here.rested()
-            act(peer, "end", connection)
-            await until(lambda: not here.pool.size)
-            for name in ("other", "other"):
-                here.pool.send(name, lambda wait: DATA, 20.0, lambda result, _: here.ends.append(result))
-            assert await here.end() == [Result.CONNECT_FAILED]
-            assert here.pool.size == 1
-
-    asyncio.run(main())
-
-
-def test_a_connection_that_has_just_come_up_counts_once():
-    """Guard: in that turn it was counted as opening too, and another attempt was refused for want of room."""
-
-    async def main():
-        async with bed(limit=2) as here:
-            sizes: list[int] = []
-
-            def on_sent() -> None:
-                sizes.append(here.pool.size)
-                if len(sizes) == 1:
-                    here.send()
-
-            here.pool.on_sent = on_sent
-            here.send()
-            for _ in range(2):
-                peer = await here.accept()
-                assert await heard(peer) == DATA
-                peer.sendall(reply())
-            assert await here.end(2) == [Result.OK, Result.OK]
-            assert sizes == [1, 2]
-
-    asyncio.run(main())
-
-
-@contextlib.contextmanager
-def no_descriptors() -> Iterator[None]:
-    """Every descriptor of this process is in use."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    lowest = os.dup(0)
-    os.close(lowest)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-
-
-def test_with_no_descriptor_left_an_attempt_could_not_connect_and_the_next_one_can():
-    async def main():
-        async with bed() as here:
-            with no_descriptors():
-                here.send()
-                assert await here.end() == [Result.CONNECT_FAILED]
-            assert not here.pool._opening
-            assert not here.pool._servers["s"].waiting
-            here.ends.clear()
-            await here.rested()
-
-    asyncio.run(main())
-
-
 # ----------------------------------------------------- before the request is whole
 
 
@@ -300,43 +226,36 @@
     asyncio.run(main())
 
 
-GIVEN_UP = {
-    "answered": reply(200, Connection="close"),
-    "unreadable": b"no answer\r\n\r\n",
-    "cut short": reply()[:-1],
-    "silent": b"",
-}
+def test_a_body_that_has_ended_holds_its_source_no_more():
+    """Guard: with its reading stopped, a caller's leaving went unseen until the server had taken all."""
+
+    async def main():
+        async with bed() as here:
+            body = Body(source := Coming())
+            body.put(b"x")
+            here.send(data=bytes(BIG), body=body)
+            body.end()  # while the attempt connects
+            peer = await here.accept()
+            assert await heard(peer)
+            assert "pause" not in source.said
+            close(peer, reset=True)
+            assert await here.end() == [Result.CONNECT_FAILED]
 
+    asyncio.run(main())
 
-@pytest.mark.parametrize("how", [*GIVEN_UP, "connecting"])
-def test_what_has_just_been_given_up_leaves_room_for_a_repeat_at_once(how):
-    """Guard: its connection counted until the loop's next turn, so at the limit the repeat was refused."""
 
+def test_an_early_answer_and_a_reset_met_by_a_write_are_a_request_that_never_ran():
     async def main():
-        async with bed(limit=1) as here:
-            ends: list[Result] = []
-
-            def on_result(result: Result, _response: Response | None) -> None:
-                ends.append(result)
-                here.send()
-
-            here.pool.connect_timeout_s = 0.1 if how == "connecting" else 20.0
-            timeout_s = 0.5 if how == "silent" else 20.0
-            with never_up() if how == "connecting" else contextlib.nullcontext(here.listener) as listener:
-                here.pool.add("first", listener.getsockname())
-                here.pool.send("first", lambda wait: DATA, timeout_s, on_result)
-                if how != "connecting":
-                    peer = await here.accept()
-                    assert await heard(peer) == DATA
-                    peer.sendall(GIVEN_UP[how])
-                    if how == "cut short":
-                        peer.close()
-                await until(lambda: ends)
-            here.pool.connect_timeout_s = 20.0
+        async with bed() as here:
+            here.send(body=(body := Body(Coming())))
             peer = await here.accept()
             assert await heard(peer) == DATA
-            peer.sendall(reply())
-            assert await here.end() == [Result.OK]
-            assert here.pool.size == 1
+            (connection,) = here.pool._open
+            peer.sendall(reply(500))
+            act(peer, "reset", connection)
+            body.put(b"x")  # fails, and what was there to read goes with it
+            body.end()
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
 
     asyncio.run(main())
--- /dev/null
+++ b/tests/test_pooled_limit.py
@@ -0,0 +1,240 @@
+"""What counts against the pool's limit, late connections, and what the pool takes for granted."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import socket
+from collections.abc import Iterator
+
+import pytest
+from loopback import never_up, reply, until
+from pooled import DATA, act, bed, heard
+
+from orchidledge.interface import Result
+from orchidledge.net.body import HIGH_WATER
+from orchidledge.net.http import Response
+
+
+def test_a_resting_connection_that_has_ended_makes_no_room():
+    """Guard: closing it once more passed for room, and the pool went over its limit."""
+
+    async def main():
+        async with bed(limit=1) as here:
+            here.pool.add("other", here.listener.getsockname())
+            peer, connection = await here.rested()
+            act(peer, "end", connection)
+            await until(lambda: not here.pool.size)
+            for name in ("other", "other"):
+                here.pool.send(name, lambda wait: DATA, 20.0, lambda result, _: here.ends.append(result))
+            assert await here.end() == [Result.CONNECT_FAILED]
+            assert here.pool.size == 1
+
+    asyncio.run(main())
+
+
+def test_a_connection_that_has_just_come_up_counts_once():
+    """Guard: in that turn it was counted as opening too, and another attempt was refused for want of room."""
+
+    async def main():
+        async with bed(limit=2) as here:
+            sizes: list[int] = []
+
+            def on_sent() -> None:
+                sizes.append(here.pool.size)
+                if len(sizes) == 1:
+                    here.send()
+
+            here.pool.on_sent = on_sent
+            here.send()
+            for _ in range(2):
+                peer = await here.accept()
+                assert await heard(peer) == DATA
+                peer.sendall(reply())
+            assert await here.end(2) == [Result.OK, Result.OK]
+            assert sizes == [1, 2]
+
+    asyncio.run(main())
+
+
+@contextlib.contextmanager
+def no_descriptors() -> Iterator[None]:
+    """Every descriptor of this process is in use."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest = os.dup(0)
+    os.close(lowest)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_with_no_descriptor_left_an_attempt_could_not_connect_and_the_next_one_can():
+    async def main():
+        async with bed() as here:
+            with no_descriptors():
+                here.send()
+                assert await here.end() == [Result.CONNECT_FAILED]
+            assert not here.pool._opening
+            assert not here.pool._servers["s"].waiting
+            here.ends.clear()
+            await here.rested()
+
+    asyncio.run(main())
+
+
+GIVEN_UP = {
+    "answered": reply(200, Connection="close"),
+    "unreadable": b"no answer\r\n\r\n",
+    "cut short": reply()[:-1],
+    "silent": b"",
+}
+
+
+@pytest.mark.parametrize("how", [*GIVEN_UP, "connecting"])
+def test_what_has_just_been_given_up_leaves_room_for_a_repeat_at_once(how):
+    """Guard: its connection counted until the loop's next turn, so at the limit the repeat was refused."""
+
+    async def main():
+        async with bed(limit=1) as here:
+            ends: list[Result] = []
+
+            def on_result(result: Result, _response: Response | None) -> None:
+                ends.append(result)
+                here.send()
+
+            here.pool.connect_timeout_s = 0.1 if how == "connecting" else 20.0
+            timeout_s = 0.5 if how == "silent" else 20.0
+            with never_up() if how == "connecting" else contextlib.nullcontext(here.listener) as listener:
+                here.pool.add("first", listener.getsockname())
+                here.pool.send("first", lambda wait: DATA, timeout_s, on_result)
+                if how != "connecting":
+                    peer = await here.accept()
+                    assert await heard(peer) == DATA
+                    peer.sendall(GIVEN_UP[how])
+                    if how == "cut short":
+                        peer.close()
+                await until(lambda: ends)
+            here.pool.connect_timeout_s = 20.0
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            peer.sendall(reply())
+            assert await here.end() == [Result.OK]
+            assert here.pool.size == 1
+
+    asyncio.run(main())
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.mark.parametrize("wanted", [True, False])
+def test_a_connection_that_is_late_carries_its_request_or_leaves_nothing_behind(wanted):
+    """The kernel tries again after a second, when the server's queue has room."""
+
+    async def main():
+        with never_up() as listener:
+            listener.setblocking(False)
+            async with bed() as here:
+                here.pool.add("late", listener.getsockname())
+                loop, before = asyncio.get_running_loop(), descriptors()
+                attempt = here.pool.send(
+                    "late", lambda wait: DATA, 20.0, lambda end, _: here.ends.append(end)
+                )
+                await until(lambda: descriptors() > before)
+                assert here.pool.size == 1
+                if not wanted:
+                    attempt.cancel()
+                    assert here.pool.size == 0
+                    await until(lambda: descriptors() == before)
+                    assert here.ends == [Result.CANCELLED]
+                    assert not here.pool._opening
+                    return
+                peers: list[socket.socket] = []
+
+                async def serve() -> None:
+                    while True:
+                        peers.append((await loop.sock_accept(listener))[0])
+
+                accepting = asyncio.create_task(serve())
+                with contextlib.ExitStack() as stack:
+                    await until(lambda: here.pool._open)
+                    local = [c._transport.get_extra_info("sockname") for c in here.pool._open]
+                    await until(lambda: [p for p in peers if p.getpeername() in local])
+                    for peer in peers:
+                        stack.enter_context(peer)
+                    (ours,) = [p for p in peers if p.getpeername() in local]
+                    ours.setblocking(False)
+                    assert await loop.sock_recv(ours, 1000) == DATA
+                    await loop.sock_sendall(ours, reply())
+                    assert await here.end() == [Result.OK]
+                    assert here.pool.size == 1
+                    accepting.cancel()
+
+    asyncio.run(main())
+
+
+# ------------------------------------------------------------------ what it rests on
+
+
+def test_a_closing_or_closed_connection_is_asked_nothing_of_the_kernel():
+    async def main():
+        async with bed() as here:
+            _, connection = await here.rested()
+            connection.abort()
+            assert not connection.usable
+            await asyncio.sleep(0)
+            assert connection._transport.get_extra_info("socket").fileno() == -1
+            assert not connection.usable
+
+    asyncio.run(main())
+
+
+LONG_START = b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + bytes(HIGH_WATER + 1)
+
+
+@pytest.mark.parametrize("answer", [reply(), LONG_START, b"no answer\r\n\r\n"])
+def test_an_error_in_whoever_hears_an_outcome_costs_no_more_than_its_connection(answer):
+    async def main():
+        async with bed() as here:
+            errors: list[dict[str, object]] = []
+            asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+
+            def on_result(result: Result, response: Response | None) -> None:
+                raise RuntimeError
+
+            here.pool.send("s", lambda wait: DATA, 20.0, on_result)
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            peer.sendall(answer)
+            await until(lambda: not here.pool.size)
+            assert [type(error["exception"]) for error in errors] == [RuntimeError]
+            await here.rested()
+
+    asyncio.run(main())
+
+
+def test_an_outcome_may_send_on_the_connection_that_brought_it(monkeypatch):
+    monkeypatch.setattr("orchidledge.net.upstream.SETTLE_S", 0.0)
+
+    async def main():
+        async with bed() as here:
+
+            def on_result(result: Result, response: Response | None) -> None:
+                here.ends.append(result)
+                if len(here.ends) < 3:
+                    here.pool.send("s", lambda wait: DATA, 20.0, on_result)
+
+            here.pool.send("s", lambda wait: DATA, 20.0, on_result)
+            peer = await here.accept()
+            for _ in range(3):
+                assert await heard(peer) == DATA
+                peer.sendall(reply())
+            assert await here.end(3) == [Result.OK] * 3
+            assert here.pool.size == 1
+
+    asyncio.run(main())
