Hold nothing back on callers' connections: name the listening socket's protocol

Cause: asyncio sets TCP_NODELAY only on sockets whose `proto` is IPPROTO_TCP. `socket.create_server` (server.py, listen) makes one whose `proto` is 0, and what is accepted takes that over, so on connections accepted at the node's own address small writes waited for an acknowledgement: the last pieces of a long answer, or an answer behind one that had not been acknowledged. A close over unread bytes takes those with it. Ruled out: connections to servers (made by name, with the protocol) and a listening socket that the platform hands on (made from a descriptor, which names it). Change: the node's own listening socket is made from its descriptor as well. Test: reads the option on both sides of a node; seen to fail without the mend on the accepted side.

--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -71,7 +71,10 @@
     async def listen(self, host: str, port: int, accept_fd: str | None = None) -> None:
         """Accept at this address, or from the listening socket that the platform holds for it."""
         self.shares_socket = accept_fd is not None
-        raw = socket.create_server((host, port)) if accept_fd is None else inherited(accept_fd)
+        # Guard: asyncio sets TCP_NODELAY on what comes of a socket that names its protocol, as one made
+        # from a descriptor does. Else the last of an answer in pieces is held back, and lost to a reset.
+        made = str(socket.create_server((host, port)).detach()) if accept_fd is None else accept_fd
+        raw = inherited(made)
         raw.setblocking(False)
         raw.listen(BACKLOG)
         self._listener = raw
--- a/tests/test_pooled_limit.py
+++ b/tests/test_pooled_limit.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 
 import pytest
-from loopback import never_up, reply, until
+from loopback import Caller, Peer, never_up, reply, request, running, until
 from pooled import DATA, act, bed, heard
 
 from orchidledge.interface import Result
@@ -181,6 +181,24 @@
 # ------------------------------------------------------------------ what it rests on
 
 
+def test_nothing_is_held_back_by_the_system_on_either_side():
+    """A small write that waits for an acknowledgement would go with a close over unread bytes."""
+
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller = await Caller.to(node)
+            assert (await caller.ask(request())).status == 200
+            connections = [*node.server.connections, *node.pool._open]
+            assert len(connections) == 2
+            for connection in connections:
+                raw = connection._transport.get_extra_info("socket")
+                assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
 def test_a_closing_or_closed_connection_is_asked_nothing_of_the_kernel():
     async def main():
         async with bed() as here:
