Let a response say whether it ends with its connection; one rule for what a body may grow to

No change in behaviour: the question of the head moves out of the parser's callback, `_skip` and `_grow` into the one place that called them.

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -25,6 +25,15 @@
     length: int | None = None  # as declared
     rest: Body | None = None  # of an answer too long to be held whole: it, as it comes
 
+    def ends_with_connection(self, version: str) -> bool:
+        """Whether the end of the connection is the end of this answer, by its head."""
+        if self.status < 200 or self.headers.keys() & {b"content-length", b"transfer-encoding"}:
+            return False
+        # Guard: an answer of no length ends with its connection, but only a server that has said it will
+        # close means that by an end; any other end is a break. HTTP/1.0 closes unless it says otherwise.
+        said = self.headers.get(b"connection", b"").lower()
+        return b"close" in said or (version == "1.0" and b"keep-alive" not in said)
+
 
 class Exchange(Protocol):
     """What a connection tells of the one request that it carries: `sent` at most once, then its end once."""
@@ -294,32 +303,23 @@
             if self._streams and (self._response.length or 0) > LONGEST:
                 # Guard: passed on as it came, it could not be sent again once nothing more came of it.
                 self._spoilt = self.unreadable = True
-            framed = self._response.headers.keys() & {b"content-length", b"transfer-encoding"}
-            # Guard: an answer of no length ends with its connection, but only a server that has said it will
-            # close means that by an end; any other end is a break.
-            said = self._response.headers.get(b"connection", b"").lower()
-            old = self._parser.get_http_version() == "1.0"  # which closes unless it says otherwise
-            closes = b"close" in said or (old and b"keep-alive" not in said)
-            self._to_the_end = not framed and closes and self._response.status >= 200
+            self._to_the_end = self._response.ends_with_connection(self._parser.get_http_version())
             if self._response.status == 200 and not self._written:
                 # Guard: a server begins once the last byte has come; this is another request's answer, late.
                 self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
         self._kept_back = 0
+        self._size += len(body)
         if self._streams and self._response.status != 200:
-            self._skip(len(body))
-            return
-        self._grow(len(body), LONGEST if self._streams else self._max_body)
-        if not self._spoilt:
+            # The text of an answer that is no 200 goes nowhere; of a long one the rest is not waited for.
+            if self._size > MAX_BODY:
+                self._whole = self._spoilt = True
+        elif self._size > (LONGEST if self._streams else self._max_body):
+            self._spoilt = self.unreadable = True
+        elif not self._spoilt:
             self._response.body += body
 
-    def _skip(self, size: int) -> None:
-        """The text of an answer that is no 200 goes nowhere; of a long one the rest is not waited for."""
-        self._size += size
-        if self._size > MAX_BODY:
-            self._whole = self._spoilt = True
-
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
         if self._whole or self._spoilt:
@@ -330,8 +330,3 @@
         self._whole = True
         if not self._parser.should_keep_alive():
             self._spoilt = True
-
-    def _grow(self, size: int, limit: int) -> None:
-        self._size += size
-        if self._size > limit:
-            self._spoilt = self.unreadable = True
