--- a/tests/test_pooled.py
+++ b/tests/test_pooled.py
@@ -5,110 +5,14 @@
 import asyncio
 import contextlib
 import socket
-import struct
-from collections.abc import AsyncIterator
 
 import pytest
 from loopback import reply, until
+from pooled import ACTS, BIG, DATA, Coming, Full, act, bed, close, heard
 
 from orchidledge.interface import Result
 from orchidledge.net.body import HIGH_WATER, Body
-from orchidledge.net.http import ClientConnection, Response, readable
-from orchidledge.net.upstream import Pool
-
-DATA = b"GET /read/1 HTTP/1.1\r\nReq-Id: q\r\n\r\n"
-
-
-class Bed:
-    """A pool before one server, whose connections are raw sockets: what they do is in the kernel at once."""
-
-    def __init__(self, listener: socket.socket, limit: int) -> None:
-        self.listener = listener
-        self.pool = Pool(limit, 100.0, 20.0)
-        self.pool.add("s", listener.getsockname())
-        self.ends: list[Result] = []
-        self.answers: list[Response] = []
-        self.peers: list[socket.socket] = []
-
-    def send(self, timeout_s: float = 20.0, data: bytes = DATA, body: Body | None = None) -> None:
-        def on_result(result: Result, response: Response | None) -> None:
-            self.ends.append(result)
-            if response is not None:
-                self.answers.append(response)
-
-        self.pool.send("s", lambda wait: data, timeout_s, on_result, body)
-
-    async def accept(self) -> socket.socket:
-        peer, _ = await asyncio.get_running_loop().sock_accept(self.listener)
-        peer.settimeout(20)
-        self.peers.append(peer)
-        return peer
-
-    async def asked(self) -> socket.socket:
-        """Send a request on a new connection and take it there."""
-        self.send()
-        peer = await self.accept()
-        await heard(peer)
-        return peer
-
-    async def rested(self) -> tuple[socket.socket, ClientConnection]:
-        """A connection in the pool that has settled after an answer."""
-        peer = await self.asked()
-        peer.sendall(reply())
-        await until(lambda: self.ends)
-        assert self.ends.pop() is Result.OK
-        self.answers.clear()
-        (connection,) = self.idle
-        connection.idle_since -= 1.0
-        return peer, connection
-
-    @property
-    def idle(self) -> list[ClientConnection]:
-        return self.pool._servers["s"].idle
-
-    async def end(self, count: int = 1) -> list[Result]:
-        await until(lambda: len(self.ends) >= count)
-        return self.ends
-
-
-async def heard(peer: socket.socket) -> bytes:
-    """What comes next at the server's end; nothing is an end, or a reset."""
-    with contextlib.suppress(ConnectionResetError):
-        return await asyncio.to_thread(peer.recv, 1000)
-    return b""
-
-
-@contextlib.asynccontextmanager
-async def bed(limit: int = 10) -> AsyncIterator[Bed]:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        listener.setblocking(False)
-        made = Bed(listener, limit)
-        try:
-            yield made
-        finally:
-            made.pool.close()
-            for peer in made.peers:
-                peer.close()
-
-
-class Full:
-    """A sink that takes what comes and holds its source from the first byte on."""
-
-    def __init__(self, body: Body) -> None:
-        self.body = body
-        self.size = 0
-        self.said: list[str] = []
-        body.attach(self)
-
-    def write(self, data: bytes) -> None:
-        self.size += len(data)
-        self.body.hold()
-
-    def end(self) -> None:
-        self.said.append("end")
-
-    def broken(self) -> None:
-        self.said.append("broken")
+from orchidledge.net.http import ClientConnection
 
 
 def test_a_connection_whose_last_answer_was_held_to_its_end_is_read_on():
@@ -139,27 +43,6 @@
 
 # ------------------------------------------------------------ as a connection is taken
 
-HALF = b"HTTP/1.1 2"
-ACTS = ["end", "reset", "half", "second"]
-
-
-def act(peer: socket.socket, how: str, connection: ClientConnection) -> None:
-    """Do this at the server's end; when it returns, the node's kernel has it and its event loop does not."""
-    if how == "half":
-        peer.sendall(HALF)
-    elif how == "second":
-        peer.sendall(reply(200, b"stray"))
-    else:
-        close(peer, how == "reset")
-    while not readable(connection._transport):
-        pass
-
-
-def close(peer: socket.socket, reset: bool) -> None:
-    if reset:
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    peer.close()
-
 
 @pytest.mark.parametrize("how", ACTS)
 @pytest.mark.parametrize("seen", [True, False])  # by the event loop
@@ -264,3 +147,115 @@
             assert await heard(peer) == b""
 
     asyncio.run(main())
+
+
+# ----------------------------------------------------- before the request is whole
+
+
+def test_an_end_before_the_last_byte_is_written_stops_the_request():
+    """Guard: the rest was still written out to a server that had ended its sending, which then ran it."""
+
+    async def main():
+        async with bed() as here:
+            here.send(data=bytes(BIG))
+            peer = await here.accept()
+            size = len(await heard(peer))  # so the node is writing
+            peer.shutdown(socket.SHUT_WR)
+            while data := await heard(peer, 1_000_000):
+                size += len(data)
+            assert size < BIG
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_head_that_the_kernel_does_not_take_whole_holds_the_body():
+    async def main():
+        async with bed() as here:
+            here.send(data=bytes(BIG), body=Body(source := Coming()))
+            peer = await here.accept()
+            await until(lambda: source.said)
+            assert source.said == ["pause"]
+            size = 0
+            while size < BIG and (data := await heard(peer, 1_000_000)):
+                size += len(data)
+            assert size == BIG
+            await until(lambda: source.said[-1] == "resume")
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("ends", ["after", "before"])  # the body, after or before this answer's own end
+def test_a_200_that_begins_before_the_request_is_whole_is_another_requests(ends):
+    """A server begins once the last byte has come. A second answer come late must not pass for this one's."""
+
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            here.send(body=(body := Body(Coming())))
+            assert await heard(peer) == DATA
+            answer = reply(200, b"stray")
+            peer.sendall(answer[:-1] if ends == "before" else answer)
+            await until(lambda: connection.heard_at > connection.taken_at or here.ends)
+            body.put(b"x")
+            body.end()
+            if ends == "before":
+                with contextlib.suppress(OSError):
+                    peer.sendall(answer[-1:])
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_server_that_turns_a_request_away_before_its_end_is_heard_and_sent_no_more():
+    async def main():
+        async with bed() as here:
+            here.send(body=(body := Body(source := Coming())))
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            peer.sendall(reply(503, Srv_Declined="1"))
+            assert await here.end() == [Result.FULL]
+            body.put(b"x")
+            body.end()
+            assert await heard(peer) == b""
+            assert "abandoned" not in source.said  # another server may take it from its start
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_body_that_has_ended_holds_its_source_no_more():
+    """Guard: with its reading stopped, a caller's leaving went unseen until the server had taken all."""
+
+    async def main():
+        async with bed() as here:
+            body = Body(source := Coming())
+            body.put(b"x")
+            here.send(data=bytes(BIG), body=body)
+            body.end()  # while the attempt connects
+            peer = await here.accept()
+            assert await heard(peer)
+            assert "pause" not in source.said
+            close(peer, reset=True)
+            assert await here.end() == [Result.CONNECT_FAILED]
+
+    asyncio.run(main())
+
+
+def test_an_early_answer_and_a_reset_met_by_a_write_are_a_request_that_never_ran():
+    async def main():
+        async with bed() as here:
+            here.send(body=(body := Body(Coming())))
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            (connection,) = here.pool._open
+            peer.sendall(reply(500))
+            act(peer, "reset", connection)
+            body.put(b"x")  # fails, and what was there to read goes with it
+            body.end()
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
