Bound when a repeat of a keyed request is written, not only when it is chosen

Cause: decide/ranking.py (`_open_to`) compared the window for repeats with the time of the choice. The bytes went out up to a whole connect time later, of a slow body later still, and nobody looked again; there was no margin for the way either. Shown by a connection that comes up as the window ends: the repeat was written, 502 instead of 200 is owed.

Change: `Send.written_by_ms` takes the bound along, 10 ms before the key may be forgotten. `Attempt._may_begin` refuses past it, and what is not written whole by then is given up as never having run (its last byte has not left). `_open_to` asks the same function, so no send is chosen that can't be written.

Checks made stricter: the referee of test_rules wants the bound on each keyed repeat. Also covered, and found to hold: a drain, a move, a restart, a cancel, a withdrawal and the end of the time in the turn in which a connection comes up (as it is made, as its waiter is told, as the attempt hears of it); nothing is written, one result is told, the connection is closed.

Seen to fail without the change: the window's test with a connection that comes up then, the one of a late last byte, the guard's and the referee's. Without the check in `_may_begin` alone the first fails, without the timer alone the second.

--- a/orchidledge/decide/attempts.py
+++ b/orchidledge/decide/attempts.py
@@ -77,11 +77,12 @@
         peer = ranking.pick(state, now, job)
         if peer is None:
             return False
+        written_by_ms = ranking.repeat_before(job)
         job.tries.append(Try(peer, now))
         self._load(job, len(job.tries) - 1)
         if peer.info.address in state.returns:
             state.returns[peer.info.address].tried = True
-        acts.append(api.Send(job.request.id, peer.info.address, left))
+        acts.append(api.Send(job.request.id, peer.info.address, left, written_by_ms))
         return True
 
     def _load(self, job: Job, attempt: int) -> None:
--- a/orchidledge/decide/ranking.py
+++ b/orchidledge/decide/ranking.py
@@ -13,6 +13,7 @@
 JITTER = 0.1  # width of the draw that parts equal ranks
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
 SPREAD = 1.25  # of its share of T1: what a server may hold from here, as calls and servers differ
+REPEAT_MARGIN_MS = 10.0  # before a key may be forgotten: what the bytes of a repeat need to arrive
 COLD_SHARE = 0.4  # of the overload factor: what a cold server may get of its present capacity
 
 
@@ -48,8 +49,7 @@
 def _open_to(state: State, now: float, job: Job) -> list[Peer]:
     """The ready servers at which another attempt cannot have a second effect."""
     ran, effect = job.may_have_run(), job.kind.effect
-    expired = bool(ran) and now - ran[0].sent_ms >= job.kind.memory_ms
-    if ran and (effect is api.Effect.UNSAFE or (effect is api.Effect.KEYED and expired)):
+    if now >= repeat_before(job) or (ran and effect is api.Effect.UNSAFE):
         return []
     bound = _group(job.kind, ran[0].peer) if ran and effect is api.Effect.KEYED else None
     tried = [item.peer for item in job.tries]
@@ -60,6 +60,15 @@
     ]
 
 
+def repeat_before(job: Job) -> float:
+    """Until when another attempt may be written: at any time, unless the key of one that may have run is
+    forgotten some day."""
+    ran = job.may_have_run()
+    if not ran or job.kind.effect is not api.Effect.KEYED:
+        return math.inf
+    return ran[0].sent_ms + job.kind.memory_ms - REPEAT_MARGIN_MS
+
+
 def _group(kind: api.ServiceClass, peer: Peer) -> tuple[str, int]:
     """The servers among which a repeat of this keyed class is dropped."""
     zone = "" if kind.scope is api.Scope.ALL else peer.info.zone
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -342,6 +342,9 @@
     id: str
     server: str
     timeout_ms: float = 0.0  # 0: until the client gives up
+    # By when its last byte has to have left; else it must not run. A bound on the host and no choice of the
+    # module, so no part of what a record of actions says.
+    written_by_ms: float = field(default=math.inf, repr=False)
 
 
 @dataclass(slots=True)
--- a/orchidledge/net/attempts.py
+++ b/orchidledge/net/attempts.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from orchidledge import interface as api
+from orchidledge.net.clock import Clock
 from orchidledge.net.http import Response
 from orchidledge.net.jobs import Job, Jobs
 from orchidledge.net.requests import forwarded
@@ -21,6 +22,7 @@
     def __init__(
         self,
         settings: api.Settings,
+        clock: Clock,
         jobs: Jobs,
         pool: Pool,
         counts: Counter[str],
@@ -28,6 +30,7 @@
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._settings = settings
+        self._clock = clock
         self._jobs = jobs
         self._pool = pool
         self._counts = counts
@@ -60,6 +63,7 @@
             body,
             job.call.length is None,
             lambda: self._jobs.waits(job),
+            self._clock.loop_time(action.written_by_ms),
         )
         if attempt is None:
             on_result(api.Result.CONNECT_FAILED, None)
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -64,7 +64,7 @@
             self.figures.sent,
         )
         self.jobs = Jobs(config, self.clock, self.server, self.figures, self.counts, self.tell)
-        self.attempts = Attempts(config.settings, self.jobs, self.pool, self.counts, self.tell)
+        self.attempts = Attempts(config.settings, self.clock, self.jobs, self.pool, self.counts, self.tell)
         bans = Bans(config.maintenance)
         self.servers = ServerList(bans, self.clock, self.pool, self.server, self.counts, self.tell)
         self.watcher = _watcher(config, self.servers)
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -46,6 +47,7 @@
         body: Body | None = None,
         chunked: bool = False,
         wanted: Callable[[], bool] = lambda: True,
+        written_by: float = math.inf,
     ) -> None:
         self._pool = pool
         self._wanted = wanted  # whether anybody still waits for its answer
@@ -60,6 +62,9 @@
         self._connect: asyncio.Task[None] | None = None
         loop = asyncio.get_running_loop()
         self._end_at = loop.time() + timeout_s
+        self._written_by = written_by  # the loop's time by which its last byte has left, or never will
+        bounded = written_by < math.inf
+        self._unwritten = loop.call_at(written_by, self.withdraw) if bounded else None
         if body is None or body.ended:
             self._timer = loop.call_at(self._end_at, self._time_out)
         else:
@@ -131,9 +136,11 @@
     def _may_begin(self) -> bool:
         """Whether its first byte may go now. Asked in the turn of the loop that would write it: at once on a
         connection that is kept, and once more when a new one has come up. By then its caller may have gone,
-        its request have its answer, its time be over, or its server have left (Pool.remove ends it)."""
+        its request have its answer, its time be over, a repeat no longer be harmless, or its server have left
+        the list (Pool.remove ends it)."""
         coming = self._body is not None and not self._body.ended
-        in_time = coming or asyncio.get_running_loop().time() < self._end_at
+        now = asyncio.get_running_loop().time()
+        in_time = (coming or now < self._end_at) and now < self._written_by
         held = self._body is None or self._body.open_to_another  # from its first byte on
         return not self._over and in_time and held and self._wanted()
 
@@ -194,6 +201,8 @@
             return
         self._over = True
         self._timer.cancel()
+        if self._unwritten is not None:
+            self._unwritten.cancel()
         if self._server is not None:
             self._server.waiting.discard(self)
         if self._connect is not None:
@@ -256,12 +265,13 @@
         body: Body | None = None,
         chunked: bool = False,
         wanted: Callable[[], bool] = lambda: True,
+        written_by: float = math.inf,
     ) -> Attempt | None:
         """Start an attempt; None if no such server is named."""
         server = self._servers.get(name)
         if server is None:
             return None
-        attempt = Attempt(self, request, timeout_s, on_result, body, chunked, wanted)
+        attempt = Attempt(self, request, timeout_s, on_result, body, chunked, wanted, written_by)
         attempt.begin(server)
         return attempt
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import copy
+import math
 
 import pytest
 from helpers import Bed, kinds, sent, servers
 
 from orchidledge import interface as api
+from orchidledge.decide import ranking
 from orchidledge.decide.ranking import paced
 from orchidledge.decide.table import SHAPE
 
@@ -78,6 +80,18 @@
     assert kinds(bed.end(name, sent(acts)[0].server, api.Result.ERROR)) == [api.Fail]
 
 
+def test_a_keyed_repeat_says_by_when_it_has_to_be_written_and_leaves_its_bytes_time_to_arrive():
+    bed = Bed(count=6)
+    name, acts = bed.ask("points")
+    assert sent(acts)[0].written_by_ms == math.inf
+    began, server = bed.now, sent(acts)[0].server
+    bed.now += 500
+    (again,) = sent(bed.end(name, server, api.Result.RESET))
+    assert again.written_by_ms == began + 900 - ranking.REPEAT_MARGIN_MS
+    bed.now = again.written_by_ms
+    assert kinds(bed.end(name, again.server, api.Result.CONNECT_FAILED, attempt=1)) == [api.Fail]
+
+
 def test_attempts_are_bounded():
     bed = Bed(count=8, max_attempts=2)
     name, acts = bed.ask("post")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -93,6 +93,7 @@
             assert call.kind.effect is api.Effect.KEYED, "an unsafe request sent twice"
             first, then = ran[0]
             assert self.now - then <= call.kind.memory_ms, "sent after the key may be forgotten"
+            assert self.now < act.written_by_ms < then + call.kind.memory_ms, "no bound on when it is written"
             if call.kind.scope is not api.Scope.ALL:
                 assert server.zone == first.zone
             if call.kind.scope is api.Scope.CELL:
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -11,9 +11,12 @@
 from loopback import Caller, Held, Peer, Scripted, ask, reply, request, running, until
 
 from orchidledge import interface as api
-from orchidledge.net.body import HIGH_WATER
+from orchidledge.net.body import HIGH_WATER, Body
+from orchidledge.net.http import ClientConnection
 from orchidledge.net.node import Node
+from orchidledge.net.upstream import Attempt, Pool
 
+DATA = b"GET /read/1 HTTP/1.1\r\nReq-Id: q\r\n\r\n"
 LEAVINGS = ("closes", "resets", "half-closes")
 CANCELS = pytest.mark.parametrize("cancel", [True, False])
 
@@ -64,6 +67,18 @@
     assert sum(peer.load for peer in node.driver.balancer.peers.values()) == 0.0
 
 
+class Jump:
+    """The loop's clock, which a test sets forward; to be made before the node."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._time, self.by = loop.time, 0.0
+        loop.time = lambda: self._time() + self.by  # type: ignore[method-assign]
+
+    def forward(self, by: float) -> None:
+        self.by = by
+
+
 def can(cancel: bool) -> dict[str, bool]:
     return {"cancel": cancel}
 
@@ -220,3 +235,120 @@
             assert node.counts["ok"] == 1
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("passes_s", "comes_up", "status", "written"),
+    [(8.5, True, 200, 2), (9.0, True, 502, 1), (9.0, False, 502, 1)],
+)
+def test_a_repeat_is_not_written_once_its_key_may_be_forgotten(passes_s, comes_up, status, written):
+    async def main():
+        clock, release = Jump(), asyncio.Event()
+
+        async def script(message):
+            await release.wait()
+            return None if node.figures.dispatches < 2 else reply()  # the first is lost, and may have run
+
+        async with running(Peer(script), Peer(script)) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request("move", "q1", Idempotency_Key="k"))
+            await until(lambda: node.figures.dispatches)
+            late = LateConnections(node, lambda: clock.forward(passes_s))
+            release.set()
+            await until(lambda: late.ready)
+            if comes_up:
+                late.up.set()
+            else:
+                clock.forward(passes_s)
+            assert (await caller.answer()).status == status
+            assert node.figures.dispatches == written
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_repeat_whose_last_byte_is_late_is_given_up_before_it():
+    class Source:
+        def pause(self) -> None: ...
+        def resume(self) -> None: ...
+        def abandoned(self) -> None: ...
+
+    async def main():
+        clock, loop, body = Jump(), asyncio.get_running_loop(), Body(Source())
+        server, pool = await Peer().start(), Pool(10, 10.0, 20.0)
+        pool.add("s", ("127.0.0.1", server.port))
+        results: asyncio.Queue[api.Result] = asyncio.Queue()
+        body.put(b"half of it")
+        head = b"POST /move/1 HTTP/1.1\r\nReq-Id: q\r\nContent-Length: 20\r\n\r\n"
+        pool.send(
+            "s", lambda wait: head, 20.0, lambda result, _: results.put_nowait(result), body,
+            written_by=loop.time() + 9.0,
+        )  # fmt: skip
+        await until(lambda: server.connections)
+        clock.forward(9.0)
+        await until(lambda: not results.empty())
+        assert results.get_nowait() is api.Result.CONNECT_FAILED
+        body.put(b"other half")
+        body.end()
+        await until(lambda: not pool.size)
+        assert (server.seen, results.empty()) == ([], True)
+        pool.close()
+        server.stop()
+
+    asyncio.run(main())
+
+
+MEANWHILE: dict[str, Callable[[Pool, Attempt, Jump], None]] = {
+    "its server is drained": lambda pool, attempt, clock: pool.remove("s"),
+    "its server moves": lambda pool, attempt, clock: pool.add("s", ("127.0.0.1", 1)),
+    "its server was restarted": lambda pool, attempt, clock: pool.add("s", pool._servers["s"].endpoint, 5.0),
+    "it is cancelled": lambda pool, attempt, clock: attempt.cancel(),
+    "it is withdrawn": lambda pool, attempt, clock: attempt.withdraw(),
+    "its time is up": lambda pool, attempt, clock: clock.forward(5.0),
+}
+
+
+@pytest.mark.parametrize("when", ["as the connection is made", "once it is up", "as the attempt hears of it"])
+@pytest.mark.parametrize("what", MEANWHILE)
+def test_what_happens_in_the_turn_in_which_a_connection_comes_up_keeps_it_unwritten(what, when, monkeypatch):
+    async def main():
+        clock, loop = Jump(), asyncio.get_running_loop()
+        server, pool = await Peer().start(), Pool(10, 10.0, 20.0)
+        pool.add("s", ("127.0.0.1", server.port))
+        results: asyncio.Queue[api.Result] = asyncio.Queue()
+        attempt = pool.send("s", lambda wait: DATA, 5.0, lambda result, _: results.put_nowait(result))
+        assert attempt is not None
+        made, opened = ClientConnection.connection_made, pool.open
+        crossed = []
+
+        def cross() -> None:
+            crossed.append(what)
+            MEANWHILE[what](pool, attempt, clock)
+
+        def connection_made(self, transport):
+            made(self, transport)
+            if when == "as the connection is made":
+                cross()
+            elif when == "once it is up":
+                loop.call_soon(cross)  # after the waiter is told, before the task that waits goes on
+
+        async def open_(endpoint):
+            connection = await opened(endpoint)
+            if when == "as the attempt hears of it":
+                cross()
+            return connection
+
+        monkeypatch.setattr(ClientConnection, "connection_made", connection_made)
+        monkeypatch.setattr(pool, "open", open_)
+        expected = {"it is cancelled": {"cancelled"}, "its time is up": {"moot", "connect_failed"}}
+        await until(lambda: not results.empty())
+        assert results.get_nowait().value in expected.get(what, {"connect_failed"})
+        pool.retire()
+        await until(lambda: not pool.size)
+        await until(lambda: not any(writer.transport.is_reading() for writer in server._writers))
+        assert (server.connections, crossed, server.seen) == (1, [what], [])
+        assert results.empty()
+        pool.close()
+        server.stop()
+
+    asyncio.run(main())
