Tell the outcome of every connection that fails, and write none to one that has ended again

Cause: net/upstream.py, `_open`, caught OSError and time-outs alone. Any other exception (an address that is none, a fault in the loop) ended the task with no outcome told: the request stayed out until its time was over, shown by a double that raises. And a new connection was written to without a look at it: one that its server had ended or spoken on by then lost the request as a reset, which may have run, although not a byte had gone; an unsafe request then fails where it could have gone elsewhere.

Change: every exception is a connection that could not be had, logged unless it is an OSError; a connection that is not usable before its first byte could not be had either.

Also covered, and found to hold: no descriptor left (the request is refused as never run, the next one is served), and a reset on a connection just made.

Seen to fail without the change: the three faults that are no OSError, the end and the unasked bytes.

--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -11,6 +12,8 @@
 from orchidledge.net.body import Body
 from orchidledge.net.http import ClientConnection, Response
 
+log = logging.getLogger("orchidledge")
+
 Address = tuple[str, int]
 
 SILENT_S = 10.0  # a long answer of which nothing has come for so long will not be finished
@@ -148,13 +151,19 @@
         try:
             async with asyncio.timeout(self._pool.connect_timeout_s):
                 connection = await self._pool.open(server.endpoint)
-        except (OSError, TimeoutError):
+        except Exception as error:
+            # Guard: of any other fault than a refusal or a time-out nobody was told, as of no valid address.
+            if not isinstance(error, OSError):  # as a time-out is one
+                log.exception("no connection to %s", server.endpoint)
             self._connect = None
             self.withdraw()
             return
         self._connect = None
         server.waiting.discard(self)
-        if self._may_begin():
+        if not connection.usable:  # it has ended again, or sends unasked: nothing has been written to it
+            connection.abort()
+            self.withdraw()
+        elif self._may_begin():
             self._write(connection)
         else:
             self._pool.give_back(server, connection)
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
+import resource
 import socket
 import struct
 from collections.abc import Callable
@@ -352,3 +355,75 @@
         server.stop()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "fault", [RuntimeError("x"), OverflowError("port"), UnicodeError("host"), TimeoutError()]
+)
+def test_whatever_a_connection_fails_with_its_attempt_has_not_run_and_says_so(fault):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            opened = node.pool.open
+
+            async def failing(endpoint):
+                node.pool.open = opened
+                raise fault
+
+            node.pool.open = failing
+            async with asyncio.timeout(15):  # its own time is 30 s
+                assert (await ask(node, request("post", "q1"))).status == 503
+            assert node.counts["connect_failed"] == 1
+            assert (await ask(node, request("post", "q2"))).status == 200
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ["ends", "resets", "speaks"])
+def test_a_new_connection_that_its_server_ends_at_once_is_not_written_to(how):
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            pool, accepted = Pool(10, 10.0, 20.0), []
+            pool.add("s", listener.getsockname())
+            opened, results = pool.open, asyncio.Queue[api.Result]()
+
+            async def ended(endpoint):
+                connection = await opened(endpoint)
+                accepted.append(listener.accept()[0])
+                if how == "resets":
+                    accepted[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                accepted[0].sendall(b"HTTP/1.1 400 x\r\n") if how == "speaks" else accepted[0].close()
+                return connection
+
+            pool.open = ended  # type: ignore[method-assign]
+            pool.send("s", lambda wait: DATA, 5.0, lambda result, _: results.put_nowait(result))
+            await until(lambda: not results.empty())
+            assert results.get_nowait() is api.Result.CONNECT_FAILED
+            await until(lambda: not pool.size)
+            pool.close()
+            accepted[0].close()
+
+    asyncio.run(main())
+
+
+def test_with_no_descriptor_left_a_request_is_refused_as_never_run_and_later_ones_are_served():
+    async def main():
+        async with running(Peer(), Peer()) as node:
+            caller = await Caller.to(node)
+            before = resource.getrlimit(resource.RLIMIT_NOFILE)
+            taken: list[int] = []
+            resource.setrlimit(resource.RLIMIT_NOFILE, (256, before[1]))
+            try:
+                with contextlib.suppress(OSError):
+                    while True:
+                        taken.append(os.dup(0))
+                assert (await caller.ask(request("post", "q1"))).status == 503
+                assert (node.figures.dispatches, node.counts["connect_failed"]) == (0, 2)
+            finally:
+                for descriptor in taken:
+                    os.close(descriptor)
+                resource.setrlimit(resource.RLIMIT_NOFILE, before)
+            assert (await caller.ask(request("post", "q2"))).status == 200
+            caller.writer.close()
+
+    asyncio.run(main())
