Never repeat an effect for an id that comes again after its caller left

Cause: net/jobs.py knew of a request only while an attempt of it was out. Where cancelling is allowed that ends in the turn in which the caller's leaving is seen, so the same id on a new connection was sent on as if it were new, unsafe and keyed ones too, though the first attempt had been written and may have run: two effects (shown: two dispatches). Where it is not allowed, the id got 400 for as long as the attempt was out, whether it was harmless or not; and an earlier request whose caller's end had not been delivered counted as still open.

Change: one rule for an id that comes again (`Jobs._check_new`). 400 only if its earlier caller still waits, for which the kernel is asked. If nothing of it was ever written it is served as new. If an attempt is out, or it may have run, it is a failure (502), or for a safe class, whose repeats are harmless, a refusal (503; not served, as that would be a second copy beside the one that is out). What may have run for a caller that left is remembered until that caller's time would have been up: an id each.

Ruled out: letting the newcomer adopt the attempt that is out. The module would need a request that ends and begins again, with loads, windows and a body of its own, for a case in which the protocol's clients send a new id.

--- a/orchidledge/net/attempts.py
+++ b/orchidledge/net/attempts.py
@@ -89,6 +89,7 @@
         report = self._report(response)
         if job is not None:
             job.last = result
+            job.may_have_run = job.may_have_run or not result.never_ran
             if result is api.Result.OK and response is not None:
                 if response.rest is None:
                     self._jobs.answer(job, 200, bytes(response.body))
--- a/orchidledge/net/jobs.py
+++ b/orchidledge/net/jobs.py
@@ -37,6 +37,8 @@
     attempts: list[Attempt | None] = field(default_factory=list)
     out: int = 0
     last: api.Result | None = None
+    may_have_run: bool = False  # by the outcomes so far
+    left: bool = False  # its caller went before it had an answer
 
 
 class Jobs:
@@ -61,6 +63,8 @@
         self._max_open = config.max_open
         self.max_coming = max(1, int(config.memory_mb * BODIES_SHARE * 1024 * 1024 / BODY_COST))
         self.held: dict[str, Job] = {}
+        # Requests that may have run when their callers left, for as long as these might still come again.
+        self._left: set[str] = set()
         self.open = 0  # requests without a final answer
         self.coming = 0  # those of them whose last byte has yet to come
         self.passing_on = 0  # long answers under way
@@ -86,8 +90,7 @@
         self._counts["taken"] += 1
         try:
             request, give_up_s = parse(call, self._classes, self._clock.ms(call.arrived))
-            if request.id in self.held:
-                raise BadRequestError(400)
+            self._check_new(request)
         except BadRequestError as error:
             self._counts[f"bad {error.status}"] += 1
             call.answer(error.status)
@@ -110,6 +113,17 @@
             self._set_backstop(job)
         self._tell(request)
 
+    def _check_new(self, request: api.Request) -> None:
+        """Raises BadRequestError for an id that came before and may have run, or may yet."""
+        earlier = self.held.get(request.id)
+        if earlier is not None and self.waits(earlier):
+            raise BadRequestError(400)
+        if request.id in self.held or request.id in self._left:
+            # Guard: it must not be sent again as if new, nor be refused as harmless to try again unless
+            # its class is; while an attempt is out, even that would be a second copy.
+            safe = self._classes[request.service].effect is api.Effect.SAFE
+            raise BadRequestError(503 if safe else 502)
+
     def _on_whole(self, job: Job) -> None:
         """The last byte has come of a request that was handed on before."""
         if job.done:
@@ -126,6 +140,7 @@
     def _on_gone(self, job: Job) -> None:
         if not job.done:
             self._counts["gone"] += 1
+            job.left = True
             self._end(job)
             self._tell(api.Lapsed(job.id))
 
@@ -197,5 +212,8 @@
 
     def forget(self, job: Job) -> None:
         """Let go of it, if it is over and no attempt is out."""
-        if job.done and not job.out:
-            self.held.pop(job.id, None)
+        if job.done and not job.out and self.held.pop(job.id, None) is not None:
+            safe = self._classes[job.service].effect is api.Effect.SAFE
+            if job.left and job.may_have_run and not safe:
+                self._left.add(job.id)
+                self._loop.call_at(job.give_up_at, self._left.discard, job.id)
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -427,3 +427,48 @@
             caller.writer.close()
 
     asyncio.run(main())
+
+
+@CANCELS
+@pytest.mark.parametrize(
+    ("kind", "seen", "statuses"),
+    [("read", True, (503, 200)), ("read", False, (503, 200)), ("post", True, (502, 502)),
+     ("post", False, (502, 502)), ("move", True, (502, 502)), ("move", False, (502, 502))],
+)  # fmt: skip
+def test_an_id_that_comes_again_after_its_caller_left_has_no_second_effect(kind, seen, statuses, cancel):
+    """`statuses`: without cancelling, as its attempt is still out, and with it."""
+
+    async def main():
+        server = Held()
+        async with running(server, bounds=can(cancel)) as node:
+            data = request(kind, "q1", Idempotency_Key="k")
+            client = Leaver(node, data)
+            await until(lambda: server.seen)
+            again = await Caller.to(node)
+            client.leave()
+            if seen:
+                await until(lambda: node.counts["gone"])
+            again.writer.write(data)
+            server.script = None
+            assert (await again.answer()).status == statuses[cancel]
+            server.release.set()
+            await until(lambda: not node.jobs.held)
+            assert node.figures.dispatches == 1 + (statuses[cancel] == 200)
+            again.writer.close()
+
+    asyncio.run(main())
+
+
+def test_an_id_that_comes_again_is_served_if_nothing_of_it_was_written_before():
+    async def main():
+        async with running(Peer(), bounds=can(False)) as node:
+            client = Leaver(node, request("post", "q1"))
+            late = LateConnections(node)
+            await until(lambda: late.ready)
+            client.leave()
+            late.up.set()
+            await until(lambda: node.counts["gone"])
+            assert (await ask(node, request("post", "q1"))).status == 200
+            assert node.figures.dispatches == 1
+
+    asyncio.run(main())
