--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
