--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -472,3 +472,47 @@
             assert node.figures.dispatches == 1
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("kind", "status", "written"), [("read", 503, 1), ("post", 504, 1), ("move", 504, 1)]
+)
+def test_a_server_that_hangs_in_its_work_past_the_aim_is_given_up_and_its_request_not_sent_again(
+    kind, status, written
+):
+    async def main():
+        clock = Jump()
+
+        async def script(message):
+            if node.figures.dispatches < 2:
+                await asyncio.Event().wait()
+            return reply()
+
+        async with running(Peer(script), Peer(script), bounds=can(False)) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request(kind, "q1", Idempotency_Key="k"))
+            await until(lambda: node.figures.dispatches)
+            clock.forward(19.7)  # past the aim, after which it earns nothing, and the window for repeats
+            assert (await caller.answer()).status == status
+            assert node.figures.dispatches == written
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("then", ["cancel", "withdraw"])
+def test_an_attempt_for_which_there_is_no_room_has_one_result_whatever_comes_before_it_is_told(then):
+    async def main():
+        pool, results = Pool(0, 10.0, 20.0), []
+        pool.add("s", ("127.0.0.1", 1))
+        attempt = pool.send("s", lambda wait: DATA, 5.0, lambda result, _: results.append(result))
+        assert attempt is not None
+        assert results == []
+        getattr(attempt, then)()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        expected = api.Result.CANCELLED if then == "cancel" else api.Result.CONNECT_FAILED
+        assert results == [expected]
+        pool.close()
+
+    asyncio.run(main())
