Keep callers that fill the descriptors from the shares of servers and discovery

What was seen, on the real program with RLIMIT_NOFILE as configured (64 and 256), discovery down, and as many callers at once and 40 more: - half a request each: "Too many open files"; asyncio's listener rests for 1 s after that, and servers and discovery can't be dialled meanwhile. A whole request that comes next is refused, as the halves count; - one answered request each, all in one moment, then rest: requests are refused for as long as those connections linger after their last answer, as these counted too.

Cause: Server.opened ended one idle connection for each that came, and those with half a request or with their last answer behind them were never ended, so that their number had no limit but the descriptors.

Change: `limit` holds for connections that take requests; over it the longest at rest are ended, idle ones first, then half requests, with a 503. `most` (what a burst could fill before, by the same arithmetic) holds for all sockets of callers, those being accepted or ended too: at it, connections whose answer has left go first, and the next is accepted 2 ms later. A refused descriptor is met in the same way.

Ruled out: idle callers alone kept nobody out before, with 64 and with 256 descriptors.

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -141,6 +141,29 @@
         if self._partial is not None:
             self._partial.body.fail()
 
+    # ------------------------------------------------- for want of descriptors or time
+
+    @property
+    def ending(self) -> bool:
+        """Whether it takes no more requests: its last answer has been given, or it is closed."""
+        return self._closing or self._transport.is_closing()
+
+    def turn_away(self) -> bool:
+        """Refuse a request that has come in part, and end the connection; whether there was one."""
+        if self.ending or self._partial is None or self._calls:
+            return False
+        self._fail(503)
+        return True
+
+    def cut_short(self) -> bool:
+        """Close it now if its last answer has left and only its end is awaited; whether that was so."""
+        if not self._closing or self._transport.is_closing() or self._transport.get_write_buffer_size():
+            return False
+        if readable(self._transport):
+            return False  # a close over these bytes would reset the answer away
+        self._transport.abort()
+        return True
+
     # ------------------------------------------------------ as the source of a body
 
     def pause(self) -> None:
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import os
 from collections import Counter
 from collections.abc import Callable
@@ -178,11 +177,12 @@
         self.server.on_call = _refuse
         self.server.resume()
         self.server.drain(open_s=0.0)  # at once, where it was to wait for longer
-        self.server.expire(math.inf)
+        self.server.turn_away()
         self.jobs.fail_all()
         until = self.loop.time() + FAREWELL_S
         while not self.server.deserted and self.loop.time() < until:
             await asyncio.sleep(STOP_STEP_S)
+            self.server.stop_accepting()
 
     def _all_served(self, least: float) -> bool:
         """Whether no caller is left, nor any to come, as none is from this time of the loop on."""
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -3,17 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
+from itertools import islice
 
 from orchidledge.net.call import Call
 from orchidledge.net.connection import ServerConnection
 
+log = logging.getLogger("orchidledge")
+
 BACKLOG = 1024
+ACCEPT_PAUSE_S = 0.002  # while there is no room: a connection that is closed goes a turn of the loop later
 DRAIN_OPEN_S = 0.5  # connections still come for up to 0.4 s after a drain began
 DRAIN_STEP_S = 0.01
 SWEEP_S = 0.1  # looked at so often, as a peer that sends no request is owed an error or a close within 3 s
 
+# What goes first where callers are too many, and where their descriptors are. Accepting never stops.
+_Ending = Callable[[ServerConnection], bool]
+_END_FOR_REQUESTS: tuple[_Ending, ...] = (ServerConnection.close_if_idle, ServerConnection.turn_away)
+_END_FOR_DESCRIPTORS: tuple[_Ending, ...] = (ServerConnection.cut_short, *_END_FOR_REQUESTS)
+
 
 def inherited(text: str) -> socket.socket:
     """The listening socket of this descriptor; OSError if it is nothing of the kind."""
@@ -36,7 +47,9 @@
 
     def __init__(self, limit: int, on_call: Callable[[Call], None]) -> None:
         self.loop = asyncio.get_running_loop()
-        self.limit = limit
+        self.limit = limit  # of connections that take requests
+        self._burst = max(1, limit // 7)  # of those accepted in one turn of the loop
+        self.most = limit + 3 * limit // 7  # of all, those that are being ended too
         self.on_call = on_call
         self.ready = False
         self.shares_socket = False  # another process may accept from the listening socket too
@@ -45,6 +58,7 @@
         self.connections: dict[ServerConnection, None] = {}  # in the order of their opening
         self._listener: socket.socket | None = None
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
+        self._accept_timer: asyncio.TimerHandle | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._drain_timer: asyncio.TimerHandle | None = None
 
@@ -55,7 +69,12 @@
 
     @property
     def crowded(self) -> bool:
-        return len(self.connections) > self.limit
+        return self._excess() > 0
+
+    def _excess(self) -> int:
+        """How many of the connections that take requests are over the limit."""
+        many = len(self.connections) - self.limit
+        return many if many <= 0 else sum(not one.ending for one in self.connections) - self.limit
 
     @property
     def deserted(self) -> bool:
@@ -78,12 +97,29 @@
         self.loop.add_reader(raw, self._accept)
         self._sweep()
 
+    @property
+    def full(self) -> bool:
+        """Guard: callers may never take the descriptors that servers and discovery need."""
+        return len(self.connections) + len(self._coming) >= self.most
+
     def _accept(self) -> None:
         """Take in some of what the kernel has accepted; the rest has its turn in the loop's next ones."""
-        # Guard: closed connections go a turn or two later: a burst of a few keeps within the descriptors.
-        for _ in range(max(1, self.limit // 7)):
-            if not self._accept_one():
-                break
+        for _ in range(self._burst):
+            if self.full:
+                self._accept_later()
+            elif self._accept_one():
+                continue
+            break
+
+    def _accept_later(self) -> None:
+        """End connections to make room, and go on with accepting once they have gone."""
+        if self._listener is not None and self.loop.remove_reader(self._listener):
+            self._end(_END_FOR_DESCRIPTORS, self._burst)
+            self._accept_timer = self.loop.call_later(ACCEPT_PAUSE_S, self._accept_again)
+
+    def _accept_again(self) -> None:
+        if self._listener is not None:
+            self.loop.add_reader(self._listener, self._accept)
 
     def _accept_one(self) -> bool:
         """Whether there was one to take in."""
@@ -92,6 +128,10 @@
             raw, _ = self._listener.accept()
         except (BlockingIOError, InterruptedError, ConnectionAbortedError):
             return False
+        except OSError as error:  # Guard: the platform's limit is lower than the configuration says
+            log.error("a connection can't be accepted yet: %s", error)
+            self._accept_later()
+            return False
         # Guard: a transport that asyncio.Server makes for a connection fails once that server is closed,
         # and lost the requests of those accepted in the turn before.
         task = asyncio.create_task(self.loop.connect_accepted_socket(lambda: ServerConnection(self), raw))
@@ -101,11 +141,15 @@
 
     def opened(self, connection: ServerConnection) -> None:
         self.connections[connection] = None
-        if self.crowded:  # Guard: idle connections go first; accepting never stops
-            idle = [other for other in self.connections if other.idle and other is not connection]
-            for other in sorted(idle, key=lambda one: one.since):
-                if other.close_if_idle():
-                    break
+        self._end(_END_FOR_REQUESTS, self._excess(), connection)
+
+    def _end(self, ways: Iterable[_Ending], count: int, but: ServerConnection | None = None) -> None:
+        """End so many connections, the first of these ways first, and those longest at rest. None of them has
+        a whole request, as far as has been read."""
+        if count > 0:
+            others = sorted((one for one in self.connections if one is not but), key=lambda one: one.since)
+            ended = (one for end in ways for one in others if end(one))
+            deque(islice(ended, count), maxlen=0)
 
     def closed(self, connection: ServerConnection) -> None:
         self.connections.pop(connection, None)
@@ -117,6 +161,11 @@
             self.draining = True
             self._drain_timer = self.loop.call_later(open_s, self._close_idle, young_s)
 
+    def turn_away(self) -> None:
+        """Refuse what has come in part."""
+        for connection in list(self.connections):
+            connection.turn_away()
+
     def resume(self) -> None:
         """End the drain."""
         self.draining = False
@@ -133,13 +182,19 @@
 
     def stop_accepting(self) -> None:
         """Stop listening. What the kernel has accepted is taken in first, unless another process accepts from
-        the same socket: the kernel resets what a closed listener leaves behind."""
+        the same socket: the kernel resets what a closed listener leaves behind. It goes on listening while
+        there is no room for all of it."""
         if self._listener is not None:
-            while not self.shares_socket and self._accept_one():
-                pass
+            while not self.shares_socket:
+                if self.full:
+                    return
+                if not self._accept_one():
+                    break
             self._stop_listening()
 
     def _stop_listening(self) -> None:
+        if self._accept_timer is not None:
+            self._accept_timer.cancel()
         if self._listener is not None:
             self.loop.remove_reader(self._listener)
             self._listener.close()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -74,8 +74,8 @@
         self.connections = 0
         self._writers: list[asyncio.StreamWriter] = []
 
-    async def start(self) -> Peer:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> Peer:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port: int = self._server.sockets[0].getsockname()[1]
         return self
 
