--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -73,7 +73,8 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """The calling end of a connection. `on_closed` is told when it is gone."""
+    """The calling end of a connection. `on_closed` is told when it is gone, or will be before
+    whatever the loop is given from then on; perhaps more than once."""
 
     def __init__(
         self, on_closed: Callable[[ClientConnection], None], max_body: int = MAX_BODY, streams: bool = False
@@ -88,6 +89,7 @@
         self._size = 0
         self._in_head = False
         self._head_size = 0  # of head and trailers
+        self._kept_back = 0  # bytes since the last of a body: a line that has not ended is in the parser
         self._whole = False
         self._to_the_end = False  # the answer's end is the connection's
         self._spoilt = False
@@ -124,11 +126,12 @@
         assert self._exchange is None
         self._exchange = exchange
         self._response, self._size, self._whole, self._to_the_end = Response(), 0, False, False
-        self._transport.write(data)
         self._written = False
-        if body is not None:
-            self._upload = _Upload(self, body, chunked)
-            body.attach(self._upload)
+        # Guard: known before the first write, as that may already be more than the kernel takes.
+        upload = self._upload = _Upload(self, body, chunked) if body is not None else None
+        self._transport.write(data)
+        if upload is not None:
+            upload.body.attach(upload)
         else:
             self.written_whole()
 
@@ -161,6 +164,7 @@
         upload, self._upload = self._upload, None
         if self._transport is not None:
             self._transport.abort()
+        self._on_closed(self)
         if upload is not None:
             upload.body.leave(upload)
 
@@ -190,15 +194,19 @@
             self.abort()
             return
         self.heard_at = asyncio.get_running_loop().time()
+        self._kept_back += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._spoilt = self.unreadable = True
+        if self._kept_back > MAX_HEAD + MAX_BODY:  # Guard: the parser tells of a header once it is whole
+            self._spoilt = self.unreadable = True
         self._go_on()
 
     def _go_on(self) -> None:
         """Pass on what has come, and end the exchange if that was the end of it."""
-        self._pass_on()
+        if self._response.rest is not None or not self._spoilt:  # nothing is begun that is known to break
+            self._pass_on()
         if self._exchange is None:
             return
         if self._whole:
@@ -247,14 +255,13 @@
 
     def eof_received(self) -> bool:
         self._spoilt = True
-        if self._to_the_end and self._exchange is not None:
-            self._whole = True
+        if self._exchange is not None:
+            # Guard: left to asyncio, what it still holds of the request would be written out first.
+            self._whole = self._to_the_end
             self._go_on()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._spoilt = True
-        self._on_closed(self)
         self._lose(self._written)
 
     def _lose(self, written: bool) -> None:
@@ -268,7 +275,7 @@
     def on_message_begin(self) -> None:
         if self._whole:
             self._spoilt = True  # more than was asked for
-        self._in_head, self._head_size = not self._whole, 0
+        self._in_head, self._head_size, self._kept_back = not self._whole, 0, 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._head_size += len(name) + len(value)
@@ -290,10 +297,16 @@
             framed = self._response.headers.keys() & {b"content-length", b"transfer-encoding"}
             # Guard: an answer of no length ends with its connection, but only a server that has said it will
             # close means that by an end; any other end is a break.
-            closes = b"close" in self._response.headers.get(b"connection", b"").lower()
+            said = self._response.headers.get(b"connection", b"").lower()
+            old = self._parser.get_http_version() == "1.0"  # which closes unless it says otherwise
+            closes = b"close" in said or (old and b"keep-alive" not in said)
             self._to_the_end = not framed and closes and self._response.status >= 200
+            if self._response.status == 200 and not self._written:
+                # Guard: a server begins once the last byte has come; this is another request's answer, late.
+                self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
+        self._kept_back = 0
         if self._streams and self._response.status != 200:
             self._skip(len(body))
             return
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -225,7 +225,8 @@
 
     @property
     def size(self) -> int:
-        return len(self._open) + len(self._opening)
+        # Guard: what is being given up goes before what is begun now; counted, it left no room for a repeat.
+        return len(self._open) + sum(not task.cancelling() for task in self._opening)
 
     def add(self, name: str, endpoint: Address, launched_ms: float | None = None) -> None:
         """Name a server, its new endpoint or its latest start."""
@@ -308,15 +309,12 @@
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; closes the one idle for longest if need be."""
-        if self.size < self.limit:
-            return True
-        idle = [(server.idle[0].idle_since, server) for server in self._servers.values() if server.idle]
-        if not idle:
-            return False
-        _, server = min(idle, key=lambda pair: pair[0])
-        connection = server.idle.pop(0)
-        self._open.discard(connection)
-        connection.abort()
+        while self.size >= self.limit:
+            idle = [(server.idle[0].idle_since, server) for server in self._servers.values() if server.idle]
+            if not idle:
+                return False
+            _, server = min(idle, key=lambda pair: pair[0])
+            server.idle.pop(0).abort()  # one that had ended by itself makes no room
         return True
 
     def count_opening(self, task: asyncio.Task[None]) -> None:
@@ -325,10 +323,19 @@
         task.add_done_callback(self._opening.discard)
 
     async def open(self, endpoint: Address) -> ClientConnection:
-        loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            lambda: ClientConnection(self._open.discard, streams=True), *endpoint
-        )
+        task = asyncio.current_task()
+        assert task is not None
+        try:
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: ClientConnection(self._open.discard, streams=True), *endpoint
+            )
+        finally:
+            # Guard: counted once from here on; the task is over only in the loop's next turn.
+            self._opening.discard(task)
+        if not connection.usable:
+            # Guard: a request written after a server's end would be a reset, though it can't have run.
+            connection.abort()
+            raise ConnectionResetError
         self._open.add(connection)
         return connection
 
--- /dev/null
+++ b/tests/test_connection_states.py
@@ -0,0 +1,294 @@
+"""A caller that leaves, half-closes or reads slowly: what the states of its connection owe it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from callers import ANSWER, LEAVING, Ends, Leave, connect, half_close, read_to_the_end, slow_reader
+from loopback import Held, Peer, request, running, until
+
+from orchidledge.net.body import HIGH_WATER, Body
+from orchidledge.net.flow import LINGER_MOST_S, LINGER_S, UNREAD_S
+
+# ----------------------------------------------------------------------- leaving
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+@pytest.mark.parametrize("waits", ["nothing", "a second request", "a long body"])
+def test_a_leaving_can_be_asked_for_before_the_loop_has_seen_it(leave: Leave, waits: str):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            if waits == "a long body":  # of which the server reads none
+                caller.sendall(request("post", "q1", bytes(4 * HIGH_WATER))[: -2 * HIGH_WATER])
+            else:
+                caller.sendall(request(name="q1"))
+            await until(lambda: node.jobs.held)
+            (job,) = node.jobs.held.values()
+            if waits == "a second request":
+                caller.sendall(request(name="q2") + b"GET /half")
+                await until(lambda: not job.call.connection._transport.is_reading())
+                caller.sendall(b"unread")
+            assert not job.call.connection.left
+            leave(caller)
+            assert job.call.connection.left
+            caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_a_leaving_is_seen_while_nothing_is_read(leave: Leave):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(request(name="q1") + request(name="q2"))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            assert not job.call.connection._transport.is_reading()
+            caller.sendall(request(name="q3"))
+            leave(caller)
+            job.call.connection.sweep(node.loop.time())
+            await until(lambda: not node.server.connections)
+            assert (node.counts["gone"], node.jobs.open, node.counts["taken"]) == (1, 0, 1)
+            caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_callers_that_leave_as_the_last_answers_go_out_keep_no_other_from_its_answer(leave: Leave):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            callers = [connect(node) for _ in range(5)]
+            for at, caller in enumerate(callers):
+                caller.sendall(request(name=f"q{at}"))
+            await until(lambda: len(server.seen) == len(callers))
+            node.server.drain()
+            for caller in callers[:-1]:
+                leave(caller)  # and the loop has no turn before the answers
+            node.jobs.fail_all()
+            assert callers[-1].recv(12) == b"HTTP/1.1 504"
+            assert node.jobs.open == 0
+            await until(lambda: len(node.server.connections) == 1)  # the last one's, until that has read
+            for caller in callers:
+                caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_a_caller_that_leaves_as_its_last_answer_goes_out_leaves_nothing_behind(leave: Leave):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(request(name="q1"))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            node.server.drain()
+            on_result, left = job.attempts[0]._on_result, []
+
+            def result(
+                *args: object,
+            ) -> None:  # the answer has been read: the caller leaves just before it is used
+                left.append(leave(caller))
+                on_result(*args)
+
+            job.attempts[0]._on_result = result
+            server.release.set()
+            await until(lambda: left)
+            assert not node.jobs.held
+            assert node.driver.balancer.peers["s0"].load == 0.0
+            assert node.pool.size == 1
+            caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("first", ["answered by the server", "passed on"])
+@pytest.mark.parametrize("leave", LEAVING)
+def test_what_waits_its_turn_is_not_begun_for_a_caller_that_has_left(leave: Leave, first: str):
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(b"".join(request(name=f"q{at}") for at in range(50)))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            body = Body(Ends())
+            if first == "passed on":
+                node.jobs.begin(job, len(ANSWER), body)
+                body.put(ANSWER[:-1])
+            leave(caller)  # much sent at once and gone, and nothing of that read
+            if first == "passed on":
+                body.put(ANSWER[-1:])
+                body.end()
+            else:
+                node.jobs.answer(job, 200, b"done")
+            await until(lambda: not node.server.connections)
+            assert node.counts["taken"] == 1
+            if leave is half_close:
+                assert (await read_to_the_end(caller)).count(b"HTTP/1.1 400 ") == 1
+            caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("count", [1, 50])
+@pytest.mark.parametrize("leave", LEAVING)
+def test_nothing_is_begun_for_a_caller_that_sends_and_leaves_in_one_turn(leave: Leave, count: int):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller = connect(node)
+            await until(lambda: node.server.connections)
+            caller.sendall(b"".join(request(name=f"q{at}") for at in range(count)))
+            leave(caller)
+            if leave is half_close:
+                assert (await read_to_the_end(caller)).startswith(b"HTTP/1.1 400 ")
+            await until(lambda: not node.server.connections and not node.jobs.held)
+            assert node.figures.dispatches == server.connections == 0
+            assert node.counts["taken"] <= 1
+
+    asyncio.run(main())
+
+
+def test_a_health_check_that_half_closes_is_told_yes():
+    async def main():
+        async with running(Peer()) as node:
+            caller = connect(node)
+            caller.sendall(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+            half_close(caller)
+            assert (await read_to_the_end(caller)).startswith(b"HTTP/1.1 200 ")
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("sent", [request("post", "q1", b"body")[:-1], request(name="q1")[:-1], b"G"])
+def test_a_half_close_within_a_request_is_answered_and_begins_nothing(sent: bytes):
+    async def main():
+        async with running(Peer()) as node:
+            caller = connect(node)
+            caller.sendall(sent)
+            half_close(caller)
+            assert (await read_to_the_end(caller)).startswith(b"HTTP/1.1 400 ")
+            assert node.counts["taken"] == 0
+
+    asyncio.run(main())
+
+
+def test_a_half_close_after_a_request_ends_it_in_the_same_turn_with_a_final_answer():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(request(name="q1"))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            half_close(caller)
+            job.call.connection.eof_received()  # as the loop will: what else comes in that turn finds it over
+            assert (job.done, node.counts["gone"]) == (True, 1)
+            assert (await read_to_the_end(caller)).startswith(b"HTTP/1.1 400 ")
+            await until(lambda: not node.server.connections)
+
+    asyncio.run(main())
+
+
+def test_a_half_close_ends_what_is_asked_while_the_answer_before_has_yet_to_leave():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, _ = await slow_reader(node, server)
+            held = Held()
+            server.script = held.script
+            caller.sendall(request(name="q2"))
+            await until(lambda: len(server.seen) == 2)
+            half_close(caller)
+            await until(lambda: node.counts["gone"])
+            assert b"HTTP/1.1 400 " in (await read_to_the_end(caller)).partition(ANSWER)[2]
+
+    asyncio.run(main())
+
+
+def test_a_half_close_during_an_answer_that_is_passed_on_does_not_cut_it_short():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            caller = connect(node)
+            caller.sendall(request(name="q1"))
+            await until(lambda: server.seen)
+            (job,) = node.jobs.held.values()
+            body = Body(Ends())
+            node.jobs.begin(job, len(ANSWER), body)
+            body.put(ANSWER[:1000])
+            ended, eof_received = [], job.call.connection.eof_received
+            job.call.connection.eof_received = lambda: ended.append(True) or eof_received()
+            half_close(caller)
+            await until(lambda: ended)
+            body.put(ANSWER[1000:])
+            body.end()
+            assert (await read_to_the_end(caller)).endswith(ANSWER)
+            await until(lambda: not node.server.connections)
+            assert not node.jobs.passing_on
+
+    asyncio.run(main())
+
+
+# ------------------------------------------------------------------ slow readers
+
+
+def test_a_connection_is_not_idle_before_its_answer_has_left():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, connection = await slow_reader(node, server)
+            assert not connection.idle
+            assert not connection.close_if_idle()
+            node.server.drain(open_s=0.0)  # closes the idle ones from now on, every 10 ms
+            assert (await read_to_the_end(caller)).endswith(ANSWER)
+
+    asyncio.run(main())
+
+
+def test_the_last_answer_is_not_thrown_away_while_its_caller_reads():
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, connection = await slow_reader(node, server, Connection="close")
+            connection.sweep(node.loop.time() + LINGER_MOST_S)  # enough for one whose answer had left
+            answer = await read_to_the_end(caller, close=False)
+            assert answer.endswith(ANSWER)
+            assert node.server.connections  # read on for a moment
+            connection.sweep(node.loop.time() + LINGER_S)
+            await until(lambda: not node.server.connections)
+            caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("headers", [{}, {"Connection": "close"}])
+def test_a_caller_that_takes_nothing_of_its_answer_is_given_up_and_one_that_reads_is_not(headers):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, connection = await slow_reader(node, server, **headers)
+            now = node.loop.time() + 1.0
+            connection.sweep(now)
+            unsent = connection._transport.get_write_buffer_size()
+            while connection._transport.get_write_buffer_size() == unsent:
+                caller.recv(4096)
+                await asyncio.sleep(0)
+            connection.sweep(now + UNREAD_S)  # it has read since
+            connection.sweep(now + 2 * UNREAD_S - 0.1)
+            await asyncio.sleep(0)
+            assert node.server.connections
+            connection.sweep(now + 2 * UNREAD_S)
+            await until(lambda: not node.server.connections)
+            caller.close()
+
+    asyncio.run(main())
