Let a part that hangs or fails in its stop keep nothing else from its orderly end

Cause: Node.stop awaited the parts' stops one after another with no limit. An exception out of one skipped the others' (the state file's last write, the lease's end) and Node.close, and ended the process with a traceback; one that hung held it until SIGKILL. Shown by a part of each kind.

Change: all stops run together, within 1 s (the lease's own limit is 0.5 s), and a fault is one entry in the log. No answer hung on this before, as parts stop once all answers are out.

Both cases of the test were seen to fail without the change.

--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 from collections import Counter
 from collections.abc import Callable
@@ -33,6 +34,8 @@
 if TYPE_CHECKING:
     from orchidledge.net.fleet import FleetPart
 
+log = logging.getLogger("orchidledge")
+
 SPARE_SOCKETS = 32  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.45  # of the other descriptors: callers' connections;
 UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before idle ones have been closed
@@ -40,6 +43,7 @@
 STOP_LEAST_S = 0.6
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 STOP_STEP_S = 0.01
+PARTS_S = 1.0  # for what parts have to say and to write when all answers are out
 FAREWELL_S = 5.0  # what SIGKILL finds unanswered is no loss, as what the process leaves at its own end is
 LONGEST_DEADLINE_S = 3.0
 HANDOVER_S = 1.5  # idle callers may send one more request, as one that crosses a close is turned back unheard
@@ -165,10 +169,22 @@
         self.server.stop_accepting()
         if not self.server.deserted:
             await self._turn_away()
-        for part in self.parts:
-            await part.stop()
+        await self._stop_parts()
         self.close()
 
+    async def _stop_parts(self) -> None:
+        # Guard: a part that hangs or fails in its stop must keep neither the others from theirs nor the
+        # process from its orderly end.
+        stops = asyncio.gather(*(part.stop() for part in self.parts), return_exceptions=True)
+        try:
+            async with asyncio.timeout(PARTS_S):
+                found = await stops
+        except TimeoutError as error:
+            found = [error]
+        for fault in found:
+            if fault is not None:
+                log.error("a part has not stopped as it should", exc_info=fault)
+
     async def _turn_away(self) -> None:
         """The time is over: what is held is failed, what still comes is refused, and the process stays for
         as long as a caller has yet to get its answer, or to see the end of its connection."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import pytest
 from loopback import Discovery, Peer, ask, config, request, targets
@@ -69,3 +70,43 @@
         node.close()
 
     asyncio.run(main())
+
+
+class Faulty(Recorded):
+    """A part whose stop ends in this."""
+
+    def __init__(self, node: Node, end: Callable[[], Awaitable[None]]) -> None:
+        super().__init__(node)
+        self._end = end
+
+    async def stop(self) -> None:
+        await self._end()
+
+
+async def hang() -> None:
+    await asyncio.Event().wait()
+
+
+async def fail() -> None:
+    raise RuntimeError("a part's fault")
+
+
+@pytest.mark.parametrize("end", [hang, fail])
+def test_a_part_that_hangs_or_fails_in_its_stop_keeps_no_other_from_its_own(monkeypatch, caplog, end):
+    monkeypatch.setattr(node_module, "STOP_LEAST_S", 0.0)
+    monkeypatch.setattr(node_module, "PARTS_S", 0.05, raising=False)
+
+    async def main():
+        node = Node(config("127.0.0.1:1"))
+        faulty, other = Faulty(node, end), Recorded(node)
+        node.parts += [faulty, other]
+        await node.start()
+        async with asyncio.timeout(20):
+            await node.stop()
+        assert [name for name, _ in other.seen] == ["start", "stop", "close"]
+        assert [name for name, _ in faulty.seen] == ["start", "close"]
+
+    asyncio.run(main())
+    assert [record.message for record in caplog.records if record.levelname == "ERROR"] == [
+        "a part has not stopped as it should"
+    ]
