Test ends that are asked for twice, early, with clients that go on, and with a slow reader

The others show no fault: SIGTERM with and without clients, with SIGHUP in the same turn, repeated with SIGINT, as soon as the process listens, and with clients that send on every connection that stays open.

--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -14,12 +14,14 @@
 import sys
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
 import pytest
-from loopback import request
+from loopback import Message, Peer, reply, request, targets
 
+from tests.faults import LoopThread
 from tests.fleet import ROOT, until
 from tests.nodes import Node
 from tests.servers import ServerPool
@@ -197,3 +199,121 @@
                 node.kill()
         raw.close()
         servers.close()
+
+
+# --------------------------------------------------------------------------- signals
+
+
+@pytest.mark.parametrize("twice", [False, True])
+@pytest.mark.parametrize("clients", [0, 1])
+def test_an_end_with_or_without_a_resting_client_is_orderly_however_often_it_is_asked_for(
+    tmp_path, pool, twice, clients
+):
+    with serving(tmp_path, pool) as node, contextlib.ExitStack() as stack:
+        callers = [stack.enter_context(connect(node)) for _ in range(clients)]
+        for caller in callers:
+            caller.sendall(UP)
+            assert status(caller) == 200
+        with frozen(node):
+            node.send(signal.SIGTERM)
+            node.send(signal.SIGHUP)  # as a new configuration may cross it
+        if twice:
+            until(lambda: node.lines("stops"))
+            node.send(signal.SIGTERM)
+            node.send(signal.SIGINT)
+        assert [caller.recv(1) for caller in callers] == [b""] * clients  # an end, not a reset
+        assert ended(node) == 0
+        assert not node.lines("Traceback")
+        assert not node.lines("ERROR")
+
+
+def test_sigterm_in_the_instant_of_the_start_is_no_crash_and_loses_nothing(tmp_path, pool):
+    """The process is stopped as soon as it listens, which is before it serves."""
+    node = Node(tmp_path, pool.known(), settings={"registryMode": "push"})
+    try:
+        node.launch()
+        until(lambda: connected(node), what="listening")
+        with frozen(node):
+            callers = [connect(node) for _ in range(10)]
+            for at, caller in enumerate(callers):
+                caller.sendall(request(name=f"early{at}"))
+            node.send(signal.SIGTERM)
+        assert [status(caller) for caller in callers] == [200] * 10
+        assert ended(node) == 0
+        assert not node.lines("Traceback")
+    finally:
+        node.kill()
+
+
+def connected(node: Node) -> bool:
+    connect(node).close()
+    return True
+
+
+def test_clients_that_send_on_every_open_connection_until_its_end_lose_nothing(tmp_path, pool):
+    """Through the drain and past it, each on its one connection, the next request with the last answer."""
+    with serving(tmp_path, pool) as node:
+
+        def client(at: int) -> list[int]:
+            statuses = []
+            with connect(node) as caller, caller.makefile("rb") as reader:
+                for number in range(100_000):
+                    try:
+                        caller.sendall(request(name=f"c{at}-{number}"))
+                        line = reader.readline()
+                    except ConnectionError:
+                        return statuses  # it crossed the close between two requests
+                    if not line:
+                        return statuses
+                    statuses.append(int(line.split()[1]))
+                    head = iter(reader.readline, b"\r\n")
+                    fields = dict(field.strip().split(b": ") for field in head)
+                    body = reader.read(int(fields[b"Content-Length"]))
+                    assert len(body) == int(fields[b"Content-Length"])
+                    if fields.get(b"Connection") == b"close":
+                        return statuses
+            return statuses
+
+        with ThreadPoolExecutor(8) as threads:
+            clients = [threads.submit(client, at) for at in range(8)]
+            until(lambda: sum(pool.hits.values()) > 50)
+            node.send(signal.SIGTERM)
+            assert {code for done in clients for code in done.result(20)} <= {200, 503}
+        assert ended(node) == 0
+        assert not node.lines("Traceback")
+
+
+# ----------------------------------------------------------------------- slow readers
+
+
+def test_an_answer_that_a_slow_caller_has_yet_to_read_is_out_before_the_process_ends(tmp_path):
+    """It is longer than the sockets between them hold, and its request's time is over meanwhile."""
+    body = os.urandom(16 * 1024 * 1024)
+    loops = LoopThread()
+
+    async def script(_message: Message) -> bytes:
+        return reply(200, body)
+
+    server = Peer(script)
+    port = loops.run(server.start()).port
+    node = Node(tmp_path, targets(s0=(f"127.0.0.1:{port}", "Ready")), settings={"categories": SHORT})
+    try:
+        node.start()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.settimeout(20)
+            caller.connect(("127.0.0.1", node.port))
+            caller.sendall(request())
+            assert caller.recv(12, socket.MSG_PEEK | socket.MSG_WAITALL) == b"HTTP/1.1 200"
+            told = time.monotonic()
+            node.send(signal.SIGTERM)
+            wait_for(told + 1.5)  # past the last moment
+            with caller.makefile("rb") as reader:
+                while reader.readline().strip():
+                    pass
+                assert reader.read(len(body)) == body
+        assert ended(node) == 0
+    finally:
+        node.kill()
+        loops.call(server.stop)
+        loops.close()
