Say once that no connection can be accepted, not at every try

A listener that is refused a descriptor tries again every 2 ms, and each try wrote a line to the log: hundreds a second for as long as the shortage lasts. The first of a stretch says it. The test refuses three in a row and was seen to fail with a line for each.

--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -58,6 +58,7 @@
         self.connections: dict[ServerConnection, None] = {}  # in the order of their opening
         self._listener: socket.socket | None = None
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
+        self._short = False  # the last connection could not be accepted for want of a descriptor
         self._accept_timer: asyncio.TimerHandle | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._drain_timer: asyncio.TimerHandle | None = None
@@ -132,9 +133,12 @@
         except (BlockingIOError, InterruptedError, ConnectionAbortedError):
             return False
         except OSError as error:  # Guard: the platform's limit is lower than the configuration says
-            log.error("a connection can't be accepted yet: %s", error)
+            if not self._short:  # once for each stretch: it is tried again hundreds of times a second
+                log.error("a connection can't be accepted yet: %s", error)
+            self._short = True
             self._accept_later()
             return False
+        self._short = False
         # Guard: a transport that asyncio.Server makes for a connection fails once that server is closed,
         # and lost the requests of those accepted in the turn before.
         task = asyncio.create_task(self.loop.connect_accepted_socket(lambda: ServerConnection(self), raw))
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -97,7 +97,7 @@
             assert (await idle.ask(UP)).status == 200
             real = node.server._listener
             assert real is not None
-            refusals = [OSError(errno.EMFILE, "Too many open files")]
+            refusals = [OSError(errno.EMFILE, "Too many open files") for _ in range(3)]
 
             class Refused:
                 fileno = real.fileno
@@ -117,4 +117,4 @@
             assert await idle.reader.read() == b""
 
     asyncio.run(main())
-    assert [record.message for record in caplog.records if "accepted" in record.message]
+    assert sum("accepted" in record.message for record in caplog.records) == 1
