Look at a new connection once, where its first byte would go

Pool.open and Attempt._open both asked whether a connection that has just come up may be used, two mends of one fault. Whether an attempt may be written is checked at the write: the look stays there, with its guard. The tests of both pass (a connection that has ended before the first write, half a line or an answer on it).

--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -160,7 +160,8 @@
             return
         self._connect = None
         server.waiting.discard(self)
-        if not connection.usable:  # it has ended again, or sends unasked: nothing has been written to it
+        if not connection.usable:
+            # Guard: a request written after a server's end would be a reset, though it can't have run.
             connection.abort()
             self.withdraw()
         elif self._may_begin():
@@ -351,10 +352,6 @@
         finally:
             # Guard: counted once from here on; the task is over only in the loop's next turn.
             self._opening.discard(task)
-        if not connection.usable:
-            # Guard: a request written after a server's end would be a reset, though it can't have run.
-            connection.abort()
-            raise ConnectionResetError
         self._open.add(connection)
         return connection
 
