Test what comes on resting connections in the instant of standby, SIGTERM and the drain's closes

A whole request, half of one, an end, a reset and a caller that rests, put in place while the process is stopped. No fault was shown. With the look into the kernel taken out of close_if_idle the tests pass too, as a process that wakes reads before its timers: that look is held by the tests of a connection's states.

--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -10,6 +10,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import time
@@ -317,3 +318,51 @@
         node.kill()
         loops.call(server.stop)
         loops.close()
+
+
+# -------------------------------------------- what comes on a resting connection meanwhile
+
+
+def standby(node: Node) -> None:
+    """Asked for without waiting for the answer."""
+    with socket.create_connection(("127.0.0.1", node.door)) as door:
+        door.sendall(b"PUT /standby HTTP/1.1\r\nHost: x\r\n\r\n")
+        door.shutdown(socket.SHUT_WR)
+
+
+def sigterm(node: Node) -> None:
+    node.send(signal.SIGTERM)
+
+
+@pytest.mark.parametrize("leave", [standby, sigterm])
+@pytest.mark.parametrize("past_s", [0.0, 0.7])  # the instant itself, or that of the first closes after it
+def test_what_crosses_a_drain_on_resting_connections_is_answered(tmp_path, pool, leave, past_s):
+    with serving(tmp_path, pool, settings={"categories": LONG}) as node, contextlib.ExitStack() as stack:
+        whole, half, end, reset, rest = callers = [stack.enter_context(connect(node)) for _ in range(5)]
+        for caller in callers:
+            caller.sendall(UP)
+            assert status(caller) == 200
+        if past_s:
+            leave(node)
+            until(lambda: draining(node))
+        began = time.monotonic()
+        with frozen(node):
+            if not past_s:
+                leave(node)
+            whole.sendall(request(name="whole"))
+            half.sendall(request(name="half")[:30])
+            end.shutdown(socket.SHUT_WR)
+            reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset.close()
+            wait_for(began + past_s)
+        assert status(whole) == 200
+        half.sendall(request(name="half")[30:])
+        assert status(half) == 200
+        for caller in (whole, half, end, rest):
+            assert caller.recv(1) == b""  # closed in the end, by no reset
+        if leave is sigterm:
+            assert ended(node) == 0
+        else:
+            assert node.call_door("/active", "PUT")[0] == 200
+            until(lambda: not draining(node))
+        assert not node.lines("Traceback")
