--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import os
 import signal
@@ -20,7 +21,8 @@
 from typing import Any
 
 import pytest
-from loopback import Message, Peer, reply, request, targets
+from loopback import Message, Peer, reply, request, running, targets
+from loopback import until as reached
 
 from tests.faults import LoopThread
 from tests.fleet import ROOT, until
@@ -366,3 +368,35 @@
             assert node.call_door("/active", "PUT")[0] == 200
             until(lambda: not draining(node))
         assert not node.lines("Traceback")
+
+
+def test_half_a_request_at_the_last_moment_is_refused_before_its_rest_can_be_lost(tmp_path, pool):
+    with serving(tmp_path, pool, settings={"categories": SHORT}) as node, connect(node) as caller:
+        with frozen(node):
+            caller.sendall(request(name="half")[:30])
+            node.send(signal.SIGTERM)
+        assert status(caller) == 503
+        caller.sendall(request(name="half")[30:])  # which crosses the answer
+        assert caller.recv(1) == b""
+        caller.close()
+        assert ended(node) == 0
+
+
+def test_a_drain_begun_again_closes_by_one_timer():
+    """As standby, active and SIGTERM may follow each other."""
+
+    async def main() -> None:
+        async with running(Peer()) as node:
+            looks: list[float] = []
+            due = node.server._close_idle
+            node.server._close_idle = lambda young_s: (looks.append(young_s), due(young_s))[1]  # type: ignore
+            for young_s in (1.0, 2.0, 3.0):
+                node.server.resume()
+                node.server.drain(young_s, open_s=0.0)
+                seen = len(looks)
+                await reached(lambda seen=seen: len(looks) > seen + 3)  # type: ignore[misc]
+                assert set(looks[seen:]) == {young_s}
+            node.server.resume()
+            assert node.server._drain_timer is None
+
+    asyncio.run(main())
