--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import time
@@ -19,7 +21,8 @@
 from typing import Any
 
 import pytest
-from loopback import Message, Peer, reply, request, targets
+from loopback import Message, Peer, reply, request, running, targets
+from loopback import until as reached
 
 from tests.faults import LoopThread
 from tests.fleet import ROOT, until
@@ -223,8 +226,7 @@
             node.send(signal.SIGINT)
         assert [caller.recv(1) for caller in callers] == [b""] * clients  # an end, not a reset
         assert ended(node) == 0
-        assert not node.lines("Traceback")
-        assert not node.lines("ERROR")
+        assert not node.lines("Traceback") + node.lines("ERROR")
 
 
 def test_sigterm_in_the_instant_of_the_start_is_no_crash_and_loses_nothing(tmp_path, pool):
@@ -266,8 +268,7 @@
                     if not line:
                         return statuses
                     statuses.append(int(line.split()[1]))
-                    head = iter(reader.readline, b"\r\n")
-                    fields = dict(field.strip().split(b": ") for field in head)
+                    fields = dict(field.strip().split(b": ") for field in iter(reader.readline, b"\r\n"))
                     body = reader.read(int(fields[b"Content-Length"]))
                     assert len(body) == int(fields[b"Content-Length"])
                     if fields.get(b"Connection") == b"close":
@@ -317,3 +318,83 @@
         node.kill()
         loops.call(server.stop)
         loops.close()
+
+
+# -------------------------------------------- what comes on a resting connection meanwhile
+
+
+def standby(node: Node) -> None:
+    """Asked for without waiting for the answer."""
+    with socket.create_connection(("127.0.0.1", node.door)) as door:
+        door.sendall(b"PUT /standby HTTP/1.1\r\nHost: x\r\n\r\n")
+        door.shutdown(socket.SHUT_WR)
+
+
+def sigterm(node: Node) -> None:
+    node.send(signal.SIGTERM)
+
+
+@pytest.mark.parametrize("leave", [standby, sigterm])
+@pytest.mark.parametrize("past_s", [0.0, 0.7])  # the instant itself, or that of the first closes after it
+def test_what_crosses_a_drain_on_resting_connections_is_answered(tmp_path, pool, leave, past_s):
+    with serving(tmp_path, pool, settings={"categories": LONG}) as node, contextlib.ExitStack() as stack:
+        whole, half, end, reset, rest = callers = [stack.enter_context(connect(node)) for _ in range(5)]
+        for caller in callers:
+            caller.sendall(UP)
+            assert status(caller) == 200
+        if past_s:
+            leave(node)
+            until(lambda: draining(node))
+        began = time.monotonic()
+        with frozen(node):
+            if not past_s:
+                leave(node)
+            whole.sendall(request(name="whole"))
+            half.sendall(request(name="half")[:30])
+            end.shutdown(socket.SHUT_WR)
+            reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset.close()
+            wait_for(began + past_s)
+        assert status(whole) == 200
+        half.sendall(request(name="half")[30:])
+        assert status(half) == 200
+        for caller in (whole, half, end, rest):
+            assert caller.recv(1) == b""  # closed in the end, by no reset
+        if leave is sigterm:
+            assert ended(node) == 0
+        else:
+            assert node.call_door("/active", "PUT")[0] == 200
+            until(lambda: not draining(node))
+        assert not node.lines("Traceback")
+
+
+def test_half_a_request_at_the_last_moment_is_refused_before_its_rest_can_be_lost(tmp_path, pool):
+    with serving(tmp_path, pool, settings={"categories": SHORT}) as node, connect(node) as caller:
+        with frozen(node):
+            caller.sendall(request(name="half")[:30])
+            node.send(signal.SIGTERM)
+        assert status(caller) == 503
+        caller.sendall(request(name="half")[30:])  # which crosses the answer
+        assert caller.recv(1) == b""
+        caller.close()
+        assert ended(node) == 0
+
+
+def test_a_drain_begun_again_closes_by_one_timer():
+    """As standby, active and SIGTERM may follow each other."""
+
+    async def main() -> None:
+        async with running(Peer()) as node:
+            looks: list[float] = []
+            due = node.server._close_idle
+            node.server._close_idle = lambda young_s: (looks.append(young_s), due(young_s))[1]  # type: ignore
+            for young_s in (1.0, 2.0, 3.0):
+                node.server.resume()
+                node.server.drain(young_s, open_s=0.0)
+                seen = len(looks)
+                await reached(lambda seen=seen: len(looks) > seen + 3)  # type: ignore[misc]
+                assert set(looks[seen:]) == {young_s}
+            node.server.resume()
+            assert node.server._drain_timer is None
+
+    asyncio.run(main())
