--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -120,6 +120,27 @@
                 call.on_gone()
         self._requests.drop()
 
+    @property
+    def ending(self) -> bool:
+        """Whether it takes no more requests."""
+        return self.state in (State.MUST_CLOSE, State.CLOSED) or self._transport.is_closing()
+
+    def turn_away(self) -> bool:
+        """Refuse a request that has come in part, and end the connection; whether there was one."""
+        if self.state is not State.IDLE or self._requests.call is None or self._transport.is_closing():
+            return False
+        self._fail(503)
+        return True
+
+    def cut_short(self) -> bool:
+        """Close it now if its last answer has left and only its end is awaited; whether that was so."""
+        if self.state is not State.MUST_CLOSE or self._transport.is_closing() or self._writing.unsent:
+            return False
+        if readable(self._transport):
+            return False  # a close over these bytes would reset the answer away
+        self._abort()
+        return True
+
     def _end(self) -> None:
         """The last answer has been written."""
         self.state = State.MUST_CLOSE
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import logging
 import os
 from collections import Counter
 from collections.abc import Callable
@@ -34,6 +34,8 @@
 if TYPE_CHECKING:
     from orchidledge.net.fleet import FleetPart
 
+log = logging.getLogger("orchidledge")
+
 SPARE_SOCKETS = 32  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.45  # of the other descriptors: callers' connections;
 UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before idle ones have been closed
@@ -41,6 +43,7 @@
 STOP_LEAST_S = 0.6
 STOP_SLACK_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 STOP_STEP_S = 0.01
+PARTS_S = 1.0  # for what parts have to say and to write when all answers are out
 FAREWELL_S = 5.0  # what SIGKILL finds unanswered is no loss, as what the process leaves at its own end is
 LONGEST_DEADLINE_S = 3.0
 HANDOVER_S = 1.5  # idle callers may send one more request, as one that crosses a close is turned back unheard
@@ -67,7 +70,7 @@
             self.figures.sent,
         )
         self.jobs = Jobs(config, self.clock, self.server, self.figures, self.counts, self.tell)
-        self.attempts = Attempts(config.settings, self.jobs, self.pool, self.counts, self.tell)
+        self.attempts = Attempts(config.settings, self.clock, self.jobs, self.pool, self.counts, self.tell)
         bans = Bans(config.maintenance)
         self.servers = ServerList(bans, self.clock, self.pool, self.server, self.counts, self.tell)
         self.watcher = _watcher(config, self.servers)
@@ -166,21 +169,34 @@
         self.server.stop_accepting()
         if not self.server.deserted:
             await self._turn_away()
-        for part in self.parts:
-            await part.stop()
+        await self._stop_parts()
         self.close()
 
+    async def _stop_parts(self) -> None:
+        # Guard: a part that hangs or fails in its stop must keep neither the others from theirs nor the
+        # process from its orderly end.
+        stops = asyncio.gather(*(part.stop() for part in self.parts), return_exceptions=True)
+        try:
+            async with asyncio.timeout(PARTS_S):
+                found = await stops
+        except TimeoutError as error:
+            found = [error]
+        for fault in found:
+            if fault is not None:
+                log.error("a part has not stopped as it should", exc_info=fault)
+
     async def _turn_away(self) -> None:
         """The time is over: what is held is failed, what still comes is refused, and the process stays for
         as long as a caller has yet to get its answer, or to see the end of its connection."""
         self.server.on_call = _refuse
         self.server.resume()
         self.server.drain(open_s=0.0)  # at once, where it was to wait for longer
-        self.server.expire(math.inf)
+        self.server.turn_away()
         self.jobs.fail_all()
         until = self.loop.time() + FAREWELL_S
         while not self.server.deserted and self.loop.time() < until:
             await asyncio.sleep(STOP_STEP_S)
+            self.server.stop_accepting()
 
     def _all_served(self, least: float) -> bool:
         """Whether no caller is left, nor any to come, as none is from this time of the loop on."""
