--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -1,19 +1,16 @@
-"""A caller's connection: what state it is in, when it may be closed, and the one answer to each request."""
+"""A caller's connection: its requests as they come, and the one answer to each."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.call import Call, LongAnswer, head
-from orchidledge.net.flow import Linger, Reading, Writing
-from orchidledge.net.http import readable
-from orchidledge.net.pending import ended
-from orchidledge.net.request_parser import Receiving, RequestParser
+from orchidledge.net.closing import ClosableConnection, State
+from orchidledge.net.flow import Reading, Writing
+from orchidledge.net.request_parser import RequestParser
 
 if TYPE_CHECKING:
     from orchidledge.net.server import Server
@@ -21,139 +18,13 @@
 READY_PATH = b"/up"
 
 
-class State(Enum):
-    """The node's side of a connection; the parser has the caller's, as requests may come meanwhile."""
-
-    IDLE = "no request is being answered"
-    SEND_RESPONSE = "one is, or is due to be, and nothing of its answer has been written"
-    SEND_BODY = "a long answer is being passed on"
-    MUST_CLOSE = "the sending has ended; what still comes is read and dropped for a moment"
-    CLOSED = "nothing goes either way"
-
-
-class ServerConnection(asyncio.Protocol):
-    """One caller's connection; requests that come at once are answered in turn. Each goes from IDLE to
-    SEND_RESPONSE and back, some by way of SEND_BODY; from any of these MUST_CLOSE is reached with the last
-    answer, and CLOSED. Whoever closes goes by `idle`, `_last`, `sweep` or `expire`."""
+class ServerConnection(ClosableConnection):
+    """One caller's connection; requests that come at once are answered in turn."""
 
     def __init__(self, server: Server) -> None:
-        self._server = server
-        self.state = State.IDLE
-        self._calls: deque[Call] = deque()  # those handed on or due to be, the first of them being answered
+        super().__init__(server)
+        self._reading: Reading
         self._answer: LongAnswer | None = None  # in SEND_BODY
-        self._linger: Linger | None = None  # in MUST_CLOSE
-        self.opened_at = 0.0  # by the loop's clock
-        self.since = 0.0  # the loop's time of the last byte either way
-
-    @property
-    def _first(self) -> Call | None:
-        return self._calls[0] if self._calls else None
-
-    @property
-    def idle(self) -> bool:
-        """Between requests: nothing of one has been read, and all that was answered has left."""
-        between = self.state is State.IDLE and self._requests.state is Receiving.IDLE
-        return between and not self._writing.unsent
-
-    def close_if_idle(self) -> bool:
-        """Close between requests, but not with one waiting in the kernel. What comes after this look is left
-        unread, so its caller sends it again on a new connection."""
-        if not self.idle or self._transport.is_closing() or readable(self._transport):
-            return False
-        self._abort()
-        return True
-
-    @property
-    def left(self) -> bool:
-        """Whether the caller has gone, also where the event loop has not delivered its end yet: while reading
-        is paused, or later in the same turn."""
-        return self._transport.is_closing() or ended(self._transport)
-
-    def close_if_left(self) -> bool:
-        """Whether the caller has gone; what it asked for is then over."""
-        left = self.left
-        if left and self.state is State.SEND_RESPONSE and not self._transport.is_closing():
-            self._fail(400)
-        return left
-
-    def sweep(self, now: float) -> None:
-        """End what nobody reads or waits for any more by now."""
-        lingered = self._linger is not None and self._linger.over(now, self._writing.unsent)
-        if lingered or self._writing.stalled(now):
-            self._abort()
-        # Guard: nothing is read while a request waits its turn or its body is held, so an end went unseen.
-        elif self.state is State.SEND_RESPONSE and not self._transport.is_reading():
-            self.close_if_left()
-
-    def expire(self, now: float) -> bool:
-        """End a connection on which a request is overdue by now; whether that was so."""
-        coming = self._requests.call
-        receives = self.state is State.IDLE or (self.state is State.SEND_RESPONSE and self._first is coming)
-        if not receives or not self._transport.is_reading() or now < self._requests.due():
-            return False
-        if coming is not None:
-            self._fail(408)
-            return True
-        # Guard: judged by the connection's start, as line ends before a request look like traffic for ever.
-        return self._requests.fresh and self.close_if_idle()
-
-    def _last(self, call: Call) -> bool:
-        """Whether the connection ends with the answer to this call: not if anything was read behind it."""
-        close = call.coming or not call.keep_alive or self._server.draining or self._server.crowded
-        return close and len(self._calls) == 1 and self._requests.call in (None, call)
-
-    def _fail(self, status: int) -> None:
-        """Answer what can't be read as a request or won't be served, and end the connection."""
-        if self.state is State.SEND_BODY:
-            self._abort()  # an answer has begun before its request's end
-        else:
-            self._transport.write(head(status, 0, True, 0.0))
-            self._end()
-            self._drop_calls()
-
-    def _drop_calls(self) -> None:
-        """Nothing that has come is to be answered any more."""
-        calls, self._calls = self._calls, deque()
-        for call in calls:
-            call.answered = True
-            if call.on_gone is not None:
-                call.on_gone()
-        self._requests.drop()
-
-    @property
-    def ending(self) -> bool:
-        """Whether it takes no more requests."""
-        return self.state in (State.MUST_CLOSE, State.CLOSED) or self._transport.is_closing()
-
-    def turn_away(self) -> bool:
-        """Refuse a request that has come in part, and end the connection; whether there was one."""
-        if self.state is not State.IDLE or self._requests.call is None or self._transport.is_closing():
-            return False
-        self._fail(503)
-        return True
-
-    def cut_short(self) -> bool:
-        """Close it now if its last answer has left and only its end is awaited; whether that was so."""
-        if self.state is not State.MUST_CLOSE or self._transport.is_closing() or self._writing.unsent:
-            return False
-        if readable(self._transport):
-            return False  # a close over these bytes would reset the answer away
-        self._abort()
-        return True
-
-    def _end(self) -> None:
-        """The last answer has been written."""
-        self.state = State.MUST_CLOSE
-        self._linger = Linger(self._server.loop.time())
-        self._transport.resume_reading()
-        try:
-            self._transport.write_eof()
-        except OSError:  # Guard: the caller has left, and its reset came on the answer just written
-            self._abort()
-
-    def _abort(self) -> None:
-        self.state = State.CLOSED
-        self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
--- a/tests/test_connection_closes.py
+++ b/tests/test_connection_closes.py
@@ -22,7 +22,7 @@
 )
 from loopback import Caller, Held, Peer, ask, request, running, until
 
-from orchidledge.net import connection as connection_module
+from orchidledge.net import closing as closing_module
 from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.http import readable
 from orchidledge.net.node import Node
@@ -266,7 +266,7 @@
                 return found
 
             with monkeypatch.context() as patch:
-                patch.setattr(connection_module, "readable", look)
+                patch.setattr(closing_module, "readable", look)
                 CLOSES[close](node)
             if asked and close == "overdue":
                 assert node.server.connections  # not even looked at
