Let no exception of a list or its listener end the watch, and refuse a zone that is no text

Cause: `_follow` caught OSError, TimeoutError and ValueError only. Any other, also from the listener (the pool, the server list, at news or at the telling of a failure), ended the task while `_task` stayed set, so `start` never began another: the list was frozen for good. The revision was taken before the listener had the news, so news that it could not take were never sent again. `_server` took an `az` of any type, a list as zone among them, which the module can't hash (`decide/ranking.py`, a memory's scope).

Ruled out: malformed JSON of 41 kinds (deep nesting, infinities, huge ints, NaN, lone surrogates, wrong types) raises ValueError alone, as orjson and parse_listing refuse it; no descriptor for the connection (EMFILE) is an OSError and was caught; an indented list, a uid twice and unknown keys are taken.

Change: any Exception is a failure like others (with its traceback where it is not a foreseen one) and the next call comes in time; a listener that raises at FAILED is logged; the version counts once the listener has taken it, else it is asked for again. A rev that is a bool or below 0 is malformed, and so is an az that is no text.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -62,8 +62,10 @@
         raise ValueError("a list is not an object")
     try:
         revision, whole, targets = row["rev"], row["all"], row["targets"]
-        if not isinstance(revision, int) or not isinstance(whole, bool) or not isinstance(targets, list):
-            raise ValueError("rev, all or targets is of the wrong type")
+        if type(revision) is not int or type(whole) is not bool or not isinstance(targets, list):
+            raise ValueError("rev, all or targets is of the wrong type")  # a bool is an int to isinstance
+        if revision < 0:
+            raise ValueError(f"rev {revision} is below 0")
         servers = tuple(_server(target) for target in targets)
         endpoints = {target["uid"]: parse_address(target["endpoint"]) for target in targets}
     except (KeyError, TypeError, AttributeError) as error:
@@ -76,13 +78,14 @@
     state = STATES.get(target["state"])
     if state is None:
         raise ValueError(f"state {target['state']!r} is not one of {', '.join(STATES)}")
-    if not isinstance(target["uid"], str):
-        raise ValueError("a uid is not a text")
+    zone = target.get("az") or ""
+    if not isinstance(target["uid"], str) or not isinstance(zone, str):
+        raise ValueError("a uid or an az is not a text")
     boot = target.get("boot_ms") or 0
     model = target.get("model")
     return Server(
         address=target["uid"],
-        zone=target.get("az") or "",
+        zone=zone,
         cell=int(target.get("pod_group") or 0),
         state=state,
         launched_ms=float(boot) if boot > 0 else None,  # 0: long ago
@@ -152,7 +155,7 @@
 
 
 class Watcher:
-    """Follows the list until it is closed, through all failures."""
+    """Follows the list until it is closed; whatever a call or its news may raise, the next call comes."""
 
     def __init__(
         self,
@@ -213,23 +216,31 @@
             try:
                 async with asyncio.timeout(self._patience.limit_s):
                     listing = await self._ask(self._patience.wait_ms)
-            except (OSError, TimeoutError, ValueError) as error:
+                self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
+            except Exception as error:
+                # Guard: an exception of a kind not foreseen, a listener's too, ended the watch for good.
                 self._fail(error)
                 await asyncio.sleep(self._patience.failed())
                 continue
+            # Only now: what the node could not take is asked for again.
             self._revision = self._oldest = listing.revision
             self._went_back = None
             self._failing = False
             self._patience.answered()
-            self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
 
     def _fail(self, error: Exception) -> None:
-        if not self._failing:  # once for each stretch of failures
+        foreseen = isinstance(error, OSError | TimeoutError | ValueError)
+        if not foreseen:
+            log.error("following discovery at %s:%d failed", *self._address, exc_info=error)
+        elif not self._failing:  # once for each stretch of failures
             said = f"{type(error).__name__}: {error}"[:200]
             log.warning("discovery at %s:%d failed, the old list holds: %s", *self._address, said)
         self._failing = True
         self._drop()
-        self._on_news(ListForm.FAILED, None)
+        try:
+            self._on_news(ListForm.FAILED, None)
+        except Exception:
+            log.exception("the failure of discovery could not be told")
 
     async def _ask(self, wait_ms: int) -> Listing:
         connection = self._connection
