Keep the module's wait for discovery finite after a thousand failures

Cause: decide/servers.py raised 2.0 to the number of failures in a row before the cap was applied; at the 1,024th it is an OverflowError, in every call from then on. Shown by the test, which failed at that failure without the mend.

Change: the power is capped before it is raised.

--- a/orchidledge/decide/servers.py
+++ b/orchidledge/decide/servers.py
@@ -12,7 +12,8 @@
 def listed(state: State, event: api.Membership, acts: list[api.Action]) -> None:
     if event.form is api.ListForm.FAILED:  # subscribe anew, backing off so as not to crowd discovery
         state.watch_failures += 1
-        wait = min(WATCH_MAX_MS, WATCH_MS * 2.0**state.watch_failures)
+        # Guard: a long outage's thousandth failure overflowed the power.
+        wait = min(WATCH_MAX_MS, WATCH_MS * 2.0 ** min(state.watch_failures, 16))
         acts.append(api.Wake(wait * state.rng.uniform(0.5, 1.0), "watch"))
         return
     if event.form is not api.ListForm.CACHED:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -337,6 +337,15 @@
     assert waits[0] < waits[-1] <= 4000.0
 
 
+def test_a_discovery_that_is_down_for_hours_is_still_asked_for_again():
+    """Guard: the 1,024th failure in a row overflowed the power, and the module lost the event."""
+    bed = Bed(count=2, ask_discovery=True)
+    for _ in range(2000):
+        (wake,) = bed.give(api.Membership(api.ListForm.FAILED))
+        assert isinstance(wake, api.Wake)
+        assert wake.delay_ms <= 4000.0
+
+
 def test_a_failed_list_keeps_the_old_one():
     bed = Bed(count=2, ask_discovery=True)
     bed.give(api.Membership(api.ListForm.FAILED))
