--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -11,7 +11,8 @@
 from loopback import Caller, Held, Message, Peer, reply, request, running, until
 
 from orchidledge.net.body import HIGH_WATER, Body
-from orchidledge.net.connection import LINGER_MOST_S, LINGER_S, UNREAD_S, ServerConnection
+from orchidledge.net.connection import ServerConnection
+from orchidledge.net.flow import LINGER_MOST_S, LINGER_S, UNREAD_S
 from orchidledge.net.node import Node
 
 
@@ -45,6 +46,7 @@
         """Nobody else is told."""
 
 
+MIB = 1024 * 1024
 LEAVING = [socket.socket.close, half_close, reset]
 Leave = Callable[[socket.socket], None]
 
@@ -259,6 +261,7 @@
     caller = socket.socket()
     caller.settimeout(20.0)
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     caller.connect(node.server.address)
     await until(lambda: node.server.connections)
     (connection,) = node.server.connections
@@ -269,18 +272,27 @@
     return caller, connection
 
 
-async def read_to_the_end(caller: socket.socket, close: bool = True) -> bytes:
+async def read_to_the_end(caller: socket.socket, answers: int | None = None, close: bool = True) -> bytes:
+    """All that comes, or so many of the answers."""
     caller.setblocking(False)
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
     data = b""
     async with asyncio.timeout(20):
-        while piece := await asyncio.get_running_loop().sock_recv(caller, 65_536):
+        while data.count(ANSWER) != answers and (
+            piece := await asyncio.get_running_loop().sock_recv(caller, 65_536)
+        ):
             data += piece
     if close:
         caller.close()
     return data
 
 
+async def turns(count: int = 1000) -> None:
+    """Far more of the node's loop than what could still happen takes."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
 def test_a_connection_is_not_idle_before_its_answer_has_left():
     async def main():
         server = Peer()
@@ -433,3 +445,55 @@
             assert not node.jobs.passing_on
 
     asyncio.run(main())
+
+
+def test_a_long_body_behind_another_request_is_held_back_while_nobody_takes_it():
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            opening, loop = asyncio.Event(), asyncio.get_running_loop()
+
+            async def never(_endpoint: object) -> None:
+                opening.set()
+                await asyncio.Event().wait()
+
+            caller = connect(node)
+            caller.sendall(request(name="q1"))
+            await until(lambda: server.seen)
+            node.pool.take_idle = lambda *_: None  # the connection that q1 has left is not used
+            node.pool.open = never
+            (connection,) = node.server.connections
+            caller.setblocking(False)
+            sending = loop.create_task(loop.sock_sendall(caller, request("post", "q2", bytes(16 * MIB))))
+            await until(lambda: not connection._transport.is_reading())
+            body = connection._requests.call.body
+            server.release.set()
+            await opening.wait()
+            await turns()
+            assert not connection._transport.is_reading()
+            assert body.size < 8 * HIGH_WATER
+            sending.cancel()
+            caller.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+def test_answers_that_a_caller_does_not_read_hold_its_further_requests_back(at_once: bool):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            caller, connection = await slow_reader(node, server)
+            node.server.on_call = lambda call: call.answer(200, ANSWER)  # with no wait for a server
+            further = [request(name=f"q{2 + at}") for at in range(40)]
+            for data in [b"".join(further)] if at_once else further:
+                caller.sendall(data)
+                await turns(20)
+            await turns()
+            assert connection._transport.get_write_buffer_size() < 3 * HIGH_WATER
+            node.server.expire(node.loop.time() + 60.0)  # what is held back is not overdue
+            assert node.server.expired == 0
+            assert (await read_to_the_end(caller, answers=41)).count(b"HTTP/1.1 200 ") == 41
+            await until(lambda: connection.idle)
+
+    asyncio.run(main())
