--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -38,7 +38,6 @@
 
     def __init__(self, server: Server) -> None:
         self._server = server
-        self._transport: asyncio.Transport
         self.state = State.IDLE
         self._calls: deque[Call] = deque()  # those handed on or due to be, the first of them being answered
         self._answer: LongAnswer | None = None  # in SEND_BODY
@@ -121,6 +120,27 @@
                 call.on_gone()
         self._requests.drop()
 
+    @property
+    def ending(self) -> bool:
+        """Whether it takes no more requests."""
+        return self.state in (State.MUST_CLOSE, State.CLOSED) or self._transport.is_closing()
+
+    def turn_away(self) -> bool:
+        """Refuse a request that has come in part, and end the connection; whether there was one."""
+        if self.state is not State.IDLE or self._requests.call is None or self._transport.is_closing():
+            return False
+        self._fail(503)
+        return True
+
+    def cut_short(self) -> bool:
+        """Close it now if its last answer has left and only its end is awaited; whether that was so."""
+        if self.state is not State.MUST_CLOSE or self._transport.is_closing() or self._writing.unsent:
+            return False
+        if readable(self._transport):
+            return False  # a close over these bytes would reset the answer away
+        self._abort()
+        return True
+
     def _end(self) -> None:
         """The last answer has been written."""
         self.state = State.MUST_CLOSE
@@ -154,7 +174,8 @@
             if self._requests.call is None:
                 self.since = now
             self._requests.feed(data, now)
-            self._advance()
+            if self._linger is None:  # Guard: requests parsed behind the end were served
+                self._advance()
 
     def eof_received(self) -> bool:
         """The caller has left: an end can't be told from a half-close. One that still reads gets a failure as
@@ -187,7 +208,8 @@
             self._server.loop.call_soon(self._next)
 
     def _on_head(self, call: Call) -> None:
-        if call.headers.get(b"expect", b"").lower() == b"100-continue" and not self._calls:
+        expects = call.headers.get(b"expect", b"").lower() == b"100-continue"
+        if expects and self.state is State.IDLE and not self._calls:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _on_whole(self, call: Call) -> None:
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
+import resource
 import socket
 import struct
 from collections.abc import Callable
@@ -11,9 +14,12 @@
 from loopback import Caller, Held, Peer, Scripted, ask, reply, request, running, until
 
 from orchidledge import interface as api
-from orchidledge.net.body import HIGH_WATER
+from orchidledge.net.body import HIGH_WATER, Body
+from orchidledge.net.http import ClientConnection
 from orchidledge.net.node import Node
+from orchidledge.net.upstream import Attempt, Pool
 
+DATA = b"GET /read/1 HTTP/1.1\r\nReq-Id: q\r\n\r\n"
 LEAVINGS = ("closes", "resets", "half-closes")
 CANCELS = pytest.mark.parametrize("cancel", [True, False])
 
@@ -64,6 +70,18 @@
     assert sum(peer.load for peer in node.driver.balancer.peers.values()) == 0.0
 
 
+class Jump:
+    """The loop's clock, which a test sets forward; to be made before the node."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._time, self.by = loop.time, 0.0
+        loop.time = lambda: self._time() + self.by  # type: ignore[method-assign]
+
+    def forward(self, by: float) -> None:
+        self.by = by
+
+
 def can(cancel: bool) -> dict[str, bool]:
     return {"cancel": cancel}
 
@@ -220,3 +238,281 @@
             assert node.counts["ok"] == 1
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("passes_s", "comes_up", "status", "written"),
+    [(8.5, True, 200, 2), (9.0, True, 502, 1), (9.0, False, 502, 1)],
+)
+def test_a_repeat_is_not_written_once_its_key_may_be_forgotten(passes_s, comes_up, status, written):
+    async def main():
+        clock, release = Jump(), asyncio.Event()
+
+        async def script(message):
+            await release.wait()
+            return None if node.figures.dispatches < 2 else reply()  # the first is lost, and may have run
+
+        async with running(Peer(script), Peer(script)) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request("move", "q1", Idempotency_Key="k"))
+            await until(lambda: node.figures.dispatches)
+            late = LateConnections(node, lambda: clock.forward(passes_s))
+            release.set()
+            await until(lambda: late.ready)
+            if comes_up:
+                late.up.set()
+            else:
+                clock.forward(passes_s)
+            assert (await caller.answer()).status == status
+            assert node.figures.dispatches == written
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_repeat_whose_last_byte_is_late_is_given_up_before_it():
+    class Source:
+        def pause(self) -> None: ...
+        def resume(self) -> None: ...
+        def abandoned(self) -> None: ...
+
+    async def main():
+        clock, loop, body = Jump(), asyncio.get_running_loop(), Body(Source())
+        server, pool = await Peer().start(), Pool(10, 10.0, 20.0)
+        pool.add("s", ("127.0.0.1", server.port))
+        results: asyncio.Queue[api.Result] = asyncio.Queue()
+        body.put(b"half of it")
+        head = b"POST /move/1 HTTP/1.1\r\nReq-Id: q\r\nContent-Length: 20\r\n\r\n"
+        pool.send(
+            "s", lambda wait: head, 20.0, lambda result, _: results.put_nowait(result), body,
+            written_by=loop.time() + 9.0,
+        )  # fmt: skip
+        await until(lambda: server.connections)
+        clock.forward(9.0)
+        await until(lambda: not results.empty())
+        assert results.get_nowait() is api.Result.CONNECT_FAILED
+        body.put(b"other half")
+        body.end()
+        await until(lambda: not pool.size)
+        assert (server.seen, results.empty()) == ([], True)
+        pool.close()
+        server.stop()
+
+    asyncio.run(main())
+
+
+MEANWHILE: dict[str, Callable[[Pool, Attempt, Jump], None]] = {
+    "its server is drained": lambda pool, attempt, clock: pool.remove("s"),
+    "its server moves": lambda pool, attempt, clock: pool.add("s", ("127.0.0.1", 1)),
+    "its server was restarted": lambda pool, attempt, clock: pool.add("s", pool._servers["s"].endpoint, 5.0),
+    "it is cancelled": lambda pool, attempt, clock: attempt.cancel(),
+    "it is withdrawn": lambda pool, attempt, clock: attempt.withdraw(),
+    "its time is up": lambda pool, attempt, clock: clock.forward(5.0),
+}
+
+
+@pytest.mark.parametrize("when", ["as the connection is made", "once it is up", "as the attempt hears of it"])
+@pytest.mark.parametrize("what", MEANWHILE)
+def test_what_happens_in_the_turn_in_which_a_connection_comes_up_keeps_it_unwritten(what, when, monkeypatch):
+    async def main():
+        clock, loop = Jump(), asyncio.get_running_loop()
+        server, pool = await Peer().start(), Pool(10, 10.0, 20.0)
+        pool.add("s", ("127.0.0.1", server.port))
+        results: asyncio.Queue[api.Result] = asyncio.Queue()
+        attempt = pool.send("s", lambda wait: DATA, 5.0, lambda result, _: results.put_nowait(result))
+        assert attempt is not None
+        made, opened = ClientConnection.connection_made, pool.open
+        crossed = []
+
+        def cross() -> None:
+            crossed.append(what)
+            MEANWHILE[what](pool, attempt, clock)
+
+        def connection_made(self, transport):
+            made(self, transport)
+            if when == "as the connection is made":
+                cross()
+            elif when == "once it is up":
+                loop.call_soon(cross)  # after the waiter is told, before the task that waits goes on
+
+        async def open_(endpoint):
+            connection = await opened(endpoint)
+            if when == "as the attempt hears of it":
+                cross()
+            return connection
+
+        monkeypatch.setattr(ClientConnection, "connection_made", connection_made)
+        monkeypatch.setattr(pool, "open", open_)
+        expected = {"it is cancelled": {"cancelled"}, "its time is up": {"moot", "connect_failed"}}
+        await until(lambda: not results.empty())
+        assert results.get_nowait().value in expected.get(what, {"connect_failed"})
+        pool.retire()
+        await until(lambda: not pool.size)
+        await until(lambda: not any(writer.transport.is_reading() for writer in server._writers))
+        assert (server.connections, crossed, server.seen) == (1, [what], [])
+        assert results.empty()
+        pool.close()
+        server.stop()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "fault", [RuntimeError("x"), OverflowError("port"), UnicodeError("host"), TimeoutError()]
+)
+def test_whatever_a_connection_fails_with_its_attempt_has_not_run_and_says_so(fault):
+    async def main():
+        server = Peer()
+        async with running(server) as node:
+            opened = node.pool.open
+
+            async def failing(endpoint):
+                node.pool.open = opened
+                raise fault
+
+            node.pool.open = failing
+            async with asyncio.timeout(15):  # its own time is 30 s
+                assert (await ask(node, request("post", "q1"))).status == 503
+            assert node.counts["connect_failed"] == 1
+            assert (await ask(node, request("post", "q2"))).status == 200
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ["ends", "resets", "speaks"])
+def test_a_new_connection_that_its_server_ends_at_once_is_not_written_to(how):
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            pool, accepted = Pool(10, 10.0, 20.0), []
+            pool.add("s", listener.getsockname())
+            opened, results = pool.open, asyncio.Queue[api.Result]()
+
+            async def ended(endpoint):
+                connection = await opened(endpoint)
+                accepted.append(listener.accept()[0])
+                if how == "resets":
+                    accepted[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                accepted[0].sendall(b"HTTP/1.1 400 x\r\n") if how == "speaks" else accepted[0].close()
+                return connection
+
+            pool.open = ended  # type: ignore[method-assign]
+            pool.send("s", lambda wait: DATA, 5.0, lambda result, _: results.put_nowait(result))
+            await until(lambda: not results.empty())
+            assert results.get_nowait() is api.Result.CONNECT_FAILED
+            await until(lambda: not pool.size)
+            pool.close()
+            accepted[0].close()
+
+    asyncio.run(main())
+
+
+def test_with_no_descriptor_left_a_request_is_refused_as_never_run_and_later_ones_are_served():
+    async def main():
+        async with running(Peer(), Peer()) as node:
+            caller = await Caller.to(node)
+            before = resource.getrlimit(resource.RLIMIT_NOFILE)
+            taken: list[int] = []
+            resource.setrlimit(resource.RLIMIT_NOFILE, (256, before[1]))
+            try:
+                with contextlib.suppress(OSError):
+                    while True:
+                        taken.append(os.dup(0))
+                assert (await caller.ask(request("post", "q1"))).status == 503
+                assert (node.figures.dispatches, node.counts["connect_failed"]) == (0, 2)
+            finally:
+                for descriptor in taken:
+                    os.close(descriptor)
+                resource.setrlimit(resource.RLIMIT_NOFILE, before)
+            assert (await caller.ask(request("post", "q2"))).status == 200
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+@CANCELS
+@pytest.mark.parametrize(
+    ("kind", "seen", "statuses"),
+    [("read", True, (503, 200)), ("read", False, (503, 200)), ("post", True, (502, 502)),
+     ("post", False, (502, 502)), ("move", True, (502, 502)), ("move", False, (502, 502))],
+)  # fmt: skip
+def test_an_id_that_comes_again_after_its_caller_left_has_no_second_effect(kind, seen, statuses, cancel):
+    """`statuses`: without cancelling, as its attempt is still out, and with it."""
+
+    async def main():
+        server = Held()
+        async with running(server, bounds=can(cancel)) as node:
+            data = request(kind, "q1", Idempotency_Key="k")
+            client = Leaver(node, data)
+            await until(lambda: server.seen)
+            again = await Caller.to(node)
+            client.leave()
+            if seen:
+                await until(lambda: node.counts["gone"])
+            again.writer.write(data)
+            server.script = None
+            assert (await again.answer()).status == statuses[cancel]
+            server.release.set()
+            await until(lambda: not node.jobs.held)
+            assert node.figures.dispatches == 1 + (statuses[cancel] == 200)
+            again.writer.close()
+
+    asyncio.run(main())
+
+
+def test_an_id_that_comes_again_is_served_if_nothing_of_it_was_written_before():
+    async def main():
+        async with running(Peer(), bounds=can(False)) as node:
+            client = Leaver(node, request("post", "q1"))
+            late = LateConnections(node)
+            await until(lambda: late.ready)
+            client.leave()
+            late.up.set()
+            await until(lambda: node.counts["gone"])
+            assert (await ask(node, request("post", "q1"))).status == 200
+            assert node.figures.dispatches == 1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("kind", "status", "written"), [("read", 503, 1), ("post", 504, 1), ("move", 504, 1)]
+)
+def test_a_server_that_hangs_in_its_work_past_the_aim_is_given_up_and_its_request_not_sent_again(
+    kind, status, written
+):
+    async def main():
+        clock = Jump()
+
+        async def script(message):
+            if node.figures.dispatches < 2:
+                await asyncio.Event().wait()
+            return reply()
+
+        async with running(Peer(script), Peer(script), bounds=can(False)) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request(kind, "q1", Idempotency_Key="k"))
+            await until(lambda: node.figures.dispatches)
+            clock.forward(19.7)  # past the aim, after which it earns nothing, and the window for repeats
+            assert (await caller.answer()).status == status
+            assert node.figures.dispatches == written
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("then", ["cancel", "withdraw"])
+def test_an_attempt_for_which_there_is_no_room_has_one_result_whatever_comes_before_it_is_told(then):
+    async def main():
+        pool, results = Pool(0, 10.0, 20.0), []
+        pool.add("s", ("127.0.0.1", 1))
+        attempt = pool.send("s", lambda wait: DATA, 5.0, lambda result, _: results.append(result))
+        assert attempt is not None
+        assert results == []
+        getattr(attempt, then)()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        expected = api.Result.CANCELLED if then == "cancel" else api.Result.CONNECT_FAILED
+        assert results == [expected]
+        pool.close()
+
+    asyncio.run(main())
