Follow a discovery that counts its versions again within 6 s, also one that tells only changes

Cause: asked since 41, a source at version 7 may answer with changes since its own version (PROTOCOL leaves it the choice). In `_ask` such an answer was stale for good, as `_rebuilt` takes whole lists alone and none was ever asked for; and as the first answer after a start (`_oldest` 0) it was taken as all that is new, so what the lower version had was hidden. A whole older list was taken after 10 s only, while a change counts as told after 6 s.

Ruled out: a move with SIGHUP starts a call at once whatever the old address does, in any pause; a second one to the same address is nothing; none starts after the close. Failures from the start (silent, a drip, reset, cut off, no length, 302, 500, 503) end within the 6 s of discovery's return. All stand as tests, green before as well.

Change: changes from a version before the one asked since are stale, and the next call after a stale answer asks for the whole list. REBUILT_S is what the 6 s leave after two pauses and an answer's lateness (3.8 s, 10 before); a stale answer is an answer, so the pause does not grow. A replica that lags for less still takes nothing back.

Tests: in tests/test_discovery_silence.py; the four of versions counted again seen to fail without the change.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -29,7 +29,8 @@
 # and discovery may return right after a first call that it will not answer.
 LONGEST_PAUSE_S = TOLD_S - SLACK_S - 2.0 * FIRST_CALL_S
 MAX_LIST = 16 * 1024 * 1024
-REBUILT_S = 10.0  # older whole lists for so long, and no newer answer, come from a source rebuilt
+# Older whole lists for so long, and no newer answer, come from a source rebuilt: what it has is news as well.
+REBUILT_S = TOLD_S - 2.0 * PAUSE_S - LATE_S
 
 STATES = {
     "Ready": ServerState.UP,
@@ -168,6 +169,7 @@
         self._revision = revision
         self._oldest = 0  # an answer of a version before this is stale; none is until one has come from there
         self._went_back: float | None = None  # since when the answers have been whole lists of older versions
+        self._ask_whole = False  # the next call is for the whole list
         self._patience = patience
         self._on_news = on_news
         self._failing = False
@@ -196,7 +198,7 @@
         self._address = address
         self._oldest = 0  # where versions may count from elsewhere
         self._went_back = None
-        self._failing = False
+        self._ask_whole = self._failing = False
         self._patience.reset()
         self._end()
         self.start()  # even if the next call was to wait after a failure: that was the old address's
@@ -253,13 +255,21 @@
             self._connection = connection
         call = _Call()
         host = f"{self._address[0]}:{self._address[1]}"
-        target = f"/discovery/hosts?since={self._revision}&timeout_ms={wait_ms}"
+        since = self._revision
+        target = (
+            "/discovery/hosts" if self._ask_whole else f"/discovery/hosts?since={since}&timeout_ms={wait_ms}"
+        )
         connection.start(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), call)
         response = await call.done
         if response.status != 200:
             raise ValueError(f"discovery answered {response.status}")
         listing = parse_listing(orjson.loads(response.body))
+        self._ask_whole = False
+        if not listing.whole:  # changes since an older version than the node's: what lies between is not told
+            self._oldest = max(self._oldest, since)
         if listing.revision < self._oldest and not self._rebuilt(listing):
+            self._ask_whole = True
+            self._patience.answered()  # discovery is heard: nothing to back off from
             # Guard: it would bring servers back that have gone, and take away those that have come.
             raise ValueError(f"stale list, version {listing.revision} after {self._oldest}")
         return listing
--- a/tests/test_discovery_silence.py
+++ b/tests/test_discovery_silence.py
@@ -371,3 +371,82 @@
             assert await listener.learned(3) - back < TOLD_S
 
     run(main())
+
+
+# ------------------------------------------------- older versions, a move, and the end
+
+
+@MODES
+@pytest.mark.parametrize("known", [41, 2], ids=["known before the start", "heard"])
+def test_a_discovery_that_counts_again_is_followed_in_time(pause_s, known):
+    """Guard: it told nothing but changes since its own version, which were refused as stale for good, or were
+    taken for all that is new."""
+
+    async def main():
+        await (source := Source(rev=41)).open()
+        async with watching(source, pause_s, known) as (_, listener):
+            if known == 2:
+                await listener.learned(41)
+            source.fall_silent("reset")
+            began = source.change(7)
+            while not any((form, rev) == (ListForm.FULL, 7) for _, form, rev in listener.heard):
+                await listener.next()
+                assert now() - began < TOLD_S
+
+    run(main())
+
+
+@MODES
+@pytest.mark.parametrize("act", ["silent", "drip", "reset", "cut", "no length", "302", "500", "503"])
+@pytest.mark.parametrize("outage_s", [0.1, 3.0, 8.0])
+def test_discovery_that_fails_from_the_start_is_followed_at_its_return(pause_s, act, outage_s):
+    async def main():
+        await (source := Source(rev=2, act=act)).open()
+        async with watching(source, pause_s) as (_, listener):
+            await asyncio.sleep(outage_s)
+            source.act = "answer"
+            assert await listener.learned(2) - outage_s < TOLD_S
+
+    run(main())
+
+
+@MODES
+@pytest.mark.parametrize("old", ["answer", "silent", "503", "reset"])
+@pytest.mark.parametrize("after_s", [0.0, 0.4, 1.5])
+def test_a_move_is_followed_at_once_whatever_the_old_address_does(pause_s, old, after_s):
+    """After SIGHUP a change counts as told 4 s later; a second SIGHUP to the same address changes nothing."""
+
+    async def main():
+        await (source := Source(act=old)).open()
+        await (new := Source(rev=3)).open()
+        async with watching(source, pause_s) as (watcher, listener):
+            await asyncio.sleep(after_s)
+            moved = now()
+            watcher.move(new.address)
+            watcher.move(new.address)
+            assert await listener.learned(3) - moved < 0.1
+            assert new.connections == 1
+            watcher.move(source.address)
+            watcher.move(new.address)
+            new.change()
+            assert await listener.learned(4) - moved < 0.3
+        new.close()
+
+    run(main())
+
+
+def test_no_watch_begins_after_the_end():
+    async def main():
+        await (source := Source(rev=2)).open()
+        await (new := Source(rev=3)).open()
+        async with watching(source) as (watcher, listener):
+            await listener.learned(2)
+            watcher.close()
+            watcher.move(new.address)
+            watcher.start()
+            await asyncio.sleep(10.0)
+            assert not new.connections
+            assert len(listener.heard) == 1
+        new.close()
+
+    run(main())
