--- a/orchidledge/decide/admission.py
+++ b/orchidledge/decide/admission.py
@@ -9,6 +9,7 @@
 from orchidledge.decide.state import State
 
 RETRY_WORTH = 0.5  # a marked retry counts as this share of its class's worth
+LET_IN_GAIN = 0.1  # smoothing of the share let in, per request
 HINT_GAIN = 0.03  # smoothing of the mean cost hint, per call
 
 
@@ -21,6 +22,12 @@
     then: float
 
 
+def _depth(quota: float) -> float:
+    """The most that a bucket of this many tokens a second holds: a second's, and one call's at least."""
+    # Guard: under one call a second here the bucket never held one, and no call was inside its share.
+    return max(1.0, quota) if quota > 0.0 else 0.0
+
+
 class Admission:
     def __init__(self, state: State, now_ms: float) -> None:
         self.state = state
@@ -28,7 +35,7 @@
         self.top_worth = max(kind.worth for kind in cfg.classes) or 1.0
         quotas = {tenant.name: tenant.quota_per_s for tenant in cfg.tenants}
         parts = state.shared.at(now_ms)
-        self.buckets = {name: Bucket(quota, quota / parts, now_ms) for name, quota in quotas.items()}
+        self.buckets = {name: Bucket(quota, _depth(quota / parts), now_ms) for name, quota in quotas.items()}
         self.mean_hint = 0.0
 
     def units(self, request: api.Request) -> float:
@@ -45,7 +52,9 @@
         queue = sum([peer.held for peer in state.ready])
         room = table.threshold(state, self.worth(now, request, kind), len(state.ready)) - queue
         # Guard: one call from each of hundreds of balancers kept a jam alive, so a fraction of one is drawn.
-        return room < 1.0 and state.rng.random() >= room
+        refused = room < 1.0 and state.rng.random() >= room
+        state.let_in += LET_IN_GAIN * ((not refused) - state.let_in)
+        return refused
 
     def worth(self, now: float, request: api.Request, kind: api.ServiceClass) -> float:
         worth = kind.worth / self.top_worth
@@ -54,7 +63,7 @@
         bucket = self.buckets.get(request.tenant or "")
         if bucket is not None and self.state.cfg.tier == 0:  # a token bucket of one second's share
             quota = bucket.quota_per_s / self.state.shared.at(now)
-            bucket.tokens = min(quota, bucket.tokens + quota * (now - bucket.then) / 1000.0)
+            bucket.tokens = min(_depth(quota), bucket.tokens + quota * (now - bucket.then) / 1000.0)
             bucket.then = now
             if bucket.tokens < 1.0:
                 return worth * self.state.cfg.over_share_worth
--- a/orchidledge/decide/attempts.py
+++ b/orchidledge/decide/attempts.py
@@ -69,19 +69,21 @@
     def _send(self, now: float, job: Job, acts: list[api.Action]) -> bool:
         state = self.state
         left = job.request.give_up_at_ms - now
-        if job.kind.late_worth <= 0.0 and not job.kind.stream:
+        if job.kind.late_worth <= 0.0 and not job.kind.stream and job.kind.aim_stretch <= 0.0:
             # Guard: late work is worth nothing, so it is stopped at the aim and does not crowd out the rest.
+            # Where the aim moves with the work, which nobody tells, one past the bare aim may be in time.
             left = min(left, job.taken_ms + job.kind.aim_ms * AIM_MARGIN - now)
         if job.done or left <= 1.0 or len(job.tries) >= state.cfg.max_attempts:
             return False
         peer = ranking.pick(state, now, job)
         if peer is None:
             return False
+        written_by_ms = ranking.repeat_before(job)
         job.tries.append(Try(peer, now))
         self._load(job, len(job.tries) - 1)
         if peer.info.address in state.returns:
             state.returns[peer.info.address].tried = True
-        acts.append(api.Send(job.request.id, peer.info.address, left))
+        acts.append(api.Send(job.request.id, peer.info.address, left, written_by_ms))
         return True
 
     def _load(self, job: Job, attempt: int) -> None:
--- a/orchidledge/net/attempts.py
+++ b/orchidledge/net/attempts.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from orchidledge import interface as api
+from orchidledge.net.clock import Clock
 from orchidledge.net.http import Response
 from orchidledge.net.jobs import Job, Jobs
 from orchidledge.net.requests import forwarded
@@ -21,6 +22,7 @@
     def __init__(
         self,
         settings: api.Settings,
+        clock: Clock,
         jobs: Jobs,
         pool: Pool,
         counts: Counter[str],
@@ -28,6 +30,7 @@
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._settings = settings
+        self._clock = clock
         self._jobs = jobs
         self._pool = pool
         self._counts = counts
@@ -37,14 +40,12 @@
         job = self._jobs.get(action.id)
         number = len(job.attempts) if job is not None else 0
         began = self._loop.time()
-        body = job.call.body if job is not None and job.call.body.whole is None else None
-        gone = body is not None and not body.open_to_another
-        over = job is None or job.done or gone or (job.give_up_at <= began and not job.call.coming)
         if job is not None:
             job.attempts.append(None)  # a moot send has a number too
-        if job is None or over or number >= self._settings.max_attempts:
+        if job is None or number >= self._settings.max_attempts:
             self._end(action, number, job, api.Result.MOOT, began)
             return
+        body = job.call.body if job.call.body.whole is None else None
         left = job.give_up_s if job.call.coming else job.give_up_at - began
         timeout = min(left, action.timeout_ms / 1000.0) if action.timeout_ms > 0.0 else left
         job.out += 1
@@ -61,6 +62,8 @@
             on_result,
             body,
             job.call.length is None,
+            lambda: self._jobs.waits(job),
+            self._clock.loop_time(action.written_by_ms),
         )
         if attempt is None:
             on_result(api.Result.CONNECT_FAILED, None)
@@ -86,6 +89,7 @@
         report = self._report(response)
         if job is not None:
             job.last = result
+            job.may_have_run = job.may_have_run or not result.never_ran
             if result is api.Result.OK and response is not None:
                 if response.rest is None:
                     self._jobs.answer(job, 200, bytes(response.body))
--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -25,6 +25,15 @@
     length: int | None = None  # as declared
     rest: Body | None = None  # of an answer too long to be held whole: it, as it comes
 
+    def ends_with_connection(self, version: str) -> bool:
+        """Whether the end of the connection is the end of this answer, by its head."""
+        if self.status < 200 or self.headers.keys() & {b"content-length", b"transfer-encoding"}:
+            return False
+        # Guard: an answer of no length ends with its connection, but only a server that has said it will
+        # close means that by an end; any other end is a break. HTTP/1.0 closes unless it says otherwise.
+        said = self.headers.get(b"connection", b"").lower()
+        return b"close" in said or (version == "1.0" and b"keep-alive" not in said)
+
 
 class Exchange(Protocol):
     """What a connection tells of the one request that it carries: `sent` at most once, then its end once."""
@@ -73,7 +82,8 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """The calling end of a connection. `on_closed` is told when it is gone."""
+    """The calling end of a connection. `on_closed` is told when it is gone, or will be before
+    whatever the loop is given from then on; perhaps more than once."""
 
     def __init__(
         self, on_closed: Callable[[ClientConnection], None], max_body: int = MAX_BODY, streams: bool = False
@@ -88,6 +98,7 @@
         self._size = 0
         self._in_head = False
         self._head_size = 0  # of head and trailers
+        self._kept_back = 0  # bytes since the last of a body: a line that has not ended is in the parser
         self._whole = False
         self._to_the_end = False  # the answer's end is the connection's
         self._spoilt = False
@@ -124,11 +135,12 @@
         assert self._exchange is None
         self._exchange = exchange
         self._response, self._size, self._whole, self._to_the_end = Response(), 0, False, False
-        self._transport.write(data)
         self._written = False
-        if body is not None:
-            self._upload = _Upload(self, body, chunked)
-            body.attach(self._upload)
+        # Guard: known before the first write, as that may already be more than the kernel takes.
+        upload = self._upload = _Upload(self, body, chunked) if body is not None else None
+        self._transport.write(data)
+        if upload is not None:
+            upload.body.attach(upload)
         else:
             self.written_whole()
 
@@ -161,6 +173,7 @@
         upload, self._upload = self._upload, None
         if self._transport is not None:
             self._transport.abort()
+        self._on_closed(self)
         if upload is not None:
             upload.body.leave(upload)
 
@@ -190,15 +203,19 @@
             self.abort()
             return
         self.heard_at = asyncio.get_running_loop().time()
+        self._kept_back += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._spoilt = self.unreadable = True
+        if self._kept_back > MAX_HEAD + MAX_BODY:  # Guard: the parser tells of a header once it is whole
+            self._spoilt = self.unreadable = True
         self._go_on()
 
     def _go_on(self) -> None:
         """Pass on what has come, and end the exchange if that was the end of it."""
-        self._pass_on()
+        if self._response.rest is not None or not self._spoilt:  # nothing is begun that is known to break
+            self._pass_on()
         if self._exchange is None:
             return
         if self._whole:
@@ -209,6 +226,8 @@
             if self._spoilt:
                 self.abort()
             if self._response.rest is not None:
+                # Guard: its taker may have stopped the reading with the last bytes; nobody else would go on.
+                self.resume()
                 self._response.rest.end()
             exchange.answered(self._response)
         elif self._spoilt:
@@ -245,14 +264,13 @@
 
     def eof_received(self) -> bool:
         self._spoilt = True
-        if self._to_the_end and self._exchange is not None:
-            self._whole = True
+        if self._exchange is not None:
+            # Guard: left to asyncio, what it still holds of the request would be written out first.
+            self._whole = self._to_the_end
             self._go_on()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._spoilt = True
-        self._on_closed(self)
         self._lose(self._written)
 
     def _lose(self, written: bool) -> None:
@@ -266,7 +284,7 @@
     def on_message_begin(self) -> None:
         if self._whole:
             self._spoilt = True  # more than was asked for
-        self._in_head, self._head_size = not self._whole, 0
+        self._in_head, self._head_size, self._kept_back = not self._whole, 0, 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._head_size += len(name) + len(value)
@@ -285,26 +303,23 @@
             if self._streams and (self._response.length or 0) > LONGEST:
                 # Guard: passed on as it came, it could not be sent again once nothing more came of it.
                 self._spoilt = self.unreadable = True
-            framed = self._response.headers.keys() & {b"content-length", b"transfer-encoding"}
-            # Guard: an answer of no length ends with its connection, but only a server that has said it will
-            # close means that by an end; any other end is a break.
-            closes = b"close" in self._response.headers.get(b"connection", b"").lower()
-            self._to_the_end = not framed and closes and self._response.status >= 200
+            self._to_the_end = self._response.ends_with_connection(self._parser.get_http_version())
+            if self._response.status == 200 and not self._written:
+                # Guard: a server begins once the last byte has come; this is another request's answer, late.
+                self._spoilt = True
 
     def on_body(self, body: bytes) -> None:
+        self._kept_back = 0
+        self._size += len(body)
         if self._streams and self._response.status != 200:
-            self._skip(len(body))
-            return
-        self._grow(len(body), LONGEST if self._streams else self._max_body)
-        if not self._spoilt:
+            # The text of an answer that is no 200 goes nowhere; of a long one the rest is not waited for.
+            if self._size > MAX_BODY:
+                self._whole = self._spoilt = True
+        elif self._size > (LONGEST if self._streams else self._max_body):
+            self._spoilt = self.unreadable = True
+        elif not self._spoilt:
             self._response.body += body
 
-    def _skip(self, size: int) -> None:
-        """The text of an answer that is no 200 goes nowhere; of a long one the rest is not waited for."""
-        self._size += size
-        if self._size > MAX_BODY:
-            self._whole = self._spoilt = True
-
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
         if self._whole or self._spoilt:
@@ -315,8 +330,3 @@
         self._whole = True
         if not self._parser.should_keep_alive():
             self._spoilt = True
-
-    def _grow(self, size: int, limit: int) -> None:
-        self._size += size
-        if self._size > limit:
-            self._spoilt = self.unreadable = True
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -10,6 +12,8 @@
 from orchidledge.net.body import Body
 from orchidledge.net.http import ClientConnection, Response
 
+log = logging.getLogger("orchidledge")
+
 Address = tuple[str, int]
 
 SILENT_S = 10.0  # a long answer of which nothing has come for so long will not be finished
@@ -45,8 +49,11 @@
         on_result: Callable[[Result, Response | None], None],
         body: Body | None = None,
         chunked: bool = False,
+        wanted: Callable[[], bool] = lambda: True,
+        written_by: float = math.inf,
     ) -> None:
         self._pool = pool
+        self._wanted = wanted  # whether anybody still waits for its answer
         self._chunked = chunked
         self._body = body  # what follows those bytes, if it is long
         self._timeout_s = timeout_s
@@ -58,6 +65,9 @@
         self._connect: asyncio.Task[None] | None = None
         loop = asyncio.get_running_loop()
         self._end_at = loop.time() + timeout_s
+        self._written_by = written_by  # the loop's time by which its last byte has left, or never will
+        bounded = written_by < math.inf
+        self._unwritten = loop.call_at(written_by, self.withdraw) if bounded else None
         if body is None or body.ended:
             self._timer = loop.call_at(self._end_at, self._time_out)
         else:
@@ -74,9 +84,10 @@
     def cancel(self) -> None:
         self._finish(Result.CANCELLED)
 
-    def withdraw(self) -> None:
-        """Give up before anything was sent."""
-        self._finish(Result.CONNECT_FAILED)
+    def withdraw(self, result: Result = Result.CONNECT_FAILED) -> None:
+        """Give up, unless it has been written whole and may run by now."""
+        if self._connection is None or not self._connection.written:
+            self._finish(result)
 
     # ----------------------------------------------------------- for the connection
 
@@ -112,31 +123,52 @@
 
     def begin(self, server: _Server) -> None:
         self._server = server
-        connection = self._pool.take_idle(server)
-        if connection is not None:
+        loop = asyncio.get_running_loop()
+        # Told later, as every result is, so that the action that asked for the attempt is over by then.
+        if not self._may_begin():
+            loop.call_soon(self.withdraw, Result.MOOT)
+        elif (connection := self._pool.take_idle(server)) is not None:
             self._write(connection)
         elif self._pool.make_room():
             server.waiting.add(self)
             self._connect = asyncio.create_task(self._open(server))
             self._pool.count_opening(self._connect)
         else:
-            # Told later, as every result is, so that the action that asked for the attempt is over by then.
-            asyncio.get_running_loop().call_soon(self.withdraw)
+            loop.call_soon(self.withdraw)
+
+    def _may_begin(self) -> bool:
+        """Whether its first byte may go now. Asked in the turn of the loop that would write it: at once on a
+        connection that is kept, and once more when a new one has come up. By then its caller may have gone,
+        its request have its answer, its time be over, a repeat no longer be harmless, or its server have left
+        the list (Pool.remove ends it)."""
+        coming = self._body is not None and not self._body.ended
+        now = asyncio.get_running_loop().time()
+        in_time = (coming or now < self._end_at) and now < self._written_by
+        held = self._body is None or self._body.open_to_another  # from its first byte on
+        return not self._over and in_time and held and self._wanted()
 
     async def _open(self, server: _Server) -> None:
         try:
             async with asyncio.timeout(self._pool.connect_timeout_s):
                 connection = await self._pool.open(server.endpoint)
-        except (OSError, TimeoutError):
+        except Exception as error:
+            # Guard: of any other fault than a refusal or a time-out nobody was told, as of no valid address.
+            if not isinstance(error, OSError):  # as a time-out is one
+                log.exception("no connection to %s", server.endpoint)
             self._connect = None
             self.withdraw()
             return
         self._connect = None
         server.waiting.discard(self)
-        if self._over:
+        if not connection.usable:
+            # Guard: a request written after a server's end would be a reset, though it can't have run.
             connection.abort()
-        else:
+            self.withdraw()
+        elif self._may_begin():
             self._write(connection)
+        else:
+            self._pool.give_back(server, connection)
+            self.withdraw(Result.MOOT)
 
     def _write(self, connection: ClientConnection) -> None:
         self._connection = connection
@@ -144,10 +176,7 @@
         coming = self._body is not None and not self._body.ended
         left = self._timeout_s if coming else self._end_at - now
         connection.taken_at = now
-        if self._body is not None and not self._body.open_to_another:
-            self.withdraw()  # its beginning is no longer held
-        else:
-            connection.start(self._request(left), self, self._body, self._chunked)
+        connection.start(self._request(left), self, self._body, self._chunked)
 
     def _watch_sending(self) -> None:
         """Give up on a server that takes nothing of a long request; its caller is watched elsewhere."""
@@ -182,6 +211,8 @@
             return
         self._over = True
         self._timer.cancel()
+        if self._unwritten is not None:
+            self._unwritten.cancel()
         if self._server is not None:
             self._server.waiting.discard(self)
         if self._connect is not None:
@@ -213,7 +244,8 @@
 
     @property
     def size(self) -> int:
-        return len(self._open) + len(self._opening)
+        # Guard: what is being given up goes before what is begun now; counted, it left no room for a repeat.
+        return len(self._open) + sum(not task.cancelling() for task in self._opening)
 
     def add(self, name: str, endpoint: Address, launched_ms: float | None = None) -> None:
         """Name a server, its new endpoint or its latest start."""
@@ -243,12 +275,14 @@
         on_result: Callable[[Result, Response | None], None],
         body: Body | None = None,
         chunked: bool = False,
+        wanted: Callable[[], bool] = lambda: True,
+        written_by: float = math.inf,
     ) -> Attempt | None:
         """Start an attempt; None if no such server is named."""
         server = self._servers.get(name)
         if server is None:
             return None
-        attempt = Attempt(self, request, timeout_s, on_result, body, chunked)
+        attempt = Attempt(self, request, timeout_s, on_result, body, chunked, wanted, written_by)
         attempt.begin(server)
         return attempt
 
@@ -295,15 +329,12 @@
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; closes the one idle for longest if need be."""
-        if self.size < self.limit:
-            return True
-        idle = [(server.idle[0].idle_since, server) for server in self._servers.values() if server.idle]
-        if not idle:
-            return False
-        _, server = min(idle, key=lambda pair: pair[0])
-        connection = server.idle.pop(0)
-        self._open.discard(connection)
-        connection.abort()
+        while self.size >= self.limit:
+            idle = [(server.idle[0].idle_since, server) for server in self._servers.values() if server.idle]
+            if not idle:
+                return False
+            _, server = min(idle, key=lambda pair: pair[0])
+            server.idle.pop(0).abort()  # one that had ended by itself makes no room
         return True
 
     def count_opening(self, task: asyncio.Task[None]) -> None:
@@ -312,10 +343,15 @@
         task.add_done_callback(self._opening.discard)
 
     async def open(self, endpoint: Address) -> ClientConnection:
-        loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            lambda: ClientConnection(self._open.discard, streams=True), *endpoint
-        )
+        task = asyncio.current_task()
+        assert task is not None
+        try:
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: ClientConnection(self._open.discard, streams=True), *endpoint
+            )
+        finally:
+            # Guard: counted once from here on; the task is over only in the loop's next turn.
+            self._opening.discard(task)
         self._open.add(connection)
         return connection
 
--- /dev/null
+++ b/tests/test_pooled.py
@@ -0,0 +1,261 @@
+"""Pooled connections at rare moments: what comes between two steps of the node, put there by a raw socket."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+from loopback import reply, until
+from pooled import ACTS, BIG, DATA, Coming, Full, act, bed, close, heard
+
+from orchidledge.interface import Result
+from orchidledge.net.body import HIGH_WATER, Body
+from orchidledge.net.http import ClientConnection
+
+
+def test_a_connection_whose_last_answer_was_held_to_its_end_is_read_on():
+    """A slow reader may stop the reading with the very last bytes; nobody would start it again."""
+
+    async def main():
+        async with bed() as here:
+            peer = await here.asked()
+            peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (HIGH_WATER + 1))
+            peer.sendall(bytes(HIGH_WATER))
+            await here.end()
+            sink = Full(here.answers[0].rest)
+            assert sink.size
+            sink.body.release()  # the reader has taken that
+            peer.sendall(b"x")
+            await until(lambda: sink.said == ["end"])
+            assert sink.size == HIGH_WATER + 1
+            (connection,) = here.idle
+            assert connection._transport.is_reading()
+            connection.idle_since -= 1.0
+            here.send()
+            assert await heard(peer) == DATA
+            peer.sendall(reply())
+            assert await here.end(2) == [Result.OK, Result.OK]
+
+    asyncio.run(main())
+
+
+# ------------------------------------------------------------ as a connection is taken
+
+
+@pytest.mark.parametrize("how", ACTS)
+@pytest.mark.parametrize("seen", [True, False])  # by the event loop
+def test_what_came_on_a_resting_connection_sends_the_request_on_another(how, seen):
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            act(peer, how, connection)
+            if seen:
+                await until(lambda: not here.pool.size)
+            here.send()
+            second = await here.accept()
+            assert await heard(second) == DATA
+            second.sendall(reply())
+            assert await here.end() == [Result.OK]
+            assert here.answers[0].body == b"done"
+            if how in ("half", "second"):  # of the request nothing was sent here
+                assert await heard(peer) == b""
+            await until(lambda: here.pool.size == 1)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("how", "expected"), [("end", Result.RESET), ("reset", Result.CONNECT_FAILED), ("half", Result.RESET)]
+)
+def test_what_comes_between_the_last_look_and_the_write_never_passes_for_an_answer(how, expected):
+    """A reset fails the write itself: nothing has left. After an end the bytes leave, so it may have run."""
+
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+
+            def data(wait: float) -> bytes:
+                act(peer, how, connection)
+                return DATA
+
+            here.pool.send("s", data, 20.0, lambda result, _: here.ends.append(result))
+            if how == "half":
+                peer.sendall(reply())
+            assert await here.end() == [expected]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ["end", "reset", "half"])
+def test_what_comes_after_the_write_may_have_run(how):
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            here.send()
+            act(peer, how, connection)
+            if how == "half":
+                close(peer, reset=True)
+            assert await here.end() == [Result.RESET]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ACTS)
+def test_what_comes_on_a_new_connection_before_the_request_leaves_it_unsent(how, monkeypatch):
+    """Guard: an end that was there before the write made a reset of what had never run."""
+
+    async def main():
+        async with bed() as here:
+            made = ClientConnection.connection_made
+
+            def connection_made(self: ClientConnection, transport: asyncio.BaseTransport) -> None:
+                made(self, transport)
+                peer, _ = here.listener.accept()
+                here.peers.append(peer)
+                act(peer, how, self)
+
+            monkeypatch.setattr(ClientConnection, "connection_made", connection_made)
+            here.send()
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+            if how in ("half", "second"):
+                assert await heard(here.peers[0]) == b""
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("how", ["cancel", "remove"])
+def test_a_connection_that_comes_up_as_its_attempt_is_given_up_is_closed_unused(how, monkeypatch):
+    async def main():
+        async with bed() as here:
+            made = ClientConnection.connection_made
+
+            def connection_made(self: ClientConnection, transport: asyncio.BaseTransport) -> None:
+                made(self, transport)
+                (attempt,) = here.pool._servers["s"].waiting
+                here.pool.remove("s") if how == "remove" else attempt.cancel()
+
+            monkeypatch.setattr(ClientConnection, "connection_made", connection_made)
+            here.send()
+            peer = await here.accept()
+            assert await here.end() == [Result.CONNECT_FAILED if how == "remove" else Result.CANCELLED]
+            await until(lambda: not here.pool.size)
+            assert await heard(peer) == b""
+
+    asyncio.run(main())
+
+
+# ----------------------------------------------------- before the request is whole
+
+
+def test_an_end_before_the_last_byte_is_written_stops_the_request():
+    """Guard: the rest was still written out to a server that had ended its sending, which then ran it."""
+
+    async def main():
+        async with bed() as here:
+            here.send(data=bytes(BIG))
+            peer = await here.accept()
+            size = len(await heard(peer))  # so the node is writing
+            peer.shutdown(socket.SHUT_WR)
+            while data := await heard(peer, 1_000_000):
+                size += len(data)
+            assert size < BIG
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_head_that_the_kernel_does_not_take_whole_holds_the_body():
+    async def main():
+        async with bed() as here:
+            here.send(data=bytes(BIG), body=Body(source := Coming()))
+            peer = await here.accept()
+            await until(lambda: source.said)
+            assert source.said == ["pause"]
+            size = 0
+            while size < BIG and (data := await heard(peer, 1_000_000)):
+                size += len(data)
+            assert size == BIG
+            await until(lambda: source.said[-1] == "resume")
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("ends", ["after", "before"])  # the body, after or before this answer's own end
+def test_a_200_that_begins_before_the_request_is_whole_is_another_requests(ends):
+    """A server begins once the last byte has come. A second answer come late must not pass for this one's."""
+
+    async def main():
+        async with bed() as here:
+            peer, connection = await here.rested()
+            here.send(body=(body := Body(Coming())))
+            assert await heard(peer) == DATA
+            answer = reply(200, b"stray")
+            peer.sendall(answer[:-1] if ends == "before" else answer)
+            await until(lambda: connection.heard_at > connection.taken_at or here.ends)
+            body.put(b"x")
+            body.end()
+            if ends == "before":
+                with contextlib.suppress(OSError):
+                    peer.sendall(answer[-1:])
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_server_that_turns_a_request_away_before_its_end_is_heard_and_sent_no_more():
+    async def main():
+        async with bed() as here:
+            here.send(body=(body := Body(source := Coming())))
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            peer.sendall(reply(503, Srv_Declined="1"))
+            assert await here.end() == [Result.FULL]
+            body.put(b"x")
+            body.end()
+            assert await heard(peer) == b""
+            assert "abandoned" not in source.said  # another server may take it from its start
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
+
+
+def test_a_body_that_has_ended_holds_its_source_no_more():
+    """Guard: with its reading stopped, a caller's leaving went unseen until the server had taken all."""
+
+    async def main():
+        async with bed() as here:
+            body = Body(source := Coming())
+            body.put(b"x")
+            here.send(data=bytes(BIG), body=body)
+            body.end()  # while the attempt connects
+            peer = await here.accept()
+            assert await heard(peer)
+            assert "pause" not in source.said
+            close(peer, reset=True)
+            assert await here.end() == [Result.CONNECT_FAILED]
+
+    asyncio.run(main())
+
+
+def test_an_early_answer_and_a_reset_met_by_a_write_are_a_request_that_never_ran():
+    async def main():
+        async with bed() as here:
+            here.send(body=(body := Body(Coming())))
+            peer = await here.accept()
+            assert await heard(peer) == DATA
+            (connection,) = here.pool._open
+            peer.sendall(reply(500))
+            act(peer, "reset", connection)
+            body.put(b"x")  # fails, and what was there to read goes with it
+            body.end()
+            assert await here.end() == [Result.CONNECT_FAILED]
+            await until(lambda: not here.pool.size)
+
+    asyncio.run(main())
