--- a/orchidledge/members/__init__.py
+++ b/orchidledge/members/__init__.py
@@ -19,10 +19,11 @@
 """
 
 from .actions import Action, Ask, AskThrough, Changed, Config, Reply, Sibling, Viewed
-from .enrolment import Call, Enrolment, Member, Share, Word
+from .enrolment import Call, Enrolment, Share, Word
 from .hearing import Hearing
 from .leases import LeaseClock
 from .ledger import Ledger, Row, State
+from .messages import LeaseGrant, Member
 from .payload import Standing
 from .verdict import VERDICTS, Heard, Lease, Stand, Verdict, stand, verdict
 
@@ -39,6 +40,7 @@
     "Hearing",
     "Lease",
     "LeaseClock",
+    "LeaseGrant",
     "Ledger",
     "Member",
     "Reply",
--- a/orchidledge/members/enrolment.py
+++ b/orchidledge/members/enrolment.py
@@ -11,6 +11,9 @@
   included, have lately said that they are cut off and hold too (HOLD of the term after their word); it has
   to be an elector itself.
 - Once neither is true it has *yielded*: its share is 0 until a renewal is answered again.
+- The member list is that of the node's group. Changes are taken only onto the revision that they begin at;
+  at any other the whole list is asked for, and the node goes on acknowledging what it has.
+- An enrolment that is refused (the group is full) is said again after a jittered pause that grows.
 
 A node says `holding` from the moment it can't be among the surely attached any more (members/leases.py),
 which is before its lease ends, so that siblings cut off together hear of each other in time.
@@ -24,8 +27,11 @@
 from random import Random
 from typing import Any
 
+from msgspec import UNSET
+
 from orchidledge.members.leases import LATE, SUPPORT
 from orchidledge.members.ledger import is_majority
+from orchidledge.members.messages import LeaseGrant, Member
 from orchidledge.members.payload import Standing
 
 RENEW = 0.2  # of the term: from one renewal to the next
@@ -36,6 +42,8 @@
 )
 DRIFT = 0.001  # clocks' rates differ by less: the node's term is shorter by this share of it
 HOLD = 0.9  # of the term: how long a sibling's word that it holds is rested on
+BACKOFF_MOST = 2.0  # of the term: the longest pause after enrolments that were refused again and again
+WHOLE_LIST = -1  # acknowledged where the list has to be told whole
 FIRST_TTL_MS = 5_000.0  # until the service has told its term
 LEAST = 1e-9  # shares nearer than this are the same
 
@@ -50,18 +58,6 @@
     timeout_ms: float
 
 
-@dataclass(slots=True, frozen=True)
-class Member:
-    """A row as the list service told it."""
-
-    name: str
-    address: str
-    zone: str
-    incarnation: int
-    rank: int
-    state: str
-
-
 @dataclass(slots=True, frozen=True)
 class Share:
     """What the node may take of what all siblings share: `share` before `until_ms` of its clock, 0 from
@@ -81,13 +77,21 @@
 
 
 class Enrolment:
-    def __init__(self, name: str, address: str, zone: str, start: str, rng: Random) -> None:
+    def __init__(
+        self, name: str, address: str, zone: str, start: str, rng: Random, service: str = ""
+    ) -> None:
+        """`service`: the one that this node balances to, whose nodes are its group."""
         self._about = {"name": name, "address": address, "zone": zone, "start": start}
+        if service:
+            self._about["service"] = service
         self._rng = rng
         self.ttl_ms = FIRST_TTL_MS
         self.incarnation: int | None = None
         self.members: tuple[Member, ...] = ()
         self.revision = 0  # that `members` shows
+        self._by_incarnation: dict[int, Member] = {}
+        self._whole_list_wanted = False
+        self._refusals = 0  # enrolments refused in a row
         self.elector = False
         self.lease_end = -math.inf
         self._share = 0.0
@@ -145,7 +149,8 @@
                 "incarnation": self.incarnation,
                 "seq": self._numbers,
                 "answered": self._answered,
-                "acked": self.revision,
+                "acked": WHOLE_LIST if self._whole_list_wanted else self.revision,
+                "delta": True,
                 "using": self.taking(now),
                 "sent": service_ms,
             }
@@ -153,26 +158,41 @@
         self._out, self._sent_at = (call, now), now
         return call
 
-    def answered(self, now: float, number: int, answer: Mapping[str, Any]) -> bool:
-        """An answer of status 200, already checked in form; whether it was used."""
+    def acknowledged(self, now: float, number: int) -> bool:
+        """The service has noted that this process leaves; whether that was still waited for."""
+        if self._out is None or self._out[0].number != number:
+            return False
+        (call, _), self._out = self._out, None
+        self._leave = None
+        self._due = now + RENEW * self.ttl_ms if call.path == "leaving" else math.inf
+        return True
+
+    def granted(self, now: float, number: int, grant: LeaseGrant, ttl_ms: float) -> bool:
+        """The answer to an enrolment or a renewal, already checked in form; whether it was used."""
         if self._out is None or self._out[0].number != number:
             return False  # of a call that was given up
         (call, sent), self._out = self._out, None
-        if call.path in ("leaving", "leave"):
-            self._leave = None
-            self._due = now + RENEW * self.ttl_ms if call.path == "leaving" else math.inf
-            return True
-        self.ttl_ms = float(answer["ttl_ms"])
+        self.ttl_ms = ttl_ms
         if now - sent > self.ttl_ms * LATE:
             self._retry(now)
             return False
-        if answer["incarnation"] != self.incarnation:
+        if grant.incarnation != self.incarnation:
             self._answered = 0  # the enrolment itself is what this row was answered last
         if call.path == "renew":
             self._answered = number
-        self._use(now, sent, answer)
+        self._refusals = 0
+        self._use(now, sent, grant)
         return True
 
+    def refused(self, now: float, number: int) -> None:
+        """The service takes no further member into this group: said again, ever less often."""
+        if self._out is None or self._out[0].number != number:
+            return
+        self._out = None
+        pause_ms = self.ttl_ms * min(BACKOFF_MOST, RETRY * 2.0**self._refusals)
+        self._refusals += 1
+        self._due = now + pause_ms * self._rng.uniform(0.5, 1.0)
+
     def failed(self, now: float, number: int, unknown: bool = False) -> None:
         """A call has failed; `unknown`: the service has no such row, and the process has to enrol anew."""
         if self._out is None or self._out[0].number != number:
@@ -233,20 +253,38 @@
 
     # --------------------------------------------------------------------------- parts
 
-    def _use(self, now: float, sent: float, answer: Mapping[str, Any]) -> None:
+    def _use(self, now: float, sent: float, grant: LeaseGrant) -> None:
         asked = self.taking(now)
-        self.incarnation = int(answer["incarnation"])
-        if "members" in answer:
-            self.members = tuple(Member(**row) for row in answer["members"])
-        self.revision, self.elector = int(answer["rev"]), bool(answer["elector"])
+        self.incarnation, self.elector = grant.incarnation, grant.elector
+        self._take_members(grant)
         self.lease_end = sent + self.ttl_ms * (1.0 - DRIFT)
-        self._share, self._until, self._answer_at = float(answer["share"]), self.lease_end, now
-        aim = 1.0 / max(1, sum(member.state != "left" for member in self.members))
-        settled = self._share > aim - LEAST and asked <= self._share + LEAST
+        self._share, self._until, self._answer_at = grant.share, self.lease_end, now
+        settled = self._share > self._aim(grant) - LEAST and asked <= self._share + LEAST
         self._due = now + (RENEW if settled else CATCH_UP) * self.ttl_ms
         if asked > self._share + LEAST:  # what it gives up is free for others only once it has said so
             self._due = now
 
+    def _take_members(self, grant: LeaseGrant) -> None:
+        if grant.since is not UNSET and grant.since != self.revision:
+            self._whole_list_wanted = True  # Guard: changes that begin elsewhere leave a gap
+            return
+        if grant.since is UNSET and grant.members is UNSET and grant.rev != self.revision:
+            self._whole_list_wanted = True
+            return
+        self.revision, self._whole_list_wanted = grant.rev, False
+        if grant.members is UNSET:
+            return
+        known = {} if grant.since is UNSET else self._by_incarnation
+        told = {member.incarnation: member for member in grant.members}
+        gone = set(grant.removed)
+        self._by_incarnation = {number: row for number, row in known.items() if number not in gone} | told
+        self.members = tuple(self._by_incarnation.values())
+
+    def _aim(self, grant: LeaseGrant) -> float:
+        if grant.aim is not UNSET:
+            return grant.aim
+        return 1.0 / max(1, sum(member.state != "left" for member in self.members))
+
     def _retry(self, now: float) -> None:
         self._due = now + RETRY * self.ttl_ms * self._rng.uniform(0.5, 1.0)
 
--- a/orchidledge/members/ledger.py
+++ b/orchidledge/members/ledger.py
@@ -1,7 +1,8 @@
-"""The rows of the fleet: who is enrolled, under which incarnation, and what share each may be taking.
+"""The rows of one group: who is enrolled, under which incarnation, and what share each may be taking.
 
-A replicated state machine without clocks: every call stands in the list service's log and gives the same
-result on each instance. Its rules (docs/fleet.md, "Shares"):
+A group is the nodes in front of one service; the members that name no service are a group too, and count in
+every other (registry/fleet_state.py). A replicated state machine without clocks: every call stands in the
+list service's log and gives the same result on each instance. Its rules (docs/fleet.md, "Shares"):
 
 - A row's `share` is the most that its process may be taking; the sum over all rows is never over 1. A grant
   is made only from what is free, and what a node gives up is free only once its own renewal says so.
@@ -17,6 +18,11 @@
 from enum import StrEnum
 from typing import Any
 
+from msgspec.structs import replace
+
+from .change_log import ChangeLog
+from .messages import LeaseGrant, Member
+
 
 class State(StrEnum):
     LIVE = "live"
@@ -40,25 +46,44 @@
     state: State = State.LIVE
     seq: int = 0  # of its last renewal
 
-    def told(self) -> dict[str, Any]:
-        """What siblings are told of it."""
-        return {
-            "name": self.name,
-            "address": self.address,
-            "zone": self.zone,
-            "incarnation": self.incarnation,
-            "rank": self.rank,
-            "state": self.state.value,
-        }
+    def member(self) -> Member:
+        """What the group's processes are told of it."""
+        return Member(self.name, self.address, self.zone, self.incarnation, self.rank, self.state.value)
+
+
+@dataclass(slots=True, frozen=True)
+class Beside:
+    """What members outside of the group may be taking of the same whole, and how many they are."""
+
+    share: float = 0.0
+    rows: int = 0
 
 
 class Ledger:
-    """The rows by incarnation. Plain data: it can be pickled, copied and compared."""
+    """The rows by incarnation. Plain data: it can be pickled, copied and compared.
+
+    The change log, and what stands `beside` the group, are not part of the replicated state.
+    """
 
     def __init__(self) -> None:
-        self.revision = 0  # rises with each change that siblings have to know of
+        self.revision = 0  # rises with each change that the group's processes have to know of
         self.incarnations = 0
         self.by_incarnation: dict[int, Row] = {}
+        self.beside = Beside()
+        self._changes = ChangeLog(0)
+
+    def __getstate__(self) -> dict[str, Any]:
+        """The fields that every release of the snapshot format has."""
+        return {
+            "revision": self.revision,
+            "incarnations": self.incarnations,
+            "by_incarnation": self.by_incarnation,
+        }
+
+    def __setstate__(self, state: dict[str, Any]) -> None:
+        self.__dict__.update(state)
+        self.beside = Beside()
+        self._changes = ChangeLog(self.revision)
 
     # ------------------------------------------------------------------ commands
 
@@ -74,8 +99,8 @@
             if row.address == address:
                 before = row
         self.incarnations += 1
-        self.revision += 1
         number = self.incarnations
+        self._changed(number, *(() if before is None else (before.incarnation,)))
         new = Row(name, address, zone, start, number, number, self.revision)
         if before is not None:  # it listened where this one listens now, so one of the two has ended
             del self.by_incarnation[before.incarnation]
@@ -101,7 +126,7 @@
             row.share = min(row.share, max(0.0, using))
             if row.state is State.LAPSED:
                 row.state = State.LIVE
-                self.revision += 1
+                self._changed(incarnation)
             if before != (row.acked, row.state):
                 self._promote()
         self._grant(row)
@@ -113,7 +138,7 @@
             return False
         if row.state is not State.LEAVING:
             row.state = State.LEAVING
-            self.revision += 1
+            self._changed(incarnation)
         return True
 
     def leave(self, incarnation: int) -> bool:
@@ -146,7 +171,7 @@
         for row in removed:
             del self.by_incarnation[row.incarnation]
         if newly or removed:
-            self.revision += 1
+            self._changed(*(row.incarnation for row in (*newly, *removed)))
             self._promote()
         return [row.incarnation for row in newly], [row.incarnation for row in removed]
 
@@ -165,25 +190,58 @@
             {rank for number, rank in electors.items() if number in support}, electors.values()
         )
 
-    def answer(self, row: Row, acked: int) -> dict[str, Any]:
-        """What the process of this row is told; the members only where it does not know this revision."""
-        told: dict[str, Any] = {
-            "incarnation": row.incarnation,
-            "rev": self.revision,
-            "share": min(row.share, self.aim()),
-            "elector": row.elector,
-            "state": row.state.value,
-        }
-        if acked != self.revision:
-            told["members"] = [other.told() for other in self.by_incarnation.values()]
-        return told
+    def grant(self, row: Row, acked: int, delta: bool = False) -> LeaseGrant:
+        """What the process of this row is told, which acts on the revision `acked`.
+
+        The members only where that is not the present one; only what has changed since where the process
+        takes that (`delta`) and it is still known.
+        """
+        grant = LeaseGrant(
+            incarnation=row.incarnation,
+            rev=self.revision,
+            share=min(row.share, self.aim()),
+            elector=row.elector,
+            state=row.state.value,
+            aim=self.aim(),
+        )
+        if acked == self.revision:
+            return grant
+        changed = self._changes.since(acked) if delta else None
+        if changed is None:
+            return replace(grant, members=self.members())
+        there = sorted(changed & self.by_incarnation.keys())
+        return replace(
+            grant,
+            since=acked,
+            members=tuple(self.by_incarnation[incarnation].member() for incarnation in there),
+            removed=tuple(sorted(changed - self.by_incarnation.keys())),
+        )
+
+    def members(self) -> tuple[Member, ...]:
+        """The whole member list."""
+        return tuple(row.member() for row in self.by_incarnation.values())
+
+    def has_start(self, start: str) -> bool:
+        """Whether this very process has a row."""
+        return any(row.start == start for row in self.by_incarnation.values())
+
+    def replaces(self, address: str, start: str) -> bool:
+        """Whether an enrolment of this process would add no row: it has one, or takes its predecessor's."""
+        return any(
+            row.state is not State.LEFT and (row.start == start or row.address == address)
+            for row in self.by_incarnation.values()
+        )
 
     def rows(self) -> list[Row]:
         return list(self.by_incarnation.values())
 
     def aim(self) -> float:
         """The share that each row comes to once all have renewed."""
-        return 1.0 / max(1, sum(row.state is not State.LEFT for row in self.by_incarnation.values()))
+        return 1.0 / max(1, self.sharing() + self.beside.rows)
+
+    def sharing(self) -> int:
+        """The rows that take part in the whole."""
+        return sum(row.state is not State.LEFT for row in self.by_incarnation.values())
 
     def total(self) -> float:
         """The sum of the shares that all processes may be taking."""
@@ -191,13 +249,17 @@
 
     # -------------------------------------------------------------------- parts
 
+    def _changed(self, *incarnations: int) -> None:
+        self.revision += 1
+        self._changes.note(self.revision, incarnations)
+
     def _still(self, incarnation: int, seq: int) -> bool:
         row = self.by_incarnation.get(incarnation)
         return row is not None and row.seq == seq
 
     def _end(self, row: Row) -> None:
         row.state, row.share = State.LEFT, 0.0
-        self.revision += 1
+        self._changed(row.incarnation)
         self._promote()
 
     def _grant(self, row: Row) -> None:
@@ -206,7 +268,8 @@
         if row.state in (State.LIVE, State.LEAVING):
             lacking = self.aim() - row.share
             if lacking > 0.0:
-                row.share += min(max(0.0, 1.0 - self.total()), lacking)
+                free = 1.0 - self.total() - self.beside.share
+                row.share += min(max(0.0, free), lacking)
 
     def _promote(self) -> None:
         electors = (
--- a/orchidledge/net/fleet/agent.py
+++ b/orchidledge/net/fleet/agent.py
@@ -3,35 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 import orjson
-from msgspec import Meta
 
-from orchidledge.members import Member
+from orchidledge.members.messages import LeaseAnswer
 from orchidledge.net import web
 from orchidledge.net.upstream import Address
 
-Share = Annotated[float, Meta(ge=0.0, le=1.0)]
-Moment = Annotated[float, Meta(ge=0.0, le=1e15)]
-
-
-class LeaseAnswer(msgspec.Struct, frozen=True):
-    """What an enrolment or a renewal is answered; `members` only where they have changed."""
-
-    incarnation: Annotated[int, Meta(ge=1)]
-    rev: Annotated[int, Meta(ge=0)]
-    share: Share
-    elector: bool
-    ttl_ms: Annotated[float, Meta(ge=100.0, le=600_000.0)]
-    routes: dict[str, Any]
-    t2: Moment
-    t3: Moment
-    term: int = 0  # of the leader whose clock t2 and t3 are by
-    members: list[Member] | msgspec.UnsetType = msgspec.UNSET
-
-
 _lease_answer = msgspec.json.Decoder(LeaseAnswer)
 
 
--- a/orchidledge/net/fleet/lease.py
+++ b/orchidledge/net/fleet/lease.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 import orjson
 
 from orchidledge.members import Call, Enrolment
-from orchidledge.net.fleet.agent import Agent, LeaseAnswer, read_lease
+from orchidledge.members.messages import LeaseAnswer
+from orchidledge.net.fleet.agent import Agent, read_lease
 from orchidledge.net.fleet.times import Alarm, FleetClock, Tasks
 from orchidledge.view import Offsets
 
@@ -91,12 +91,14 @@
             now = self._clock.ms()
             if reply.status == 404 and call.path == "renew":
                 self._gone(now, call)
+            elif reply.status == 409 and call.path == "enrol":
+                self._refused(now, call, reply.body)
             elif reply.status != 200:
                 self._failed(now, call, f"answered {reply.status}")
             elif call.path in ("enrol", "renew"):
                 self._use(sent, now, call, read_lease(reply.body))
             else:
-                self.core.answered(now, call.number, {})
+                self.core.acknowledged(now, call.number)
                 if call.path == "leave":
                     self._left.set()
         except (OSError, TimeoutError, ValueError) as error:
@@ -108,7 +110,7 @@
             self._offsets.forget(SERVICE)
             self._term = answer.term
         self._offsets.sample(SERVICE, sent, answer.t2, answer.t3, now)
-        if not self.core.answered(now, call.number, msgspec.to_builtins(answer)):
+        if not self.core.granted(now, call.number, answer, answer.ttl_ms):
             self.failures += 1
             return
         if self._failing:
@@ -124,14 +126,19 @@
         self.on_share()
 
     def _failed(self, now: float, call: Call, why: str) -> None:
+        self._note_failure(f"{call.path} failed, the last answer holds while its lease runs: {why[:200]}")
+        self.core.failed(now, call.number)
+        self.on_share()
+
+    def _refused(self, now: float, call: Call, body: bytes) -> None:
+        self._note_failure(f"not enrolled, it takes no further member: {body[:200]!r}")
+        self.core.refused(now, call.number)
+
+    def _note_failure(self, what: str) -> None:
         self.failures += 1
         if not self._failing:  # once for each stretch of failures
-            log.warning(
-                "fleet: %s failed, the last answer holds while its lease runs: %s", call.path, why[:200]
-            )
+            log.warning("fleet: %s", what)
         self._failing = True
-        self.core.failed(now, call.number)
-        self.on_share()
 
     # ------------------------------------------------------------------------- news
 
@@ -144,7 +151,10 @@
         tells."""
         while True:
             members, routes = self._revisions
-            target = f"watch?since={members}&routes_since={routes}&timeout_ms={WATCH_MS:.0f}"
+            target = (
+                f"watch?since={members}&routes_since={routes}"
+                f"&incarnation={self.core.incarnation or 0}&timeout_ms={WATCH_MS:.0f}"
+            )
             try:
                 reply = await self._agent.get(target, WATCH_MS + WATCH_SLACK_MS)
                 row: Any = orjson.loads(reply.body)
--- a/orchidledge/net/fleet/part.py
+++ b/orchidledge/net/fleet/part.py
@@ -25,12 +25,13 @@
     stand,
     verdict,
 )
+from orchidledge.members.messages import LeaseAnswer
 from orchidledge.net.clock import Clock
 from orchidledge.net.config import Config as NodeConfig
 from orchidledge.net.discovery import Watcher
 from orchidledge.net.driver import Driver
 from orchidledge.net.fleet import lease as lease_shell
-from orchidledge.net.fleet.agent import Agent, LeaseAnswer
+from orchidledge.net.fleet.agent import Agent
 from orchidledge.net.fleet.hearing import HearingShell, log
 from orchidledge.net.fleet.routing import Routing
 from orchidledge.net.fleet.sight import Sight
@@ -69,7 +70,10 @@
         random = Random(int.from_bytes(os.urandom(8), "big"))  # apart from the module's, which stays as it is
         start = secrets.token_hex(8)
         self.lease = lease_shell.Lease(
-            Enrolment(name, settings.listen, settings.zone, start, random), agent, self.clock, self.offsets
+            Enrolment(name, settings.listen, settings.zone, start, random, settings.service),
+            agent,
+            self.clock,
+            self.offsets,
         )
         asking = Config(period_ms=settings.ask_every_ms, ask_timeout_ms=settings.ask_timeout_ms)
         self.hearing = HearingShell(Hearing(0, random, asking), self.clock, config.member_sockets // 2)
@@ -235,6 +239,7 @@
         ]
         return {
             "name": self._name,
+            "service": self.settings.service,
             "incarnation": core.incarnation,
             "stand": self.stand(now).value,
             "standing": core.standing(now).name.lower(),
--- a/orchidledge/net/fleet/routing.py
+++ b/orchidledge/net/fleet/routing.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Sequence
 
 from orchidledge.interface import Event
-from orchidledge.net.fleet.agent import Agent, LeaseAnswer
+from orchidledge.members.messages import LeaseAnswer
+from orchidledge.net.fleet.agent import Agent
 from orchidledge.net.fleet.store import RouteStore
 from orchidledge.net.fleet.times import Alarm, FleetClock, Tasks
 from orchidledge.routes import Action, Apply, Fetch, Follower, Forget, Store, Vote
--- a/orchidledge/net/fleet/settings.py
+++ b/orchidledge/net/fleet/settings.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from orchidledge.net.discovery import parse_address
 from orchidledge.net.upstream import Address
@@ -16,6 +17,7 @@
 
     listen: str  # host:port where siblings call this node; its address in the list service
     zone: str = ""
+    service: Annotated[str, Meta(max_length=100)] = ""  # the one balanced to: its nodes are the group
     routes: str = ""  # folder of the route versions prepared here; none: this node prepares none
     ask_every_ms: float = 100.0  # one sibling is asked each period
     ask_timeout_ms: float = 500.0
--- a/orchidledge/registry/fleet.py
+++ b/orchidledge/registry/fleet.py
@@ -4,31 +4,76 @@
 A command of a leader that has been replaced since has the result None. Other results are what the answer to a
 node carries, taken at the command's place in the log; they are worked out by the instance that leads, and
 only there.
+
+pysyncobj numbers commands by their methods' names, in order, so a journal is read as long as the order of the
+names it was written with stays. A command added later has to sort after all others: `write` does, and holds
+any of registry/commands.py.
 """
 
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict, dataclass
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
-import orjson
+from msgspec import Struct
 from pysyncobj import SyncObjConsumer, replicated
 
 from orchidledge.members.ledger import Row
-from orchidledge.registry.fleet_state import Begun, FleetState
+from orchidledge.members.messages import LeaseGrant
+from orchidledge.registry.commands import EndService, EnrolMember, RemoveMembers, decode
+from orchidledge.registry.fleet_state import Begun, FleetState, LimitReachedError, ServiceInUseError
 from orchidledge.registry.service_clock import ServiceClock
 from orchidledge.routes.activation import Ruling
 
 LEADER = 2  # pysyncobj's number of the state
 
-Renewal = tuple[int, int, int, int, float]  # incarnation, seq, answered, acked, using
-Told = dict[str, Any]
+PlainRenewal = tuple[int, int, int, int, float]  # a `Renewal` as it stands in the log
 T = TypeVar("T")
 R = TypeVar("R")
 
 
+class Renewal(NamedTuple):
+    """A request to renew a lease."""
+
+    incarnation: int
+    seq: int
+    answered: int  # the last renewal whose answer the process has used
+    acked: int  # the revision of the member list that it acts on
+    using: float
+
+
+class Applied(NamedTuple):
+    """An enrolment or renewal that was applied: its row, if there is one, and what its process knows."""
+
+    row: Row | None
+    acked: int = -1
+    takes_delta: bool = False
+
+
+class MemberGrant(Struct, frozen=True):
+    """What the process of a row is told: its lease, and the route versions (`Activations.answer`)."""
+
+    lease: LeaseGrant
+    routes: dict[str, Any]
+
+
+class Refused(Struct, frozen=True):
+    """Why a command was not carried out; nothing has changed."""
+
+    why: str
+
+
+class Ended(Struct, frozen=True):
+    """The incarnations that an operator's word ended."""
+
+    incarnations: list[int]
+
+
+Outcome = MemberGrant | Refused | Ended
+
+
 @dataclass(slots=True, frozen=True)
 class Renewed:
     """A renewal or enrolment that was applied: what the leader counts its lease from."""
@@ -43,10 +88,16 @@
     """The fleet's state under one lock: Raft's thread changes it, the event loop reads it.
 
     `mono` is the monotonic clock in ms; `on_change` is called, in Raft's thread, when a revision has risen or
-    this instance has begun or ceased to lead. The service clock is changed under the same lock.
+    this instance has begun or ceased to lead, with the groups whose member lists have changed, None for all.
+    The service clock is changed under the same lock.
     """
 
-    def __init__(self, clock: ServiceClock, mono: Callable[[], float], on_change: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        clock: ServiceClock,
+        mono: Callable[[], float],
+        on_change: Callable[[frozenset[str] | None], None],
+    ) -> None:
         # Set before the consumer's own start, so that pysyncobj leaves them out of its snapshots.
         self._lock = threading.Lock()
         self._clock = clock
@@ -54,7 +105,7 @@
         self._on_change = on_change
         self._serving = -1  # the term in which this instance answers: answers are made and renewals kept
         self._renewed: list[Renewed] = []
-        self._encoded = (-1, orjson.Fragment(b""))  # a revision, and the members as they are told at it
+        self._take_deltas: set[int] = set()  # incarnations whose next renewal takes changes of the list
         self.leads: int | None = None  # the Raft term this instance leads in; set by Raft's thread alone
         super().__init__()
         self.state = FleetState()
@@ -62,7 +113,7 @@
     def state_changed(self, old: int, new: int) -> None:
         """pysyncobj's `onStateChanged`, in its thread, where the term is that of the state."""
         self.leads = self._syncObj.raftCurrentTerm if new == LEADER else None
-        self._on_change()
+        self._on_change(None)
 
     # Commands: each runs on every instance, in the log's order.
 
@@ -78,21 +129,32 @@
     @replicated  # type: ignore[untyped-decorator]
     def enrol(
         self, stamp: float, term: int, name: str, address: str, zone: str, start: str
-    ) -> list[Told | None] | None:
+    ) -> list[MemberGrant | None] | None:
         """What the process is told; None in its place where there are too many rows."""
 
-        def act() -> list[tuple[Row | None, int]]:
+        def act() -> list[Applied]:
             row = self.state.enrol(name, address, zone, start)
             if row is not None:
                 self._keep(row.incarnation, row.seq, -1)
-            return [(row, -1)]
+            return [Applied(row)]
 
-        return self._run(stamp, term, act, self._told)
+        return self._run(stamp, term, act, self._grants)
 
     @replicated  # type: ignore[untyped-decorator]
-    def renew_many(self, stamp: float, term: int, renewals: list[Renewal]) -> list[Told | None] | None:
+    def renew_many(
+        self, stamp: float, term: int, renewals: list[PlainRenewal]
+    ) -> list[MemberGrant | None] | None:
         """For each renewal what its process is told, None where it has no row."""
-        return self._run(stamp, term, lambda: [self._renew(*each) for each in renewals], self._told)
+        return self._run(
+            stamp, term, lambda: [self._renew(Renewal(*each)) for each in renewals], self._grants
+        )
+
+    @replicated  # type: ignore[untyped-decorator]
+    def write(self, stamp: float, term: int, commands: list[bytes]) -> list[Outcome] | None:
+        """Carry out commands of registry/commands.py in turn; for each its outcome."""
+        return self._run(
+            stamp, term, lambda: [self._carry_out(decode(each)) for each in commands], self._outcomes
+        )
 
     @replicated  # type: ignore[untyped-decorator]
     def leaving(self, stamp: float, term: int, incarnation: int) -> bool | None:
@@ -143,6 +205,7 @@
         """This instance is to answer in this term."""
         with self._lock:
             self._serving = term
+            self._take_deltas.clear()
 
     def take_renewed(self) -> list[Renewed]:
         """The renewals applied in this instance's term since the last call."""
@@ -168,71 +231,100 @@
             known = self.state.term == raft.raftCurrentTerm and raft._getLeader() is not None
             return self.state.http if known else None
 
-    def members(self) -> dict[str, Any]:
-        """What GET /fleet/members answers."""
+    def take_deltas(self, incarnation: int) -> None:
+        """The next renewal of this row takes changes of the member list in place of the whole."""
+        with self._lock:
+            self._take_deltas.add(incarnation)
+
+    def members(self, service: str | None = None) -> dict[str, Any]:
+        """What GET /fleet/members answers; of one group, or of all."""
         with self._lock:
-            rows = [asdict(row) for row in self.state.ledger.rows()]
-            return {"rev": self.state.ledger.revision, "log_ms": self.state.log_ms, "members": rows}
+            state = self.state
+            rows = [
+                asdict(row) | {"service": state.service_of(row.incarnation)}
+                for row in state.rows()
+                if service in (None, state.service_of(row.incarnation))
+            ]
+            revision = state.group_revisions().get(service or "", 0)
+            return {"rev": revision, "log_ms": state.log_ms, "members": rows}
 
     # Parts.
 
     def _run(self, stamp: float, term: int, act: Callable[[], T], answer: Callable[[T], R]) -> R | None:
         """Apply a command: its change, what that brings about, and then its answer."""
         with self._lock:
-            before = self.state.revisions()
+            before, routes_before = self.state.group_revisions(), self.state.routes.revision
             if not self.state.begin(stamp, term):
                 return None
             self._note(stamp)
             result = act()
             self.state.settle()
-            if before != self.state.revisions():
-                self._on_change()
+            if routes_before != self.state.routes.revision:
+                self._on_change(None)
+            elif changed := self._changed_groups(before):
+                self._on_change(changed)
             return answer(result)
 
+    def _changed_groups(self, before: dict[str, int]) -> frozenset[str]:
+        now = self.state.group_revisions()
+        return frozenset(group for group, _ in before.items() ^ now.items())
+
     def _note(self, stamp: float) -> None:
         # Not from a journal that is read back or caught up with: those stamps were made long before.
         raft = self._syncObj
         if raft is not None and raft.isReady() and raft.raftCurrentTerm == self.state.term:
             self._clock.noted(self._mono(), stamp, self.state.epoch)
 
-    def _renew(
-        self, incarnation: int, seq: int, answered: int, acked: int, using: float
-    ) -> tuple[Row | None, int]:
-        row = self.state.renew(incarnation, seq, acked, using)
+    def _renew(self, renewal: Renewal) -> Applied:
+        row = self.state.renew(renewal.incarnation, renewal.seq, renewal.acked, renewal.using)
         if row is not None:
-            self._keep(incarnation, seq, answered)
-        return row, acked
+            self._keep(renewal.incarnation, renewal.seq, renewal.answered)
+        takes_delta = renewal.incarnation in self._take_deltas
+        self._take_deltas.discard(renewal.incarnation)
+        return Applied(row, renewal.acked, takes_delta)
+
+    def _carry_out(self, command: EnrolMember | RemoveMembers | EndService) -> Row | Refused | Ended:
+        try:
+            match command:
+                case EnrolMember():
+                    row = self.state.enrol_in(
+                        command.service, command.name, command.address, command.zone, command.start
+                    )
+                    self._keep(row.incarnation, row.seq, -1)
+                    return row
+                case RemoveMembers():
+                    return Ended(self.state.remove(command.name, command.service))
+                case EndService():
+                    return Ended(self.state.end_service(command.service))
+        except (LimitReachedError, ServiceInUseError) as refusal:
+            return Refused(str(refusal))
 
     def _keep(self, incarnation: int, seq: int, answered: int) -> None:
         if self._serving == self.state.term:
             self._renewed.append(Renewed(self._mono(), incarnation, seq, answered))
 
-    def _told(self, rows: list[tuple[Row | None, int]]) -> list[Told | None] | None:
-        """For each row, with the revision its process acts on, what it is told."""
+    def _grants(self, applied: Iterable[Applied]) -> list[MemberGrant | None] | None:
+        """What the processes are told; None where they have no row."""
         if self._serving != self.state.term:
             return None
-        ledger, routes = self.state.ledger, self.state.routes.answer()
-        answers: list[Told | None] = []
-        for row, acked in rows:
-            told = None if row is None else ledger.answer(row, ledger.revision) | {"routes": routes}
-            if told is not None and acked != ledger.revision:
-                told["members"] = self._members_told()
-            answers.append(told)
-        return answers
-
-    def _members_told(self) -> orjson.Fragment:
-        """The members as JSON, made once a revision: at each change every member asks for them."""
-        ledger = self.state.ledger
-        if self._encoded[0] != ledger.revision:
-            rows = [row.told() for row in ledger.rows()]
-            self._encoded = (ledger.revision, orjson.Fragment(orjson.dumps(rows)))
-        return self._encoded[1]
+        routes = self.state.routes.answer()
+        return [None if each.row is None else self._grant(each.row, each, routes) for each in applied]
+
+    def _outcomes(self, results: list[Row | Refused | Ended]) -> list[Outcome] | None:
+        if self._serving != self.state.term:
+            return None
+        routes = self.state.routes.answer()
+        return [
+            self._grant(each, Applied(each), routes) if isinstance(each, Row) else each for each in results
+        ]
+
+    def _grant(self, row: Row, applied: Applied, routes: dict[str, Any]) -> MemberGrant:
+        return MemberGrant(self.state.grant(row, applied.acked, applied.takes_delta), routes)
 
     def _deserialize(self, data: dict[str, Any]) -> None:
         with self._lock:
             super()._deserialize(data)
-            self._encoded = (-1, orjson.Fragment(b""))
-        self._on_change()
+        self._on_change(None)
 
 
 def _same(result: T) -> T:
--- a/orchidledge/registry/fleet_leader.py
+++ b/orchidledge/registry/fleet_leader.py
@@ -14,15 +14,14 @@
 import structlog
 
 from orchidledge.members.leases import LATE, LeaseClock
+from orchidledge.registry.batch import Batch
 from orchidledge.registry.clock_file import ClockFile
-from orchidledge.registry.fleet import FleetCatalog, Renewal, Told
-from orchidledge.registry.fleet_state import Begun
+from orchidledge.registry.commands import Command, EnrolMember, RemoveMembers, encode
+from orchidledge.registry.fleet import Ended, FleetCatalog, MemberGrant, Outcome, Refused, Renewal
+from orchidledge.registry.fleet_state import Begun, LimitReachedError
 from orchidledge.registry.service_clock import ServiceClock
 from orchidledge.registry.settings import Members
 
-BATCH_S = 0.02  # renewals gathered into one command
-BATCH = 500  # at the most, so that an entry stays well under what pysyncobj sends in one piece
-
 Commit = Callable[..., Awaitable[Any]]  # a command and its arguments; ConnectionError or TimeoutError
 
 
@@ -48,8 +47,8 @@
         self._commit, self._log = commit, log
         self._leases = LeaseClock(config.ttl_ms)
         self._term: int | None = None  # in which calls are answered
-        self._batch: list[tuple[Renewal, asyncio.Future[Told | None]]] = []
-        self._flushes: set[asyncio.Task[None]] = set()
+        self._renewals: Batch[Renewal, MemberGrant | None] = Batch("renewals", self._commit_renewals, log)
+        self._writes: Batch[Command, Outcome] = Batch("commands", self._commit_commands, log)
         self._news = asyncio.Event()
         self._wanted = False
         self._period_s = min(0.25, max(0.05, config.ttl_ms / 20_000.0))
@@ -98,35 +97,46 @@
             raise NotLeadingError("replaced as leader")
         return result
 
-    async def renew(self, renewal: Renewal) -> Told | None:
+    async def renew(self, renewal: Renewal, takes_deltas: bool) -> MemberGrant | None:
         """What the process is told, None where it has no row; as `ask`."""
-        wait: asyncio.Future[Told | None] = asyncio.get_running_loop().create_future()
-        self._batch.append((renewal, wait))
-        if len(self._batch) == 1:
-            self._start_flush()
-        return await wait
-
-    def _start_flush(self) -> None:
-        flush = asyncio.create_task(self._flush())
-        self._flushes.add(flush)
-        flush.add_done_callback(self._flushes.discard)
-
-    async def _flush(self) -> None:
-        await asyncio.sleep(BATCH_S)
-        batch, self._batch = self._batch[:BATCH], self._batch[BATCH:]
-        if self._batch:
-            self._start_flush()
-        try:
-            results = await self.ask(self._fleet.renew_many, [renewal for renewal, _ in batch])
-        except (TimeoutError, ConnectionError) as failure:
-            self._log.warning("renewals_not_committed", count=len(batch), why=str(failure) or "timeout")
-            for _, wait in batch:
-                if not wait.done():  # its caller may have gone
-                    wait.set_exception(ConnectionError("renewals not committed"))
-            return
-        for (_, wait), result in zip(batch, results, strict=True):
-            if not wait.done():
-                wait.set_result(result)
+        if takes_deltas:
+            self._fleet.take_deltas(renewal.incarnation)
+        return await self._renewals.add(renewal)
+
+    async def enrol(self, member: EnrolMember) -> MemberGrant:
+        """What the process is told; LimitReachedError where no further member is taken, else as `ask`.
+
+        Where groups are off, all members are one group, whatever service they name.
+        """
+        if self._config.groups:
+            outcome = await self._writes.add(member)
+            if isinstance(outcome, Refused):
+                raise LimitReachedError(outcome.why)
+            assert isinstance(outcome, MemberGrant)
+            return outcome
+        fields = (member.name, member.address, member.zone, member.start)
+        (grant,) = await self.ask(self._fleet.enrol, *fields)
+        if grant is None:
+            raise LimitReachedError("too many members")
+        return grant  # type: ignore[no-any-return]
+
+    async def remove(self, name: str, service: str | None) -> list[int]:
+        """The incarnations that an operator's word ended; as `ask`."""
+        if self._config.groups:
+            outcome = await self._writes.add(RemoveMembers(name, service))
+            assert isinstance(outcome, Ended)
+            return outcome.incarnations
+        return await self.ask(self._fleet.remove, name)  # type: ignore[no-any-return]
+
+    async def write(self, command: Command) -> Outcome:
+        """Commit a command that knows groups; as `ask`."""
+        return await self._writes.add(command)
+
+    async def _commit_renewals(self, renewals: list[Renewal]) -> list[MemberGrant | None]:
+        return await self.ask(self._fleet.renew_many, [tuple(renewal) for renewal in renewals])  # type: ignore[no-any-return]
+
+    async def _commit_commands(self, commands: list[Command]) -> list[Outcome]:
+        return await self.ask(self._fleet.write, [encode(command) for command in commands])  # type: ignore[no-any-return]
 
     # Duties.
 
@@ -205,20 +215,18 @@
     async def _expire(self) -> None:
         for renewed in self._fleet.take_renewed():
             self._leases.renewed(renewed.at, renewed.incarnation, renewed.seq, renewed.answered)
-        self._leases.keep(self._fleet.read(lambda state: set(state.ledger.by_incarnation)))
+        self._leases.keep(self._fleet.read(lambda state: {row.incarnation for row in state.rows()}))
         lapsed, support = self._leases.due(self._clocks.mono())
         if not lapsed:
             return
-        repeats = self._fleet.read(
-            lambda state: state.repeats if state.ledger.would_expire(lapsed, support) else None
-        )
-        if repeats is None:
+        due = self._fleet.read(lambda state: state.due_expiry(lapsed, support))
+        if due is None:
             return
-        newly, removed = await self.ask(self._fleet.expire, lapsed, support, repeats)
+        newly, removed = await self.ask(self._fleet.expire, due.lapsed, due.support, due.repeats)
         for incarnation in newly:
-            self._log.info("member_lapsed", incarnation=incarnation, attached=len(support))
+            self._log.info("member_lapsed", incarnation=incarnation, attached=len(due.support))
         for incarnation in removed:
-            self._log.info("member_removed", incarnation=incarnation, attached=len(support))
+            self._log.info("member_removed", incarnation=incarnation, attached=len(due.support))
 
     def _save_clock(self) -> None:
         try:
--- a/orchidledge/registry/fleet_state.py
+++ b/orchidledge/registry/fleet_state.py
@@ -1,4 +1,4 @@
-"""What the list service's log holds of the fleet: the members' ledger, the route versions, the log's time,
+"""What the list service's log holds of the fleet: the members by group, the route versions, the log's time,
 who leads.
 
 Pure and without clocks: the same commands in the same order give the same state on every instance. A command
@@ -10,16 +10,39 @@
 - The lease term and the clock bound in force are the longest that any leader so far was configured with,
   since rows may still rest on them.
 - A leader that can't tell how service time goes on begins a new epoch of it (service_clock.py).
+- A group is the members in front of one service, with a ledger of its own: rows, electors, majority and
+  shares of one group know nothing of another's. A member that names no service may balance to any: its
+  share counts in the sum of every group, and its group's free share is what the fullest other leaves.
+- Incarnations are given once over all groups. A process that enrols under another service leaves its earlier
+  row to its lease: which of the two processes ended first can't be told from the log.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Iterator
+from dataclasses import dataclass, field, fields
+from typing import Any
 
-from orchidledge.members.ledger import Ledger, Row, State
+from msgspec.structs import replace
+
+from orchidledge.members.ledger import Beside, Ledger, Row, State
+from orchidledge.members.messages import LeaseGrant
 from orchidledge.routes.activation import Activations, Ruling
 
-MAX_ROWS = 1_000  # Guard: enrolments that never end must not grow the log's state without bound
+# Guards: enrolments that never end must not grow the log's state without bound.
+MAX_ROWS = 1_000  # of members enrolled by a command that knows no groups
+MAX_GROUP_ROWS = 500
+MAX_ALL_ROWS = 4_000
+
+NO_SERVICE = ""  # the group of members that name no service
+
+
+class LimitReachedError(ValueError):
+    """No further member is taken; those that have a row keep it."""
+
+
+class ServiceInUseError(ValueError):
+    """A member in front of the service still has a live lease."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,8 +55,19 @@
     rows: list[tuple[int, int]]  # incarnation and seq
 
 
+@dataclass(slots=True, frozen=True)
+class Expiry:
+    """Leases that ran out, as (incarnation, seq of its last renewal), and the rows surely attached."""
+
+    lapsed: list[tuple[int, int]]
+    support: list[int]
+    repeats: int
+
+
 @dataclass(slots=True)
 class FleetState:
+    """`ledger` is the group of members that name no service, and gives all incarnations."""
+
     ledger: Ledger = field(default_factory=Ledger)
     routes: Activations = field(default_factory=Activations)
     log_ms: float = 0.0  # the highest stamp
@@ -43,6 +77,22 @@
     ttl_ms: float = 0.0
     bound_ms: float = 0.0
     repeats: int = 0  # enrolments of a process that had a row already
+    services: dict[str, Ledger] = field(default_factory=dict)
+    _service_of: dict[int, str] = field(default_factory=dict, compare=False, repr=False)
+
+    def __getstate__(self) -> tuple[None, dict[str, Any]]:
+        """As earlier releases write it and read it, for as long as no member names a service."""
+        kept = {one.name: getattr(self, one.name) for one in fields(self) if one.name != "_service_of"}
+        if not self.services:
+            del kept["services"]
+        return None, kept
+
+    def __setstate__(self, state: tuple[None, dict[str, Any]]) -> None:
+        for name, value in ({"services": {}} | state[1]).items():
+            setattr(self, name, value)
+        self._service_of = {
+            number: service for service, ledger in self.services.items() for number in ledger.by_incarnation
+        }
 
     def lead(self, term: int, http: str, epoch: int | None, ttl_ms: float, bound_ms: float) -> Begun | None:
         """Begin a term. `epoch`: of what its leader knows of service time, None where it knows none."""
@@ -52,7 +102,7 @@
             self.epoch += 1
         self.term, self.http = term, http
         self.ttl_ms, self.bound_ms = max(self.ttl_ms, ttl_ms), max(self.bound_ms, bound_ms)
-        rows = [(row.incarnation, row.seq) for row in self.ledger.rows()]
+        rows = [(row.incarnation, row.seq) for row in self.rows()]
         return Begun(self.log_ms, self.epoch, self.ttl_ms, rows)
 
     def begin(self, stamp: float, term: int) -> bool:
@@ -69,49 +119,79 @@
     # Changes.
 
     def enrol(self, name: str, address: str, zone: str, start: str) -> Row | None:
-        """The process's row; None where there are too many."""
-        before, given = set(self.ledger.by_incarnation), self.ledger.incarnations
-        if len(before) >= MAX_ROWS and all(row.start != start for row in self.ledger.rows()):
+        """The row of a process that names no service; None where there are too many."""
+        ledger = self.ledger
+        if len(ledger.by_incarnation) >= MAX_ROWS and not ledger.has_start(start):
             return None
-        row = self.ledger.enrol(name, address, zone, start)
-        # Guard: by a renewal's seq, an `expire` on its way sees that the lease runs anew. An enrolment that
-        # is repeated changes no seq, so their count has to say so.
-        self.repeats += self.ledger.incarnations == given
-        for gone in before - self.ledger.by_incarnation.keys():
-            self.routes.left(gone)
-        self.routes.attached(row.incarnation)
-        return row
+        return self._enrol(NO_SERVICE, ledger, name, address, zone, start)
+
+    def enrol_in(self, service: str, name: str, address: str, zone: str, start: str) -> Row:
+        """The row of a process in the group of this service; LimitReachedError where there are too many."""
+        ledger = self._ledger_of(service)
+        if not ledger.replaces(address, start):
+            self._check_limits(service, ledger)
+        if service != NO_SERVICE:
+            self.services[service] = ledger
+        return self._enrol(service, ledger, name, address, zone, start)
 
     def renew(self, incarnation: int, seq: int, acked: int, using: float) -> Row | None:
-        row = self.ledger.renew(incarnation, seq, acked, using)
+        ledger = self._prepared(self.service_of(incarnation))
+        row = ledger.renew(incarnation, seq, acked, using)
         if row is not None:
             self.routes.attached(incarnation)
         return row
 
+    def leaving(self, incarnation: int) -> bool:
+        return self._prepared(self.service_of(incarnation)).leaving(incarnation)
+
     def leave(self, incarnation: int) -> bool:
-        left = self.ledger.leave(incarnation)
+        left = self._prepared(self.service_of(incarnation)).leave(incarnation)
         if left:
             self.routes.left(incarnation)
         return left
 
-    def remove(self, name: str) -> list[int]:
-        """The incarnations that an operator's word ended."""
-        ended = self.ledger.remove(name)
+    def remove(self, name: str, service: str | None = None) -> list[int]:
+        """The incarnations that an operator's word ended; service None: in every group."""
+        ended = []
+        for group in [NO_SERVICE, *self.services] if service is None else [service]:
+            ended += self._prepared(group).remove(name)
         for incarnation in ended:
             self.routes.left(incarnation)
         return ended
 
+    def end_service(self, service: str) -> list[int]:
+        """Remove the group of a service that has ended; ServiceInUseError while a lease of it is live."""
+        ledger = self.services.get(service)
+        if ledger is None:
+            return []
+        live = [row.name for row in ledger.rows() if row.state in (State.LIVE, State.LEAVING)]
+        if live:
+            raise ServiceInUseError(f"{len(live)} members of {service!r} have live leases, {live[0]!r} one")
+        ended = list(ledger.by_incarnation)
+        del self.services[service]
+        for incarnation in ended:
+            self._forget(incarnation)
+        return ended
+
     def expire(
         self, lapsed: list[tuple[int, int]], support: list[int], repeats: int
     ) -> tuple[list[int], list[int]]:
         """The rows that lapsed now and those removed; none where an enrolment was repeated meanwhile."""
         if repeats != self.repeats:
             return [], []
-        newly, removed = self.ledger.expire(lapsed, support)
+        newly: list[int] = []
+        removed: list[int] = []
+        for service, rows in self._by_service(lapsed).items():
+            ledger = self._prepared(service)
+            its_newly, its_removed = ledger.expire(rows, support)
+            newly += its_newly
+            removed += its_removed
+            if service != NO_SERVICE and not ledger.by_incarnation:
+                del self.services[service]
         for incarnation in newly:
             self.routes.lapsed(incarnation)
         for incarnation in removed:
-            self.routes.left(incarnation)
+            self._forget(incarnation)
         return newly, removed
 
     def propose(self, text: str, deadline_ms: float) -> Ruling:
@@ -125,6 +205,34 @@
 
     # Reads.
 
+    def grant(self, row: Row, acked: int, delta: bool) -> LeaseGrant:
+        """What the process of this row is told (`Ledger.grant`)."""
+        service = self.service_of(row.incarnation)
+        return replace(self._prepared(service).grant(row, acked, delta), service=service)
+
+    def service_of(self, incarnation: int) -> str:
+        """The group of this row, or where a row that is not there would have been before groups."""
+        return self._service_of.get(incarnation, NO_SERVICE)
+
+    def rows(self) -> Iterator[Row]:
+        """The rows of all groups."""
+        for ledger in self._ledgers():
+            yield from ledger.rows()
+
+    def due_expiry(self, lapsed: list[tuple[int, int]], support: list[int]) -> Expiry | None:
+        """The part of these that `expire` would act on; None where that is nothing, so that an idle fleet
+        adds nothing to the log."""
+        due: list[tuple[int, int]] = []
+        needed: set[int] = set()
+        for service, rows in self._by_service(lapsed).items():
+            ledger = self._ledger_of(service)
+            if ledger.would_expire(rows, support):
+                due += rows
+                needed.update(ledger.by_incarnation)
+        if not due:
+            return None
+        return Expiry(due, [number for number in support if number in needed], self.repeats)
+
     def ruling(self, given: Ruling) -> Ruling:
         """Where the version of a ruling stands now."""
         return given if given.refused else self.routes.ruling(given.number)
@@ -136,10 +244,73 @@
             return False
         return service_ms >= (pending.deadline_ms if pending.at_ms is None else pending.at_ms)
 
-    def revisions(self) -> tuple[int, int]:
-        """Of the members, and of the routes."""
-        return self.ledger.revision, self.routes.revision
+    def revisions(self, incarnation: int) -> tuple[int, int]:
+        """Of the member list that this row's process knows, and of the routes."""
+        return self._ledger_of(self.service_of(incarnation)).revision, self.routes.revision
+
+    def group_revisions(self) -> dict[str, int]:
+        """Of each group's member list."""
+        revisions = {service: ledger.revision for service, ledger in self.services.items()}
+        revisions[NO_SERVICE] = self.ledger.revision
+        return revisions
+
+    # Parts.
+
+    def _ledgers(self) -> Iterator[Ledger]:
+        yield self.ledger
+        yield from self.services.values()
+
+    def _ledger_of(self, service: str) -> Ledger:
+        if service == NO_SERVICE:
+            return self.ledger
+        return self.services.get(service) or Ledger()
+
+    def _prepared(self, service: str) -> Ledger:
+        """The ledger, knowing what members outside of its group may be taking of the same whole."""
+        ledger = self._ledger_of(service)
+        if service != NO_SERVICE:
+            ledger.beside = Beside(self.ledger.total(), self.ledger.sharing())
+        elif self.services:
+            shares = max(other.total() for other in self.services.values())
+            rows = max(other.sharing() for other in self.services.values())
+            ledger.beside = Beside(shares, rows)
+        else:
+            ledger.beside = Beside()
+        return ledger
+
+    def _enrol(self, service: str, ledger: Ledger, name: str, address: str, zone: str, start: str) -> Row:
+        before, given = set(ledger.by_incarnation), self.ledger.incarnations
+        self._prepared(service).incarnations = given
+        row = ledger.enrol(name, address, zone, start)
+        self.ledger.incarnations = ledger.incarnations
+        # Guard: by a renewal's seq, an `expire` on its way sees that the lease runs anew. An enrolment that
+        # is repeated changes no seq, so their count has to say so.
+        self.repeats += ledger.incarnations == given
+        for gone in before - ledger.by_incarnation.keys():
+            self._forget(gone)
+        if service != NO_SERVICE:
+            self._service_of[row.incarnation] = service
+        self.routes.attached(row.incarnation)
+        return row
+
+    def _check_limits(self, service: str, ledger: Ledger) -> None:
+        rows = len(ledger.by_incarnation)
+        if rows >= MAX_GROUP_ROWS:
+            raise LimitReachedError(f"service {service!r} has {rows} members, the most that a group may have")
+        rows = sum(len(other.by_incarnation) for other in self._ledgers())
+        if rows >= MAX_ALL_ROWS:
+            raise LimitReachedError(f"there are {rows} members, the most that all groups may have together")
+
+    def _by_service(self, lapsed: list[tuple[int, int]]) -> dict[str, list[tuple[int, int]]]:
+        found: dict[str, list[tuple[int, int]]] = {}
+        for incarnation, seq in lapsed:
+            found.setdefault(self.service_of(incarnation), []).append((incarnation, seq))
+        return found
+
+    def _forget(self, incarnation: int) -> None:
+        self._service_of.pop(incarnation, None)
+        self.routes.left(incarnation)
 
     def _voters(self) -> list[int]:
         live = (State.LIVE, State.LEAVING)
-        return [row.incarnation for row in self.ledger.rows() if row.state in live]
+        return [row.incarnation for row in self.rows() if row.state in live]
--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -16,16 +16,20 @@
 import structlog
 from msgspec import Meta, Struct
 
+from orchidledge.members.messages import LeaseAnswer
 from orchidledge.net.web import Answer, Call, Client
 from orchidledge.registry import watch
-from orchidledge.registry.fleet import FleetCatalog, Told
+from orchidledge.registry.commands import EndService, EnrolMember
+from orchidledge.registry.fleet import Ended, FleetCatalog, MemberGrant, Refused, Renewal
 from orchidledge.registry.fleet_leader import FleetLeader
+from orchidledge.registry.fleet_state import LimitReachedError
 from orchidledge.registry.passing import HOP, pass_on
 from orchidledge.registry.settings import address
 from orchidledge.routes.activation import Ruling
 from orchidledge.routes.table import MAX_TEXT, parse
 
 MAX_BODY = 8 * 1024
+LIMIT_LOGGED_EACH = 1_000  # enrolments refused at a limit: one line for the first, then for each so many
 PASS_S = 1.0  # for the leader's answer: a silent one is replaced in as long
 
 Text = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -38,6 +42,7 @@
     address: Text
     start: Text
     zone: Annotated[str, Meta(max_length=100)] = ""
+    service: Annotated[str, Meta(max_length=100)] = ""  # the one that the process balances to
 
 
 class Renew(Struct, frozen=True):
@@ -47,6 +52,7 @@
     using: Annotated[float, Meta(ge=0.0, le=1.0)]
     sent: Annotated[float, Meta(ge=-1e15, le=1e15)] | None = None
     answered: Earlier = -1  # the last renewal whose answer was used
+    delta: bool = False  # the process takes changes of the member list in place of the whole
 
 
 class One(Struct, frozen=True):
@@ -91,13 +97,14 @@
 
 
 class FleetWeb:
-    """The handlers; `news` gives the future that is done at the next change of a revision."""
+    """The handlers; `news` gives the future that is done at the next change of a group's member list, or of
+    the routes."""
 
     def __init__(
         self,
         fleet: FleetCatalog,
         leader: FleetLeader,
-        news: Callable[[], asyncio.Future[None]],
+        news: Callable[[str], asyncio.Future[None]],
         max_wait_ms: int,
         log: structlog.stdlib.BoundLogger,
     ) -> None:
@@ -105,6 +112,7 @@
         self._max_wait_ms, self._log = max_wait_ms, log
         self._client = Client()
         self._failures = 0
+        self.limit_refusals = 0  # enrolments refused at a limit
         self._handlers: dict[tuple[str, str], Handler] = {
             ("POST", "enrol"): self._enrol,
             ("POST", "renew"): self._renew,
@@ -152,6 +160,8 @@
     def _handler(self, method: str, path: str) -> Handler | None:
         if method == "DELETE" and path.startswith("members/"):
             return self._remove
+        if method == "DELETE" and path.startswith("services/"):
+            return self._end_service
         if method == "GET" and path.startswith("routes/"):
             return self._text
         return self._handlers.get((method, path))
@@ -175,14 +185,31 @@
             address(body.address)
         except ValueError as failure:
             raise ValueError(f"address: {failure}") from failure
-        fields = (body.name, body.address, body.zone, body.start)
-        (told,) = await self._leader.ask(self._fleet.enrol, *fields)
-        if told is None:
-            return error(409, "too many members")
+        member = EnrolMember(body.name, body.address, body.zone, body.start, body.service)
+        try:
+            grant = await self._leader.enrol(member)
+        except LimitReachedError as failure:
+            return self._refuse_enrolment(member, failure)
         self._log.info(
-            "member_enrolled", name=body.name, address=body.address, incarnation=told["incarnation"]
+            "member_enrolled",
+            name=body.name,
+            service=body.service,
+            address=body.address,
+            incarnation=grant.lease.incarnation,
         )
-        return self._lease(told, t2)
+        return self._lease(grant, t2)
+
+    def _refuse_enrolment(self, member: EnrolMember, failure: LimitReachedError) -> Answer:
+        self.limit_refusals += 1
+        if self.limit_refusals % LIMIT_LOGGED_EACH == 1:
+            self._log.warning(
+                "enrolment_refused",
+                name=member.name,
+                service=member.service,
+                why=str(failure),
+                refusals=self.limit_refusals,
+            )
+        return error(409, str(failure))
 
     async def _renew(self, call: Call) -> Answer:
         t2 = self._leader.service_ms()
@@ -190,13 +217,21 @@
         late = None if body.sent is None else self._leader.too_late(body.sent)
         if late is not None:
             return error(409, f"sent {late:.0f} ms ago by service time")
-        told = await self._leader.renew((body.incarnation, body.seq, body.answered, body.acked, body.using))
-        return error(404, "no such row: enrol anew") if told is None else self._lease(told, t2)
+        renewal = Renewal(body.incarnation, body.seq, body.answered, body.acked, body.using)
+        grant = await self._leader.renew(renewal, body.delta)
+        return error(404, "no such row: enrol anew") if grant is None else self._lease(grant, t2)
 
-    def _lease(self, told: Told, t2: float) -> Answer:
+    def _lease(self, grant: MemberGrant, t2: float) -> Answer:
         leader = self._leader
-        clock = {"ttl_ms": leader.ttl_ms, "term": leader.term, "t2": t2, "t3": leader.service_ms()}
-        return reply(200, told | clock)
+        answer = LeaseAnswer(
+            **msgspec.structs.asdict(grant.lease),
+            routes=grant.routes,
+            ttl_ms=leader.ttl_ms,
+            term=leader.term or 0,
+            t2=t2,
+            t3=leader.service_ms(),
+        )
+        return Answer(200, msgspec.json.encode(answer))
 
     async def _leaving(self, call: Call) -> Answer:
         body = _read(One, call.body)
@@ -212,33 +247,46 @@
         name = unquote(call.path.removeprefix("/fleet/members/"))
         if len(name) > 100:
             raise ValueError("name: over 100 characters")
-        removed = await self._leader.ask(self._fleet.remove, name)
+        removed = await self._leader.remove(name, call.query.get("service"))
         self._log.warning("member_removed_by_operator", name=name[:100], incarnations=removed)
         return reply(200, {"removed": removed})
 
+    async def _end_service(self, call: Call) -> Answer:
+        service = unquote(call.path.removeprefix("/fleet/services/"))
+        if not 0 < len(service) <= 100:
+            raise ValueError("service: not of 1 to 100 characters")
+        outcome = await self._leader.write(EndService(service))
+        if isinstance(outcome, Refused):
+            return error(409, outcome.why)
+        assert isinstance(outcome, Ended)
+        self._log.warning("service_ended_by_operator", service=service, incarnations=outcome.incarnations)
+        return reply(200, {"removed": outcome.incarnations})
+
     async def _members(self, call: Call) -> Answer:
-        return reply(200, self._fleet.members())
+        return reply(200, self._fleet.members(call.query.get("service")))
 
     async def _watch(self, call: Call) -> Answer:
-        """A hint that something has changed, from what this instance has applied: once the members' revision
-        is not `since`, or the routes' not `routes_since` (not given: what it was at the call)."""
+        """A hint that something has changed, from what this instance has applied: once the revision of the
+        member list that `incarnation` knows is not `since`, or the routes' not `routes_since` (not given:
+        what it was at the call)."""
         try:
             since, wait_s = watch.query(call, self._max_wait_ms)
             routes_since = int(call.query["routes_since"]) if "routes_since" in call.query else None
+            incarnation = int(call.query.get("incarnation", 0))
         except ValueError:
-            return error(400, "since, routes_since and timeout_ms are whole numbers")
-        revisions = self._fleet.read(lambda state: state.revisions())
+            return error(400, "since, routes_since, incarnation and timeout_ms are whole numbers")
+        revisions = self._fleet.read(lambda state: state.revisions(incarnation))
         known = (since, revisions[1] if routes_since is None else routes_since)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
         while revisions == known and loop.time() < deadline:
-            news = self._news()
+            news = self._news(self._fleet.read(lambda state: state.service_of(incarnation)))
             try:
                 async with asyncio.timeout(deadline - loop.time()):
                     await asyncio.shield(news)
             except TimeoutError:
                 pass
-            revisions = self._fleet.read(lambda state: state.revisions())
+            revisions = self._fleet.read(lambda state: state.revisions(incarnation))
         return reply(200, {"rev": revisions[0], "routes_rev": revisions[1]})
 
     # Routes.
--- a/orchidledge/registry/service.py
+++ b/orchidledge/registry/service.py
@@ -50,7 +50,7 @@
         self.log = log.bind(instance=config.name)
         self._loop = asyncio.get_running_loop()
         self._news: asyncio.Future[None] = self._loop.create_future()
-        self._fleet_news: asyncio.Future[None] = self._loop.create_future()
+        self._fleet_news: dict[str, asyncio.Future[None]] = {}  # by group, where somebody waits
         config.data.mkdir(parents=True, exist_ok=True)
         self.catalog = Catalog(config.keep_gone, self._changed)
         clocks = Clocks(config.members.clock_offset_ms)
@@ -59,9 +59,7 @@
         self.fleet = FleetCatalog(clock, clocks.mono, self._fleet_changed)
         http = "{}:{}".format(*config.listen)
         self.leader = FleetLeader(config.members, http, self.fleet, clock, clock_file, self.commit, self.log)
-        self._fleet_web = FleetWeb(
-            self.fleet, self.leader, lambda: self._fleet_news, config.max_wait_ms, self.log
-        )
+        self._fleet_web = FleetWeb(self.fleet, self.leader, self._group_news, config.max_wait_ms, self.log)
         self.raft = self._join([self.catalog, self.fleet])
         self.leases = TargetLeases(self.catalog, self.raft, config.ttl_ms, self.commit, self.log)
 
@@ -98,12 +96,17 @@
         news, self._news = self._news, self._loop.create_future()
         news.set_result(None)
 
-    def _fleet_changed(self) -> None:
-        self._loop.call_soon_threadsafe(self._wake_fleet)
+    def _fleet_changed(self, groups: frozenset[str] | None) -> None:
+        self._loop.call_soon_threadsafe(self._wake_groups, groups)
 
-    def _wake_fleet(self) -> None:
-        news, self._fleet_news = self._fleet_news, self._loop.create_future()
-        news.set_result(None)
+    def _group_news(self, group: str) -> asyncio.Future[None]:
+        return self._fleet_news.setdefault(group, self._loop.create_future())
+
+    def _wake_groups(self, groups: frozenset[str] | None) -> None:
+        for group in list(self._fleet_news) if groups is None else groups:
+            news = self._fleet_news.pop(group, None)
+            if news is not None:
+                news.set_result(None)
         self.leader.wake()
 
     async def commit(self, command: Callable[..., Any], *args: Any) -> Any:
@@ -142,6 +145,7 @@
             "live": live,
             "gone": gone,
             "stale": self.stale(raft),
+            "enrolments_refused": self._fleet_web.limit_refusals,
         }
 
     def stale(self, raft: dict[str, Any] | None = None) -> bool:
--- a/orchidledge/registry/settings.py
+++ b/orchidledge/registry/settings.py
@@ -33,6 +33,7 @@
     clock_bound_ms: int = 250  # nodes' estimates of service time differ by less
     prepare_ms: int = 10_000  # a proposed route version has to be prepared by all in this time
     clock_offset_ms: int = 0  # for tests alone: sets this instance's clocks off
+    groups: bool = False  # a group for each service that members name; once all instances know them
 
 
 @dataclass(slots=True, frozen=True)
@@ -175,6 +176,7 @@
         clock_bound_ms=table.get("clock_bound_ms", int, 250),
         prepare_ms=table.get("prepare_ms", int, 10_000),
         clock_offset_ms=table.get("clock_offset_ms", int, 0, signed=True),
+        groups=table.get("groups", bool, False),
     )
 
 
--- a/tests/orders/keys.py
+++ b/tests/orders/keys.py
@@ -4,10 +4,14 @@
 
 from typing import Any
 
+from msgspec import UNSET
+
 from orchidledge.members.enrolment import Call
 from orchidledge.members.leases import SUPPORT
 from orchidledge.members.ledger import Row
-from tests.orders.parts import TTL, Bounds, Node, Plan, Service, members_key, past
+from orchidledge.members.messages import LeaseGrant
+from orchidledge.registry.fleet_state import Expiry
+from tests.orders.parts import TTL, Bounds, Node, Service, members_key, past
 
 
 class Keyed:
@@ -19,7 +23,7 @@
     bounds: Bounds
     nodes: tuple[Node, ...]
     service: Service
-    plan: Plan | None
+    plan: Expiry | None
     broken: str | None
 
     def key(self) -> tuple[Any, ...]:
@@ -33,7 +37,7 @@
                     usable[node.core.incarnation] = node.core._answered
         plan = None
         if self.plan is not None:
-            lapsed, support, repeats = self.plan
+            lapsed, support, repeats = self.plan.lapsed, self.plan.support, self.plan.repeats
             seqs = tuple((number, numbers.get(number, 0) - seq) for number, seq in lapsed)
             plan = (seqs, tuple(support), repeats == state.repeats)
         return (
@@ -104,16 +108,18 @@
             body["sent"] is None,
         )
 
-    def _told_key(self, told: dict[str, Any], revision: int) -> tuple[Any, ...]:
-        members = tuple(
-            sorted((row["incarnation"], row["rank"], row["state"]) for row in told.get("members", ()))
-        )
+    def _told_key(self, told: LeaseGrant, revision: int) -> tuple[Any, ...]:
+        rows = () if told.members is UNSET else told.members
+        members = tuple(sorted((row.incarnation, row.rank, row.state) for row in rows))
+        since = None if told.since is UNSET else revision - told.since
         return (
-            told["incarnation"],
-            revision - told["rev"],
-            round(told["share"], 6),
-            told["elector"],
+            told.incarnation,
+            revision - told.rev,
+            round(told.share, 6),
+            told.elector,
             members,
+            since,
+            told.removed,
         )
 
     def _row_key(self, row: Row, base: int, usable: int) -> tuple[Any, ...]:
--- a/tests/orders/parts.py
+++ b/tests/orders/parts.py
@@ -10,6 +10,7 @@
 from orchidledge.members.enrolment import Call, Enrolment, Word
 from orchidledge.members.leases import LeaseClock
 from orchidledge.members.ledger import Ledger, Row, State
+from orchidledge.members.messages import LeaseGrant
 from orchidledge.registry.fleet_state import FleetState
 
 TTL = 1000.0
@@ -53,7 +54,7 @@
     starts: int = 0
     said: dict[int, Word] = field(default_factory=dict)  # siblings' latest words, by incarnation
     calls: tuple[Sent, ...] = ()
-    answers: tuple[tuple[int, dict[str, Any] | None], ...] = ()  # by call; None: no such row
+    answers: tuple[tuple[int, LeaseGrant | None], ...] = ()  # by call; None: no such row
     words: tuple[tuple[int, float], ...] = ()  # said that it holds, to be heard later: incarnation, true time
     cached: tuple[float, int, Any] = (NEVER, 0, None)  # its part of a key: at this time and revision
 
@@ -71,9 +72,6 @@
     clock: LeaseClock
 
 
-Plan = tuple[list[tuple[int, int]], list[int], int]
-
-
 def twin(core: Enrolment) -> Enrolment:
     """All values in a core's fields are immutable, so a shallow copy does."""
     new: Enrolment = object.__new__(type(core))
@@ -82,19 +80,26 @@
 
 
 def copied(state: FleetState) -> FleetState:
-    ledger: Ledger = object.__new__(type(state.ledger))
-    ledger.__dict__.update(state.ledger.__dict__)
-    ledger.by_incarnation = {
+    return FleetState(
+        copied_ledger(state.ledger), state.routes.copy(), state.log_ms, state.term, state.http, state.epoch,
+        state.ttl_ms, state.bound_ms, state.repeats,
+        {service: copied_ledger(ledger) for service, ledger in state.services.items()},
+        dict(state._service_of),
+    )  # fmt: skip
+
+
+def copied_ledger(ledger: Ledger) -> Ledger:
+    new: Ledger = object.__new__(type(ledger))
+    new.__dict__.update(ledger.__dict__)
+    new._changes = ledger._changes.copy()
+    new.by_incarnation = {
         number: Row(
             row.name, row.address, row.zone, row.start, row.incarnation, row.rank, row.enrolled, row.share,
             row.acked, row.elector, row.state, row.seq,
         )
         for number, row in ledger.by_incarnation.items()
     }  # fmt: skip
-    return FleetState(
-        ledger, state.routes.copy(), state.log_ms, state.term, state.http, state.epoch, state.ttl_ms,
-        state.bound_ms, state.repeats,
-    )  # fmt: skip
+    return new
 
 
 def waits(node: Node, number: int) -> bool:
--- a/tests/orders/rounds.py
+++ b/tests/orders/rounds.py
@@ -66,8 +66,9 @@
             for at, node in enumerate(self.nodes):
                 self._calls(at, node)
             lapsed, support = self.service.clock.due(self.now)
-            if lapsed and self.service.state.ledger.would_expire(lapsed, support):
-                self._expire((lapsed, support, self.service.state.repeats))
+            plan = self.service.state.due_expiry(lapsed, support)
+            if plan is not None:
+                self._expire(plan)
             self._hear_all()
 
     def _calls(self, at: int, node: Node) -> None:
--- a/tests/orders/routes.py
+++ b/tests/orders/routes.py
@@ -21,11 +21,15 @@
 from dataclasses import dataclass, replace
 from typing import Any, NamedTuple
 
+from msgspec.structs import asdict
+
 from orchidledge.interface import Server, ServerState
+from orchidledge.members.enrolment import Call
 from orchidledge.members.ledger import Row
+from orchidledge.members.messages import LeaseAnswer, LeaseGrant
 from orchidledge.registry.fleet_state import FleetState
 from orchidledge.routes.follower import Action, Apply, Fetch, Follower, Forget, Store, Vote
-from tests.orders.parts import NEVER, Bounds, Node
+from tests.orders.parts import NEVER, TTL, Bounds, Node
 from tests.orders.routes_check import BOUND, PREPARE, routes_check
 from tests.orders.shares import Shares
 
@@ -172,18 +176,20 @@
         self._put(at, edge)
         return edge
 
-    def _told(self, state: FleetState, row: Row, acked: int) -> dict[str, Any]:
-        told = super()._told(state, row, acked)
-        return told | {"routes": state.routes.answer(), "s": self._s()}
+    def _grant(self, state: FleetState, row: Row, call: Call) -> LeaseAnswer:
+        fields = asdict(super()._grant(state, row, call))
+        now = self._s()
+        return LeaseAnswer(**fields, routes=state.routes.answer(), ttl_ms=TTL, t2=now, t3=now)
 
-    def _used(self, node: Node, sent: float, told: dict[str, Any]) -> None:
+    def _used(self, node: Node, sent: float, told: LeaseGrant) -> None:
+        assert isinstance(told, LeaseAnswer)
         core, own = node.core, self.now + node.skew
         assert core is not None
         assert core.incarnation is not None
         at = next(number for number, other in enumerate(self.nodes) if other.name == node.name)
         follower = self._touch(at).follower
-        s = closest(own, sent, told["s"], follower)
-        self._act(at, follower.answer(own, core.incarnation, core.lease_end, s, told["routes"]))
+        s = closest(own, sent, told.t3, follower)
+        self._act(at, follower.answer(own, core.incarnation, core.lease_end, s, told.routes))
 
     def _unknown(self, node: Node, own: float) -> None:
         at = next(number for number, other in enumerate(self.nodes) if other.name == node.name)
--- a/tests/orders/shares.py
+++ b/tests/orders/shares.py
@@ -36,9 +36,10 @@
 from orchidledge.members.enrolment import HOLD, Call, Enrolment, Standing, Word
 from orchidledge.members.leases import LATE, LeaseClock, _Lease
 from orchidledge.members.ledger import Row
-from orchidledge.registry.fleet_state import FleetState
+from orchidledge.members.messages import LeaseGrant
+from orchidledge.registry.fleet_state import Expiry, FleetState
 from tests.orders.keys import Keyed
-from tests.orders.parts import MOST, NEVER, RNG, TTL, Bounds, Node, Plan, Sent, Service, copied, waits
+from tests.orders.parts import MOST, NEVER, RNG, TTL, Bounds, Node, Sent, Service, copied, waits
 
 
 class Shares(Keyed):
@@ -52,7 +53,7 @@
         state = FleetState()
         state.lead(1, "", 0, TTL, 0.0)
         self.service = Service(state, LeaseClock(TTL))
-        self.plan: Plan | None = None
+        self.plan: Expiry | None = None
         self.given: tuple[tuple[str, int], ...] = ()  # the incarnation that each start was given first
         self.broken: str | None = None
         self.nodes = tuple(self._start(Node(f"n{at}", skew)) for at, skew in enumerate(bounds.skews))
@@ -106,8 +107,8 @@
 
     def _leader_moves(self) -> Iterator[tuple[str, Shares]]:
         lapsed, support = self.service.clock.due(self.now)
-        if lapsed and self.service.state.ledger.would_expire(lapsed, support):
-            plan = (lapsed, support, self.service.state.repeats)
+        plan = self.service.state.due_expiry(lapsed, support)
+        if plan is not None:
             yield self._move("expire", 0, lambda w: w._expire(plan))
             if self.plan is None and self._may("plan"):
                 yield self._move("plan", 1, lambda w: setattr(w, "plan", plan))
@@ -191,7 +192,7 @@
         if waits(node, sent.call.number):
             node.answers = (*node.answers, answer)
 
-    def _serve(self, node: Node, call: Call) -> dict[str, Any] | None:
+    def _serve(self, node: Node, call: Call) -> LeaseGrant | None:
         """The list service's part: apply the call and count the lease from now."""
         state, body = self._log(), call.body
         if call.path == "enrol":
@@ -204,11 +205,11 @@
             if row is not None:
                 self.service.clock.renewed(self.now, row.incarnation, body["seq"], body["answered"])
         state.settle()
-        self.service.clock.keep(state.ledger.by_incarnation)
-        return None if row is None else self._told(state, row, body.get("acked", -1))
+        self.service.clock.keep({row.incarnation for row in state.rows()})
+        return None if row is None else self._grant(state, row, call)
 
-    def _told(self, state: FleetState, row: Row, acked: int) -> dict[str, Any]:
-        return state.ledger.answer(row, acked) | {"ttl_ms": TTL}
+    def _grant(self, state: FleetState, row: Row, call: Call) -> LeaseGrant:
+        return state.grant(row, call.body.get("acked", -1), call.body.get("delta", False))
 
     def _give(self, row: Row) -> None:
         if all(start != row.start for start, _ in self.given):
@@ -216,23 +217,23 @@
                 self.broken = f"incarnation {row.incarnation} given to {row.start} after {self.given}"
             self.given = (*self.given, (row.start, row.incarnation))
 
-    def _answer(self, at: int, answer: tuple[int, dict[str, Any] | None]) -> None:
+    def _answer(self, at: int, answer: tuple[int, LeaseGrant | None]) -> None:
         node = self._own(at)
         node.answers = tuple(other for other in node.answers if other is not answer)
         self._take(node, *answer)
 
-    def _take(self, node: Node, number: int, told: dict[str, Any] | None) -> None:
+    def _take(self, node: Node, number: int, told: LeaseGrant | None) -> None:
         assert node.core is not None
         assert node.core._out is not None
         own, sent = self.now + node.skew, node.core._out[1]
         if told is None:
             node.core.failed(own, number, unknown=True)
             self._unknown(node, own)
-        elif node.core.answered(own, number, told):
+        elif node.core.granted(own, number, told, TTL):
             self._used(node, sent, told)
         node.answers = tuple(answer for answer in node.answers if waits(node, answer[0]))
 
-    def _used(self, node: Node, sent: float, told: dict[str, Any]) -> None:
+    def _used(self, node: Node, sent: float, told: LeaseGrant) -> None:
         """An answer was used; `sent`: its call, by the node's clock. For worlds with more than shares."""
 
     def _unknown(self, node: Node, own: float) -> None:
@@ -282,11 +283,11 @@
 
     # -------------------------------------------------------------- leader and time
 
-    def _expire(self, plan: Plan) -> None:
+    def _expire(self, plan: Expiry) -> None:
         state = self._log()
-        state.expire(*plan)
+        state.expire(plan.lapsed, plan.support, plan.repeats)
         state.settle()
-        self.service.clock.keep(state.ledger.by_incarnation)
+        self.service.clock.keep({row.incarnation for row in state.rows()})
 
     def _apply(self) -> None:
         assert self.plan is not None
@@ -295,7 +296,7 @@
 
     def _lead(self) -> None:
         state = self._log()
-        self.service.clock.lead(self.now, [(row.incarnation, row.seq) for row in state.ledger.rows()])
+        self.service.clock.lead(self.now, [(row.incarnation, row.seq) for row in state.rows()])
         self.plan = None  # the log refuses what the one before proposed
 
     def _tick(self) -> None:
@@ -340,7 +341,7 @@
                     self._renew(at)
         lapsed, support = self.service.clock.due(self.now)
         if lapsed:
-            self._expire((lapsed, support, self.service.state.repeats))
+            self._expire(Expiry(lapsed, support, self.service.state.repeats))
 
 
 def share_check(world: Shares) -> str | None:
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 from typing import Any
 
-import orjson
 import pytest
+from msgspec import UNSET
 
 from orchidledge.registry.clock_file import ClockFile, Clocks
 from orchidledge.registry.dump import Dump
@@ -26,7 +26,7 @@
         self.changes = 0
         self.catalog = FleetCatalog(ServiceClock(), lambda: 5.0, self._changed)
 
-    def _changed(self) -> None:
+    def _changed(self, groups: frozenset[str] | None) -> None:
         self.changes += 1
 
     def lead(self, term: int, epoch: int | None = 1, ttl_ms: float = 1_000.0) -> Any:
@@ -41,7 +41,7 @@
     log = Log()
     assert log("enrol", 9.0, 0, *ABOUT) is None  # before any leader has begun
     log.lead(1)
-    assert log("enrol", 10.0, 1, *ABOUT)[0]["share"] == 1.0
+    assert log("enrol", 10.0, 1, *ABOUT)[0].lease.share == 1.0
     log.lead(3)
     late = [("renew_many", [(1, 9, 0, 1, 1.0)]), ("leave", 1), ("remove", "n1"), ("expire", [(1, 0)], [], 0)]
     assert [log(command, 99.0, 1, *args) for command, *args in late] == [None] * 4
@@ -77,11 +77,11 @@
     log("propose", 11.0, 1, "neutral = true\n# again\n", 5_000.0)
     assert log("vote", 12.0, 1, 1, 1, True, "").phase == "decided"
     (told,) = log("renew_many", 13.0, 1, [(1, 1, 0, 1, 1.0)])
-    assert told["routes"]["pending"]["at"] == 12.0 + 1_000.0 + 50.0
-    assert "members" not in told
+    assert told.routes["pending"]["at"] == 12.0 + 1_000.0 + 50.0
+    assert told.lease.members is UNSET
     (told,) = log("renew_many", 1_063.0, 1, [(1, 2, 1, 0, 1.0)])
-    assert told["routes"]["in_force"]["number"] == 1
-    assert orjson.loads(orjson.dumps(told))["members"][0]["name"] == "n1"
+    assert told.routes["in_force"]["number"] == 1
+    assert told.lease.members[0].name == "n1"
 
 
 @pytest.mark.parametrize("parts", [1, 2])
--- a/tests/test_members_shares.py
+++ b/tests/test_members_shares.py
@@ -70,8 +70,8 @@
             if row is None:
                 self.post("", node.name, lambda: node.core.failed(self.now, call.number, unknown=True))
                 return
-            answer = self.ledger.answer(row, call.body.get("acked", -1)) | {"ttl_ms": TTL}
-            self.post("", node.name, lambda: node.core.answered(self.now, call.number, answer))
+            grant = self.ledger.grant(row, call.body.get("acked", -1), call.body.get("delta", False))
+            self.post("", node.name, lambda: node.core.granted(self.now, call.number, grant, TTL))
 
         self.post(node.name, "", arrive)
         self.mail.append((self.now + call.timeout_ms, len(self.mail), lost))
