Move the fleet's settings out of net.fleet, under the configuration that names them

Cause: `net.config` imports `FleetSettings` and its parser from `net.fleet`, while `net.fleet` imports `net.config` and `net.driver`, which imports `net.jobs` and so `net.config` again. With `orchidledge.net` among its ancestors the contract `acyclic_siblings` says:

No cycles are allowed in orchidledge.net. It could be made acyclic by removing 5 dependencies: - .attempts -> .jobs (1 import) - .call -> .connection (1 import) - .config -> .fleet (2 imports) - .connection -> .closing (1 import) - .server -> .connection (1 import)

Ruled out: an untyped `Config.members`, and a protocol of its fields, which would say them twice.

Change: `net/fleet/settings.py` is `net/fleet_settings.py`, byte for byte; only imports change. A node with `members` no longer runs `net/fleet/__init__.py` to parse its file; one without still loads neither.

--- a/orchidledge/net/config.py
+++ b/orchidledge/net/config.py
@@ -17,7 +17,7 @@
 from orchidledge.settings import Row, section, settings_from, text_of
 
 if TYPE_CHECKING:
-    from orchidledge.net.fleet import FleetSettings
+    from orchidledge.net.fleet_settings import FleetSettings
 
 
 LEAST = 0.001  # of any figure that has to be above 0
@@ -103,7 +103,7 @@
     if row is None:
         return None
     # Only a node that is told of members pays for the libraries that it needs for them.
-    from orchidledge.net.fleet.settings import parse_settings
+    from orchidledge.net.fleet_settings import parse_settings
 
     return parse_settings(row)
 
--- a/orchidledge/net/fleet/__init__.py
+++ b/orchidledge/net/fleet/__init__.py
@@ -7,6 +7,5 @@
 """
 
 from orchidledge.net.fleet.part import FleetPart
-from orchidledge.net.fleet.settings import FleetSettings
 
-__all__ = ["FleetPart", "FleetSettings"]
+__all__ = ["FleetPart"]
--- a/orchidledge/net/fleet/sight.py
+++ b/orchidledge/net/fleet/sight.py
@@ -9,8 +9,8 @@
 from orchidledge import interface as api
 from orchidledge.members import Viewed
 from orchidledge.net.driver import Driver
-from orchidledge.net.fleet.settings import FleetSettings
 from orchidledge.net.fleet.times import Alarm, FleetClock
+from orchidledge.net.fleet_settings import FleetSettings
 from orchidledge.net.serverlist import ServerList
 from orchidledge.view import Marks, Offsets, Stand, View
 
