Let calls and connections name what they ask of their owners as protocols

Cause: `net.call` imports `net.connection`, and `net.closing` and `net.connection` import `net.server`, for types alone; each of these imports the other way at run time.

Ruled out: callbacks in place of the references (a further call on each answer's path); the protocols in a module of their own, as each names the class that holds it (`Call`, `ClosableConnection`) and that class names it.

Change: `CallerConnection` (net/call.py) is what a call and its long answer ask of their connection, `ConnectionOwner` (net/closing.py) what a connection asks of its server. `Server` keeps its connections as `ClosableConnection`, all that it asks of them; only where it makes one it names `ServerConnection`.

--- a/orchidledge/net/call.py
+++ b/orchidledge/net/call.py
@@ -5,20 +5,40 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from orchidledge.net.body import Body
 from orchidledge.net.http import LAST_CHUNK, chunk
 
-if TYPE_CHECKING:
-    from orchidledge.net.connection import ServerConnection
+
+class CallerConnection(Protocol):
+    """What a call and its answer ask of the connection that the request came on."""
+
+    def answer(self, call: Call, status: int, body: bytes, retry_after_ms: float) -> None:
+        """Write the final answer."""
+
+    def begin(self, call: Call, length: int | None, rest: Body, on_end: Callable[[bool], None]) -> None:
+        """Write a 200 that is passed on as it comes; `on_end` is told whether all of it was."""
+
+    def close_if_left(self) -> bool:
+        """Whether the caller has gone; what it asked for is then over."""
+        ...
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the long answer."""
+
+    def finish(self, close: bool) -> None:
+        """The long answer has been written."""
+
+    def break_off(self) -> None:
+        """The rest of the long answer will not come: the caller has to see that it is not whole."""
 
 
 @dataclass(slots=True, eq=False)
 class Call:
     """One request as it comes, and where its answer goes. A long one is handed on before its end."""
 
-    connection: ServerConnection
+    connection: CallerConnection
     body: Body
     arrived: float = 0.0  # the loop's time of its last byte
     method: bytes = b""
@@ -54,7 +74,7 @@
 
     def __init__(
         self,
-        connection: ServerConnection,
+        connection: CallerConnection,
         call: Call,
         rest: Body,
         length: int | None,
--- a/orchidledge/net/closing.py
+++ b/orchidledge/net/closing.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from orchidledge.net.call import Call, head
 from orchidledge.net.flow import Linger, Writing
@@ -13,8 +14,38 @@
 from orchidledge.net.pending import ended
 from orchidledge.net.request_parser import Receiving, RequestParser
 
-if TYPE_CHECKING:
-    from orchidledge.net.server import Server
+
+class ConnectionOwner(Protocol):
+    """What a caller's connection asks of the server that has accepted it."""
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop: ...
+
+    @property
+    def draining(self) -> bool:
+        """Whether answers end their connections."""
+        ...
+
+    @property
+    def crowded(self) -> bool:
+        """Whether more connections take requests than may."""
+        ...
+
+    @property
+    def takes_clients(self) -> bool:
+        """Whether new connections are welcome."""
+        ...
+
+    @property
+    def on_call(self) -> Callable[[Call], None]:
+        """Takes a request that is to be answered."""
+        ...
+
+    def opened(self, connection: ClosableConnection) -> None:
+        """It takes requests from now on."""
+
+    def closed(self, connection: ClosableConnection) -> None:
+        """It is gone."""
 
 
 class State(Enum):
@@ -35,7 +66,7 @@
     comes to MUST_CLOSE with the last answer, and to CLOSED.
     """
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: ConnectionOwner) -> None:
         self._server = server
         self._transport: asyncio.Transport
         self._requests: RequestParser
--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -4,24 +4,20 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from orchidledge.net.body import HIGH_WATER, Body
 from orchidledge.net.call import Call, LongAnswer, head
-from orchidledge.net.closing import ClosableConnection, State
+from orchidledge.net.closing import ClosableConnection, ConnectionOwner, State
 from orchidledge.net.flow import Reading, Writing
 from orchidledge.net.request_parser import RequestParser
 
-if TYPE_CHECKING:
-    from orchidledge.net.server import Server
-
 READY_PATH = b"/up"
 
 
 class ServerConnection(ClosableConnection):
     """One caller's connection; requests that come at once are answered in turn."""
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: ConnectionOwner) -> None:
         super().__init__(server)
         self._reading: Reading
         self._answer: LongAnswer | None = None  # in SEND_BODY
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -10,6 +10,7 @@
 from itertools import islice
 
 from orchidledge.net.call import Call
+from orchidledge.net.closing import ClosableConnection
 from orchidledge.net.connection import ServerConnection
 
 log = logging.getLogger("orchidledge")
@@ -21,9 +22,9 @@
 SWEEP_S = 0.1  # looked at so often, as a peer that sends no request is owed an error or a close within 3 s
 
 # What goes first where callers are too many, and where their descriptors are. Accepting never stops.
-_Ending = Callable[[ServerConnection], bool]
-_END_FOR_REQUESTS: tuple[_Ending, ...] = (ServerConnection.close_if_idle, ServerConnection.turn_away)
-_END_FOR_DESCRIPTORS: tuple[_Ending, ...] = (ServerConnection.cut_short, *_END_FOR_REQUESTS)
+_Ending = Callable[[ClosableConnection], bool]
+_END_FOR_REQUESTS: tuple[_Ending, ...] = (ClosableConnection.close_if_idle, ClosableConnection.turn_away)
+_END_FOR_DESCRIPTORS: tuple[_Ending, ...] = (ClosableConnection.cut_short, *_END_FOR_REQUESTS)
 
 
 def inherited(text: str) -> socket.socket:
@@ -55,7 +56,7 @@
         self.shares_socket = False  # another process may accept from the listening socket too
         self.draining = False  # answers end their connections
         self.expired = 0  # connections ended for want of a request
-        self.connections: dict[ServerConnection, None] = {}  # in the order of their opening
+        self.connections: dict[ClosableConnection, None] = {}  # in the order of their opening
         self._listener: socket.socket | None = None
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
         self._short = False  # the last connection could not be accepted for want of a descriptor
@@ -146,11 +147,11 @@
         task.add_done_callback(self._coming.discard)
         return True
 
-    def opened(self, connection: ServerConnection) -> None:
+    def opened(self, connection: ClosableConnection) -> None:
         self.connections[connection] = None
         self._end(_END_FOR_REQUESTS, self._excess(), connection)
 
-    def _end(self, ways: Iterable[_Ending], count: int, but: ServerConnection | None = None) -> None:
+    def _end(self, ways: Iterable[_Ending], count: int, but: ClosableConnection | None = None) -> None:
         """End so many connections, the first of these ways first, and those longest at rest. None of them has
         a whole request, as far as has been read."""
         if count > 0:
@@ -158,7 +159,7 @@
             ended = (one for end in ways for one in others if end(one))
             deque(islice(ended, count), maxlen=0)
 
-    def closed(self, connection: ServerConnection) -> None:
+    def closed(self, connection: ClosableConnection) -> None:
         self.connections.pop(connection, None)
 
     def drain(self, young_s: float = 0.0, open_s: float = DRAIN_OPEN_S) -> None:
