Move readable to net/pending.py, beside its twin ended

Cause: two looks at what the kernel holds of a connection stood in two files, one of them (net/http.py) about the protocol of outgoing calls; `net.closing` needed both.

Ruled out: one function under both, given the events.

Change: `readable` moves as it was; importers name its new module, tests too.

--- a/orchidledge/net/closing.py
+++ b/orchidledge/net/closing.py
@@ -10,8 +10,7 @@
 
 from orchidledge.net.call import Call, head
 from orchidledge.net.flow import Linger, Writing
-from orchidledge.net.http import readable
-from orchidledge.net.pending import ended
+from orchidledge.net.pending import ended, readable
 from orchidledge.net.request_parser import Receiving, RequestParser
 
 
--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -11,6 +10,7 @@
 import httptools
 
 from orchidledge.net.body import HIGH_WATER, LONGEST, Body
+from orchidledge.net.pending import readable
 
 MAX_BODY = HIGH_WATER  # of a body that is held whole
 MAX_HEAD = 16 * 1024
@@ -54,13 +54,6 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def readable(transport: asyncio.BaseTransport) -> bool:
-    """Whether bytes, an end or an error wait in the kernel that the event loop has not delivered yet."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
 class _Upload:
     """A request's body on its way to a server."""
 
--- a/orchidledge/net/pending.py
+++ b/orchidledge/net/pending.py
@@ -6,6 +6,13 @@
 import select
 
 
+def readable(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes, an end or an error wait in the kernel that the event loop has not delivered yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def ended(transport: asyncio.BaseTransport) -> bool:
     """Whether the peer has closed, half-closed or reset, however many bytes wait before that."""
     poll = select.poll()
--- a/tests/pooled.py
+++ b/tests/pooled.py
@@ -12,7 +12,8 @@
 
 from orchidledge.interface import Result
 from orchidledge.net.body import Body
-from orchidledge.net.http import ClientConnection, Response, readable
+from orchidledge.net.http import ClientConnection, Response
+from orchidledge.net.pending import readable
 from orchidledge.net.upstream import Pool
 
 DATA = b"GET /read/1 HTTP/1.1\r\nReq-Id: q\r\n\r\n"
--- a/tests/test_connection_closes.py
+++ b/tests/test_connection_closes.py
@@ -24,8 +24,8 @@
 
 from orchidledge.net import closing as closing_module
 from orchidledge.net.body import HIGH_WATER, Body
-from orchidledge.net.http import readable
 from orchidledge.net.node import Node
+from orchidledge.net.pending import readable
 
 # ------------------------------------------------------------- last answers, idle closes
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,7 +11,8 @@
 from loopback import Held, Message, Peer, never_up, reply, until
 
 from orchidledge.interface import Result
-from orchidledge.net.http import ClientConnection, Response, readable
+from orchidledge.net.http import ClientConnection, Response
+from orchidledge.net.pending import readable
 from orchidledge.net.upstream import Pool
 from tests.ports import free_port
 
