Threads test: the catalog names the changed groups to its listener

Cause: FleetCatalog's on_change takes the groups whose member lists changed; the double took nothing.

--- a/tests/threads.py
+++ b/tests/threads.py
@@ -69,7 +69,7 @@
     """Raft's thread applies a renewal and an enrolment; the leader's loop takes renewals, the web reads."""
 
     def __init__(self, wrong: bool) -> None:
-        self.fleet = FleetCatalog(ServiceClock(), lambda: 0.0, lambda: None)
+        self.fleet = FleetCatalog(ServiceClock(), lambda: 0.0, lambda groups: None)
         self.fleet.lead(0.0, 1, "", 0, 1000.0, 50.0, _doApply=True)
         self.fleet.serve(1)
         self.enrol("n0")
