--- a/bench/hearing.py
+++ b/bench/failure_detector.py
@@ -1,8 +1,8 @@
-"""Figures of the hearing core on the network of tests/hearing_sim.py, in simulated time. Outside CI.
+"""Figures of the failure detector on the network of tests/detector_sim.py, in simulated time. Outside CI.
 
-    python bench/hearing.py kill [--nodes 20 --rounds 20]
-    python bench/hearing.py false [--nodes 20 --minutes 5 --runs 5]
-    python bench/hearing.py cost [--seconds 20]
+    python bench/failure_detector.py kill [--nodes 20 --rounds 20]
+    python bench/failure_detector.py false [--nodes 20 --minutes 5 --runs 5]
+    python bench/failure_detector.py cost [--seconds 20]
 
 Each prints JSON lines. `kill`: ms from a node's end to `unheard` at each other node, by what callers see of
 the end and by links (fast: 0.3 to 1 ms a message; slow: 20 to 200 ms and 2% of calls lost). `false`: changes
@@ -21,8 +21,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from orchidledge.members import Heard, Standing
-from tests.hearing_sim import Gone, World
+from orchidledge.members import Reachability, Standing
+from tests.detector_sim import Gone, World
 
 FAST, SLOW = (0.3, 1.0), (20.0, 200.0)
 
@@ -46,7 +46,8 @@
                 killed_at = world.now
                 world.kill(5, gone)
                 world.run(10_000)
-                first = {who: at for at, who, of in reversed(world.turned(Heard.UNHEARD)) if of == 5}
+                failures = reversed(world.turned(Reachability.UNREACHABLE))
+                first = {who: at for at, who, of in failures if of == 5}
                 times += [at - killed_at for at in first.values()]
                 times += [float("inf")] * (nodes - 1 - len(first))
             p50, p99 = (round(quantile(times, share)) for share in (0.5, 0.99))
@@ -65,7 +66,8 @@
     every = 600.0 + 200 * seed
     world.stop_every(3, every, lasts=300.0)
     world.run(minutes * 60_000)
-    turned = {state.value: len(world.turned(state)) for state in Heard if state is not Heard.HEARD}
+    changed = [state for state in Reachability if state is not Reachability.ALIVE]
+    turned = {state.value: len(world.turned(state)) for state in changed}
     return {"false": turned, "nodes": nodes, "minutes": minutes, "stopped_every_ms": every, "seed": seed}
 
 
@@ -73,13 +75,13 @@
     for size in (10, 20, 50, 100):
         world = World(size, 1)
         for node in world.nodes.values():
-            node.hearing.stand(world.clock(node), Standing.ATTACHED, 1.7e12)
+            node.detector.set_standing(world.clock(node), Standing.ATTACHED, 1.7e12)
         world.run(5000)
-        before = [(node.sent, node.sent_bytes, node.answered_bytes) for node in world.nodes.values()]
+        before = [(node.sent, node.sent_bytes, node.ack_bytes_received) for node in world.nodes.values()]
         start = time.process_time()
         world.run(seconds * 1000)
         used = time.process_time() - start
-        after = [(node.sent, node.sent_bytes, node.answered_bytes) for node in world.nodes.values()]
+        after = [(node.sent, node.sent_bytes, node.ack_bytes_received) for node in world.nodes.values()]
         spent = [
             [new - old for new, old in zip(*pair, strict=True)] for pair in zip(after, before, strict=True)
         ]
@@ -88,8 +90,8 @@
             nodes=size,
             calls_per_node_s=round(calls / size / seconds, 2),
             most_calls_per_node_s=round(max(row[0] for row in spent) / seconds, 2),
-            ask_bytes=round(asked / calls),
-            answer_bytes=round(answered / calls),
+            probe_bytes=round(asked / calls),
+            ack_bytes=round(answered / calls),
             cpu_percent_per_node=round(100 * used / size / seconds, 3),
         )
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -26,7 +26,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from bench import fleet_hearing, fleet_routes, fleet_traffic
+from bench import fleet_detection, fleet_routes, fleet_traffic
 from bench.fleet_world import Figures, load_average
 from tests.fleet import ROOT
 
@@ -51,14 +51,14 @@
 
 
 FIGURES = {
-    "detect": Figure(fleet_hearing.detect, {"nodes": 20, "rounds": 20, "ttl_ms": 2_000, "seed": 1}),
+    "detect": Figure(fleet_detection.detect, {"nodes": 20, "rounds": 20, "ttl_ms": 2_000, "seed": 1}),
     "quiet": Figure(
-        fleet_hearing.quiet,
+        fleet_detection.quiet,
         {"nodes": 12, "minutes": 5.0, "sim_nodes": 20, "sim_minutes": 5.0, "runs": 5, "seed": 1},
     ),
-    "cost": Figure(fleet_hearing.cost, {"sizes": "10,20,50,100", "seconds": 20.0, "settle": 10.0}),
-    "service": Figure(fleet_hearing.service, {"members": 200, "seconds": 30.0, "ttl_ms": 5_000}),
-    "split": Figure(fleet_hearing.split, {"nodes": 20, "ttl_ms": 2_000, "rounds": 6, "seed": 1}),
+    "cost": Figure(fleet_detection.cost, {"sizes": "10,20,50,100", "seconds": 20.0, "settle": 10.0}),
+    "service": Figure(fleet_detection.service, {"members": 200, "seconds": 30.0, "ttl_ms": 5_000}),
+    "split": Figure(fleet_detection.split, {"nodes": 20, "ttl_ms": 2_000, "rounds": 6, "seed": 1}),
     "zone": Figure(
         fleet_traffic.zone,
         {
--- a/bench/fleet_hearing.py
+++ b/bench/fleet_detection.py
@@ -11,10 +11,10 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from bench.failure_detector import false_verdicts
 from bench.fleet_world import LIMIT_S, Figures, Plan, Samples, Tail, World, cpu_ms, quantile, rss_mb, spread
-from bench.hearing import false_verdicts
 from bench.renewals import renewals
-from orchidledge.members import Heard
+from orchidledge.members import Reachability
 from tests.fleet import until
 from tests.watch import least_share
 
@@ -131,7 +131,7 @@
         failed = sum(world.metrics("members_failed"))
         asks = sum(world.metrics("members_asks"))
         lost = sum(link.lost_calls for link in world.net.links.values())
-    turned = {state.value: said[state.value] for state in Heard if state is not Heard.HEARD}
+    turned = {state.value: said[state.value] for state in Reachability if state is not Reachability.ALIVE}
     told = {"figure": "quiet", "kind": "processes", "nodes": nodes, "minutes": minutes, "stops": stops}
     return told | {
         "asks": round(asks),
--- a/orchidledge/members/actions.py
+++ b/orchidledge/members/actions.py
@@ -1,47 +1,55 @@
-"""What goes into and comes out of the hearing core: settings, the siblings it is told of, and actions."""
+"""Inputs and outputs of the failure detector: its settings, the members it is told of, and its actions."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from .payload import ACCUSERS_MOST, RUMOURS_MOST
-from .verdict import Heard
+from .payload import MAX_ACCUSERS, MAX_UPDATES
+from .verdict import Reachability
 
 
 @dataclass(frozen=True, slots=True)
-class Config:
-    """Settings of the hearing core; times in ms. Raises ValueError for figures it could not work with."""
-
-    period_ms: float = 100.0  # one sibling is asked each period
-    ask_timeout_ms: float = 500.0  # over a round trip between the furthest nodes
-    helpers: int = 3  # siblings asked to ask in this node's place
-    pulse_ms: float = 50.0  # the longest wait between ticks, so that a stop shows as a late one
-    late_ms: float = 100.0  # a tick this late means that the node itself did not run
-    suspicion_least_ms: float = (
-        1000.0  # silence: once enough accusers agree; grows as log10 of the fleet past ten
+class DetectorConfig:
+    """Settings of the failure detector; times in ms. Raises ValueError for figures it could not work with."""
+
+    period_ms: float = 100.0  # the protocol period: one member is probed each
+    probe_timeout_ms: float = 500.0  # over a round trip between the furthest nodes
+    helpers: int = 3  # members asked for an indirect probe
+    tick_ms: float = 50.0  # the longest wait between ticks, so that a pause of this process shows
+    late_ms: float = 100.0  # a tick this late means that this process was paused
+    suspicion_min_ms: float = (
+        1000.0  # after timeouts: once enough accusers agree; grows as log10 of the group past ten
     )
-    suspicion_most_ms: float = 6000.0  # silence: with a single accuser; grows alike
-    accusers: int = 3  # further accusers that bring the time down to the least
-    refused_ms: float = 300.0  # a refused connection: the machine answers, the process is gone
-    max_health: int = 4  # own times are lengthened up to 1 + this
-    bridged_after: int = 4  # direct failures in a row, each bridged by others
-    spread: float = 3.0  # a rumour is sent this many times log2 of the fleet
-    rumours: int = 12  # in one payload
-    ahead_ms: float = 1000.0  # a statement's service time may be this far ahead of one's own estimate
-    duties: int = 64  # asks in others' place under way at once
+    suspicion_max_ms: float = 6000.0  # after timeouts: with a single accuser; grows alike
+    accusers: int = 3  # further accusers that bring the suspicion timeout down to the minimum
+    refused_suspicion_ms: float = 300.0  # a refused connection: the machine answers, the process is gone
+    max_health: int = 4  # the local health multiplier lengthens own timeouts up to 1 + this
+    indirect_after: int = 4  # direct probes in a row that failed while indirect ones were acked
+    retransmit_multiplier: float = 3.0  # an update is sent this many times log2 of the group
+    updates: int = 12  # in one payload
+    max_ahead_ms: float = 1000.0  # a statement's service time may be this far ahead of one's own estimate
+    relayed_probes: int = 64  # probes on behalf of others under way at once
 
     def __post_init__(self) -> None:
-        times = (self.period_ms, self.ask_timeout_ms, self.pulse_ms, self.late_ms, self.refused_ms)
-        if not all(0 < value < 1e9 for value in (*times, self.suspicion_least_ms)):
-            raise ValueError("a time of hearing is not a positive number of ms")
-        if not self.suspicion_least_ms <= self.suspicion_most_ms < 1e9:
-            raise ValueError("suspicion_most_ms is under suspicion_least_ms or absurd")
-        accusers = all(0 <= value < ACCUSERS_MOST for value in (self.helpers, self.accusers))
-        counts = all(0 <= value <= 1000 for value in (self.max_health, self.duties, self.bridged_after - 1))
-        if not accusers or not counts or not 1 <= self.rumours <= RUMOURS_MOST:
-            raise ValueError("a count of hearing is out of range")
-        if not 0 < self.spread < 100 or not 0 <= self.ahead_ms < 1e9:
-            raise ValueError("spread or ahead_ms is out of range")
+        times = (
+            self.period_ms,
+            self.probe_timeout_ms,
+            self.tick_ms,
+            self.late_ms,
+            self.refused_suspicion_ms,
+            self.suspicion_min_ms,
+        )
+        if not all(0 < value < 1e9 for value in times):
+            raise ValueError("a time of the failure detector is not a positive number of ms")
+        if not self.suspicion_min_ms <= self.suspicion_max_ms < 1e9:
+            raise ValueError("suspicion_max_ms is under suspicion_min_ms or absurd")
+        accusers = all(0 <= value < MAX_ACCUSERS for value in (self.helpers, self.accusers))
+        counts = (self.max_health, self.relayed_probes, self.indirect_after - 1)
+        counts_in_range = all(0 <= value <= 1000 for value in counts)
+        if not accusers or not counts_in_range or not 1 <= self.updates <= MAX_UPDATES:
+            raise ValueError("a count of the failure detector is out of range")
+        if not 0 < self.retransmit_multiplier < 100 or not 0 <= self.max_ahead_ms < 1e9:
+            raise ValueError("retransmit_multiplier or max_ahead_ms is out of range")
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,8 +62,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
-    """Ask a sibling directly; ends in `answered` or `failed` with this id within `timeout_ms`."""
+class Probe:
+    """Probe a member directly; ends in `on_ack` or `on_failure` with this id within `timeout_ms`."""
 
     id: int
     target: int  # incarnation
@@ -65,8 +73,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskThrough:
-    """Ask the helper to ask the target; ends in `answered` or `failed` with this id within `timeout_ms`."""
+class IndirectProbe:
+    """Ask the helper to probe the target; ends in `on_ack` or `on_failure` with this id within
+    `timeout_ms`."""
 
     id: int
     helper: int  # incarnation
@@ -77,8 +86,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
-    """Answer the call given to `asked_for`; a payload of None is a refusal of a malformed one."""
+class Ack:
+    """Answer the call given to `on_indirect_probe`; a payload of None refuses a malformed one."""
 
     call: int
     payload: bytes | None
@@ -86,19 +95,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Changed:
-    """What is known of a sibling by hearing has changed."""
+    """A member's reachability has changed."""
 
     incarnation: int
-    old: Heard
-    new: Heard
+    old: Reachability
+    new: Reachability
 
 
 @dataclass(frozen=True, slots=True)
 class Viewed:
-    """A sibling's view entry, as it gave it, and the times of the call it came on.
+    """A member's view entry, as it gave it, and the times of the call it came on.
 
-    `at` is its own clock's time when it wrote it. From an answer, `sent` is this node's time of asking, so
-    that (sent, at, at, now) are the four times of the call; from a sibling's ask `sent` is None.
+    `at` is the sender's own clock when it wrote it. From an ack, `sent` is when this node sent the probe, so
+    that (sent, at, at, now) are the four times of the call; from another member's probe `sent` is None.
     """
 
     incarnation: int
@@ -108,4 +117,4 @@
     now: float
 
 
-Action = Ask | AskThrough | Reply | Changed | Viewed
+Action = Probe | IndirectProbe | Ack | Changed | Viewed
--- /dev/null
+++ b/orchidledge/members/failure_detector.py
@@ -0,0 +1,174 @@
+"""The failure detector: a node probes the other members in turn, directly and indirectly, and gossips what it
+finds on the same calls.
+
+As published for SWIM (Das, Gupta, Motivala 2002) and Lifeguard (Dadgar, Phillips, Currey 2017), with two
+changes: a helper whose probe timed out counts as an accuser at once, since it has its own evidence; and a
+refused connection that no helper gets past leaves only a short time to refute.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+
+from .actions import Ack, Action, DetectorConfig, Sibling
+from .gossip import Gossip
+from .local_state import LocalState
+from .member_list import MemberList
+from .payload import Standing, read
+from .probing import Probing
+from .verdict import Reachability
+
+
+class FailureDetector:
+    """One node's failure detector. All times in ms on its own clock, which never goes back.
+
+    Facts go in through `set_members`, `tick`, `on_ack`, `on_failure`, `on_probe` and `on_indirect_probe`;
+    each returns the actions that follow. The caller calls `tick` no later than `due`, and ends every Probe
+    and IndirectProbe with `on_ack` or `on_failure`. Nothing that another member sends raises; `ignored` tells
+    what was ignored, by reason.
+    """
+
+    def __init__(self, incarnation: int, rng: random.Random, config: DetectorConfig | None = None) -> None:
+        self._config = config or DetectorConfig()
+        self._local = LocalState(self._config, incarnation)
+        self._members = MemberList(self._local)
+        self._gossip = Gossip(self._local, self._members, rng)
+        self._probing = Probing(self._local, self._members, self._gossip, rng)
+        self._next_period: float | None = None
+        self.last_ack_at: float | None = None  # when any member last acked a probe
+
+    # -------------------------------------------------------------- facts
+
+    def set_incarnation(self, incarnation: int) -> None:
+        """This process was given a new incarnation; a lower or equal one is ignored."""
+        if incarnation > self._local.incarnation:
+            self._local.incarnation, self._local.count = incarnation, 0
+            self._gossip.standings.clear_own()
+            self._members.set_members([peer.sibling for peer in self._members.peers.values()])
+
+    def set_members(self, now: float, siblings: Iterable[Sibling]) -> list[Action]:
+        """The whole list of members; this node's own row is left out, and those not in it are forgotten."""
+        self._record_wakeup(now)
+        self._probing.order.add(self._members.set_members(siblings))
+        self._gossip.standings.retain(self._members.peers)
+        return [*self._members.take_changes()]
+
+    def set_standing(self, now: float, standing: Standing, s_ms: float) -> None:
+        """What this node states of its own share, at this service time."""
+        self._gossip.standings.set_own(now, standing, s_ms)
+
+    def set_view(self, view: bytes) -> None:
+        """The opaque entry that goes with every payload from now on; one over 16 KiB is not sent."""
+        self._gossip.set_view(view)
+
+    def tick(self, now: float) -> list[Action]:
+        """End suspicions that are due, and each period probe the next member."""
+        self._record_wakeup(now)
+        self._members.expire_suspicions(now)
+        actions: list[Action] = []
+        next_period = now if self._next_period is None else self._next_period
+        if now >= next_period:
+            period_ms = self._config.period_ms
+            # Periods missed are not made up for.
+            next_period = max(next_period, now - period_ms) + period_ms * self._local.timeout_factor
+            self._probing.drop_abandoned(now)
+            actions.extend(self._probing.next_probe(now))
+        self._next_period = next_period
+        next_expiry = max(now + 1.0, self._members.next_expiry())
+        self._local.due = min(now + self._config.tick_ms, next_period, next_expiry)
+        return [*actions, *self._members.take_changes()]
+
+    def on_ack(self, now: float, probe_id: int, payload: bytes) -> list[Action]:
+        """The ack of a Probe or IndirectProbe. One that can't be read counts as none."""
+        self._record_wakeup(now)
+        request = self._probing.end(probe_id)
+        if request is None:
+            return []
+        message = read(payload)
+        if message is None:
+            self.ignored["malformed answer"] += 1
+            actions = self._probing.on_failure(now, request, refused=False)
+            return [*actions, *self._members.take_changes()]
+        if message.sender != request.to:
+            # Another process answers at this address, so the one that was probed has ended.
+            self.ignored["answer by another"] += 1
+            actions = self._probing.on_failure(now, request, refused=True)
+            return [*actions, *self._members.take_changes()]
+        self.last_ack_at = now
+        self._members.record_ack(now, request.to)
+        viewed = self._gossip.receive(now, message, request.sent)
+        acks = self._probing.on_ack(now, request, message.result)
+        return [*viewed, *acks, *self._members.take_changes()]
+
+    def on_failure(self, now: float, probe_id: int, refused: bool) -> list[Action]:
+        """A Probe or IndirectProbe had no ack; `refused` only if the machine refused the connection."""
+        self._record_wakeup(now)
+        request = self._probing.end(probe_id)
+        if request is None:
+            return []
+        actions = self._probing.on_failure(now, request, refused)
+        return [*actions, *self._members.take_changes()]
+
+    def on_probe(self, now: float, payload: bytes) -> tuple[bytes | None, list[Action]]:
+        """A direct probe by another member: the ack's payload, or None to refuse a malformed probe."""
+        self._record_wakeup(now)
+        message = read(payload)
+        if message is None:
+            self.ignored["malformed ask"] += 1
+            return None, []
+        viewed = self._gossip.receive(now, message)
+        return self._gossip.payload(now, message.sender), [*viewed, *self._members.take_changes()]
+
+    def on_indirect_probe(self, now: float, call: int, payload: bytes) -> list[Action]:
+        """Another member asks this node to probe a third; one Ack to `call` comes, now or when that probe
+        has ended."""
+        self._record_wakeup(now)
+        message = read(payload)
+        if message is None:
+            self.ignored["malformed ask"] += 1
+            return [Ack(call, None)]
+        viewed = self._gossip.receive(now, message)
+        return [*viewed, self._probing.relay(now, call, message), *self._members.take_changes()]
+
+    # -------------------------------------------------------------- what is known
+
+    @property
+    def due(self) -> float | None:
+        """When the next tick should come; None before the first."""
+        return self._local.due
+
+    @property
+    def incarnation(self) -> int:
+        """This process's own incarnation."""
+        return self._local.incarnation
+
+    @property
+    def health(self) -> int:
+        """Lifeguard's local health multiplier: 0 is healthy, up to `max_health`."""
+        return self._local.health
+
+    @property
+    def ignored(self) -> Counter[str]:
+        """What was ignored or odd, by reason."""
+        return self._local.ignored
+
+    def reachability(self) -> dict[int, Reachability]:
+        """What probing shows of each member, by incarnation."""
+        after = self._config.indirect_after
+        return {incarnation: peer.reachability(after) for incarnation, peer in self._members.peers.items()}
+
+    def last_ack_of(self, incarnation: int) -> float | None:
+        """When this member last acked a direct probe; None if never, or it is not known."""
+        peer = self._members.peers.get(incarnation)
+        return None if peer is None else peer.last_ack_at
+
+    def standings(self) -> dict[int, tuple[Standing, float]]:
+        """The newest known statement of each node, this one included: (standing, its service time)."""
+        return self._gossip.standings.table()
+
+    def _record_wakeup(self, now: float) -> None:
+        late = self._local.record_wakeup(now)
+        if late:
+            self._members.postpone_suspicions(now, late)
--- /dev/null
+++ b/orchidledge/members/gossip.py
@@ -0,0 +1,65 @@
+"""Gossip piggybacked on probes and acks: writes every payload and merges every message received."""
+
+from __future__ import annotations
+
+import random
+
+from .actions import Viewed
+from .local_state import LocalState
+from .member_list import MemberList
+from .payload import MAX_VIEW_BYTES, MemberStatus, MemberUpdate, Message, ProbeResult, write
+from .standings import Standings
+
+
+class Gossip:
+    """Encodes outgoing messages from, and merges incoming ones into, the member list and the standings."""
+
+    def __init__(self, local: LocalState, members: MemberList, rng: random.Random) -> None:
+        self.standings = Standings(local)
+        self._local = local
+        self._members = members
+        self._rng = rng
+        self._view = b""
+
+    def set_view(self, view: bytes) -> None:
+        """The opaque view entry sent with every payload; one that is too large is not sent."""
+        if len(view) > MAX_VIEW_BYTES:
+            self._local.ignored["own view too large"] += 1
+            view = b""
+        self._view = view
+
+    def payload(
+        self, now: float, to: int, target: int = 0, result: ProbeResult = ProbeResult.INCONCLUSIVE
+    ) -> bytes:
+        """The payload of a call to the incarnation `to`; `target` is the member that it is to probe,
+        `result` the outcome of a probe on its behalf."""
+        local = self._local
+        message = Message(
+            local.incarnation,
+            local.count,
+            now,
+            target,
+            result,
+            self._members.updates_for(target or to),
+            self.standings.to_send(self._rng),
+            self._view,
+        )
+        return write(message)
+
+    def receive(self, now: float, message: Message, sent: float | None = None) -> list[Viewed]:
+        """Merge a message; nothing is accepted from a sender that the list service has not named.
+
+        `sent` is when this node sent the probe if the message is an ack, which shows where it came from.
+        """
+        if message.sender not in self._members.peers:
+            self._local.ignored["message of an unknown incarnation"] += 1
+            return []
+        header = MemberUpdate(message.sender, message.count, MemberStatus.ALIVE)
+        self._members.merge(now, header, first_hand=sent is not None)
+        for update in message.updates:
+            if update.incarnation == self._local.incarnation:
+                self._local.refute(update)
+            else:
+                self._members.merge(now, update)
+        self.standings.merge(now, message.statements, self._members.peers)
+        return [Viewed(message.sender, message.view, message.at, sent, now)] if message.view else []
--- a/orchidledge/members/payload.py
+++ b/orchidledge/members/payload.py
@@ -1,4 +1,4 @@
-"""The body of a call between siblings: MessagePack, decoded strictly by type, range and length.
+"""The body of a call between members: MessagePack, decoded strictly by type, range and length.
 
 All structs are arrays on the wire. A later version may append fields; this one ignores them.
 """
@@ -11,34 +11,34 @@
 import msgspec
 from msgspec import Meta, Struct
 
-PAYLOAD_MOST = 65536  # bytes
-VIEW_MOST = 16384  # bytes
-RUMOURS_MOST = 64
-ACCUSERS_MOST = 8
-STATEMENTS_MOST = 512  # in one payload; a larger fleet sends a sample
-COUNT_MOST = 1 << 40
-TIME_MOST = 1e15  # ms
+MAX_PAYLOAD_BYTES = 65536
+MAX_VIEW_BYTES = 16384
+MAX_UPDATES = 64
+MAX_ACCUSERS = 8
+MAX_STATEMENTS = 512  # in one payload; a larger group sends a sample
+MAX_COUNT = 1 << 40
+MAX_TIME_MS = 1e15
 
 Incarnation = Annotated[int, Meta(ge=0, le=1 << 53)]
-Count = Annotated[int, Meta(ge=0, le=COUNT_MOST)]
-Time = Annotated[float, Meta(ge=0.0, le=TIME_MOST)]  # also bars NaN
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+Time = Annotated[float, Meta(ge=0.0, le=MAX_TIME_MS)]  # also bars NaN
 
 
-class Told(IntEnum):
-    """What a rumour says of an incarnation; at the same count the higher wins."""
+class MemberStatus(IntEnum):
+    """What an update says of a member; at the same count the higher value wins."""
 
-    HEARD = 0
-    SUSPECT = 1  # silent
-    REFUSED = 2  # its machine refused the connection
-    UNHEARD = 3
+    ALIVE = 0
+    SUSPECT = 1  # probes time out
+    REFUSED = 2  # suspected because its machine refused the connection
+    FAILED = 3
 
 
-class Found(IntEnum):
-    """What a helper found when it asked in another's place."""
+class ProbeResult(IntEnum):
+    """The outcome of a probe that a helper made on behalf of another member."""
 
-    NOTHING = 0  # no evidence: it was itself late or busy, or does not know the target
-    ANSWERED = 1
-    SILENT = 2
+    INCONCLUSIVE = 0  # no evidence: the helper was late or busy itself, or does not know the target
+    ACKED = 1
+    TIMED_OUT = 2
     REFUSED = 3
 
 
@@ -50,28 +50,34 @@
     YIELDED = 2
 
 
-class Rumour(Struct, array_like=True, frozen=True, gc=False):
+class MemberUpdate(Struct, array_like=True, frozen=True, gc=False):
+    """A membership update as disseminated by gossip."""
+
     incarnation: Incarnation
-    count: Count  # the incarnation's own, which only it raises
-    told: Told
-    accusers: Annotated[tuple[Incarnation, ...], Meta(max_length=ACCUSERS_MOST)] = ()
+    count: Count  # the refutation count of this incarnation, which only it raises
+    status: MemberStatus
+    accusers: Annotated[tuple[Incarnation, ...], Meta(max_length=MAX_ACCUSERS)] = ()
 
 
 class Statement(Struct, array_like=True, frozen=True, gc=False):
+    """A member's statement of its standing, at a service time."""
+
     incarnation: Incarnation
     standing: Standing
     s_ms: Time  # service time
 
 
 class Message(Struct, array_like=True, frozen=True):
+    """A probe, an indirect probe or an ack, with the gossip it carries."""
+
     sender: Incarnation
-    count: Count  # the sender's own
-    at: Annotated[float, Meta(ge=-TIME_MOST, le=TIME_MOST)]  # the sender's clock, ms
-    target: Incarnation = 0  # of an indirect ask
-    found: Found = Found.NOTHING  # in the answer to an indirect ask
-    rumours: Annotated[tuple[Rumour, ...], Meta(max_length=RUMOURS_MOST)] = ()
-    statements: Annotated[tuple[Statement, ...], Meta(max_length=STATEMENTS_MOST)] = ()
-    view: Annotated[bytes, Meta(max_length=VIEW_MOST)] = b""
+    count: Count  # the sender's own refutation count
+    at: Annotated[float, Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]  # the sender's clock, ms
+    target: Incarnation = 0  # of an indirect probe
+    result: ProbeResult = ProbeResult.INCONCLUSIVE  # in the ack of an indirect probe
+    updates: Annotated[tuple[MemberUpdate, ...], Meta(max_length=MAX_UPDATES)] = ()
+    statements: Annotated[tuple[Statement, ...], Meta(max_length=MAX_STATEMENTS)] = ()
+    view: Annotated[bytes, Meta(max_length=MAX_VIEW_BYTES)] = b""
 
 
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -80,7 +86,7 @@
 
 def read(payload: bytes) -> Message | None:
     """The message, or None for anything that is not one."""
-    if len(payload) > PAYLOAD_MOST:
+    if len(payload) > MAX_PAYLOAD_BYTES:
         return None
     try:
         return _decoder.decode(payload)
--- a/orchidledge/members/standings.py
+++ b/orchidledge/members/standings.py
@@ -1,59 +1,65 @@
-"""The table of what each node last said of its own share, merged by the newest service time."""
+"""The table of what each member last stated of its own share, merged by the newest service time."""
 
 from __future__ import annotations
 
 import random
 from collections.abc import Container, Iterable
 
-from .own import Own
-from .payload import STATEMENTS_MOST, TIME_MOST, Standing, Statement
+from .local_state import LocalState
+from .payload import MAX_STATEMENTS, MAX_TIME_MS, Standing, Statement
 
 
 class Standings:
-    """Statements by incarnation; no larger than the known siblings and one's own."""
+    """Statements by incarnation; no larger than the known members and this node itself."""
 
-    def __init__(self, own: Own) -> None:
-        self._own = own
+    def __init__(self, local: LocalState) -> None:
+        self._local = local
         self._known: dict[int, Statement] = {}
-        self._said: Statement | None = None
-        self._s_less_now: float | None = None
+        self._own: Statement | None = None
+        self._service_offset_ms: float | None = None  # service time less this node's clock
 
-    def stand(self, now: float, standing: Standing, s_ms: float) -> None:
-        if not 0 <= s_ms <= TIME_MOST:  # siblings would refuse the whole payload
-            self._own.counts["own service time absurd"] += 1
+    def set_own(self, now: float, standing: Standing, s_ms: float) -> None:
+        """This node's own statement, at this service time."""
+        if not 0 <= s_ms <= MAX_TIME_MS:  # other members would reject the whole payload
+            self._local.ignored["own service time absurd"] += 1
             return
-        self._said = Statement(self._own.incarnation, standing, s_ms)
-        self._s_less_now = s_ms - now
+        self._own = Statement(self._local.incarnation, standing, s_ms)
+        self._service_offset_ms = s_ms - now
 
-    def disown(self) -> None:
-        """This process has a new incarnation and has said nothing as that yet."""
-        self._said = None
+    def clear_own(self) -> None:
+        """This process has a new incarnation and has made no statement under it yet."""
+        self._own = None
 
-    def merge(self, now: float, statements: Iterable[Statement], siblings: Container[int]) -> None:
+    def merge(self, now: float, statements: Iterable[Statement], members: Container[int]) -> None:
         """Take what is newer. Without an estimate of service time none can be checked, so none is taken."""
-        if self._s_less_now is None:
+        if self._service_offset_ms is None:
             return
-        latest = now + self._s_less_now + self._own.config.ahead_ms
-        for told in statements:
-            known = self._known.get(told.incarnation)
-            if (known is not None and known.s_ms >= told.s_ms) or told.incarnation == self._own.incarnation:
+        latest = now + self._service_offset_ms + self._local.config.max_ahead_ms
+        for statement in statements:
+            known = self._known.get(statement.incarnation)
+            if known is not None and known.s_ms >= statement.s_ms:
                 continue
-            if told.incarnation not in siblings:
-                self._own.counts["statement of an unknown incarnation"] += 1
-            elif told.s_ms > latest:
-                self._own.counts["statement from the future"] += 1
+            if statement.incarnation == self._local.incarnation:
+                continue
+            if statement.incarnation not in members:
+                self._local.ignored["statement of an unknown incarnation"] += 1
+            elif statement.s_ms > latest:
+                self._local.ignored["statement from the future"] += 1
             else:
-                self._known[told.incarnation] = told
+                self._known[statement.incarnation] = statement
 
-    def forget(self, siblings: Container[int]) -> None:
-        self._known = {key: told for key, told in self._known.items() if key in siblings}
+    def retain(self, members: Container[int]) -> None:
+        """Forget the statements of all others."""
+        self._known = {key: statement for key, statement in self._known.items() if key in members}
 
-    def to_tell(self, rng: random.Random) -> tuple[Statement, ...]:
-        own = () if self._said is None else (self._said,)
-        if len(self._known) < STATEMENTS_MOST:
+    def to_send(self, rng: random.Random) -> tuple[Statement, ...]:
+        """The statements of the next payload."""
+        own = () if self._own is None else (self._own,)
+        if len(self._known) < MAX_STATEMENTS:
             return (*own, *self._known.values())
-        return (*own, *rng.sample(list(self._known.values()), STATEMENTS_MOST - 1))
+        return (*own, *rng.sample(list(self._known.values()), MAX_STATEMENTS - 1))
 
     def table(self) -> dict[int, tuple[Standing, float]]:
-        own = () if self._said is None else (self._said,)
-        return {told.incarnation: (told.standing, told.s_ms) for told in (*self._known.values(), *own)}
+        """The newest statement of each member, this one included: (standing, its service time)."""
+        own = () if self._own is None else (self._own,)
+        return {known.incarnation: (known.standing, known.s_ms) for known in (*self._known.values(), *own)}
--- a/orchidledge/members/verdict.py
+++ b/orchidledge/members/verdict.py
@@ -1,72 +1,82 @@
-"""The verdict on a sibling, from its lease and its hearing, and a node's own stand. The table is data."""
+"""The verdict on a member, from its lease and its reachability, and a node's own connectivity.
+
+The values of the enums are what operators read (docs/oncall.md).
+"""
 
 from __future__ import annotations
 
 from enum import Enum
 
 
-class Lease(Enum):
-    """What the list service last told of a sibling's lease; `UNKNOWN` where this node's own view is stale."""
+class LeaseStatus(Enum):
+    """What the list service last told of a member's lease; `UNKNOWN` where this node's view is stale."""
 
     LIVE = "live"
     LAPSED = "lapsed"
     UNKNOWN = "unknown"
 
 
-class Heard(Enum):
-    """What asking a sibling has shown."""
+class Reachability(Enum):
+    """What probing a member has shown."""
 
-    HEARD = "heard"
-    SUSPECT = "suspect"  # accused, may still refute
-    UNHEARD = "unheard"  # the accusation stood for its whole time
-    BRIDGED = "bridged"  # others reach it, this node does not
+    ALIVE = "heard"
+    SUSPECT = "suspect"  # may still refute
+    UNREACHABLE = "unheard"  # the suspicion was not refuted in time
+    INDIRECT = "bridged"  # indirect probes are acked, direct ones fail
 
 
 class Verdict(Enum):
+    """What a node makes of another member."""
+
     PRESENT = "present"
     SUSPECT = "suspect"
     FAILED = "failed"
-    PARTED = "parted"  # alive, but the link to it is at fault
+    LINK_FAULT = "parted"  # alive, but the link to it is at fault
     LEAVING = "leaving"
 
 
-class Stand(Enum):
+class Connectivity(Enum):
+    """What a node reaches."""
+
     ATTACHED = "attached"  # the list service answers
-    ADRIFT = "adrift"  # it does not, siblings do
-    ALONE = "alone"
-
-
-VERDICTS: dict[tuple[Lease, Heard], Verdict] = {
-    (Lease.LIVE, Heard.HEARD): Verdict.PRESENT,
-    (Lease.LIVE, Heard.SUSPECT): Verdict.SUSPECT,
-    (Lease.LIVE, Heard.UNHEARD): Verdict.FAILED,
-    (Lease.LIVE, Heard.BRIDGED): Verdict.PARTED,
-    (Lease.LAPSED, Heard.HEARD): Verdict.PRESENT,  # adrift, still serving
-    (Lease.LAPSED, Heard.SUSPECT): Verdict.FAILED,
-    (Lease.LAPSED, Heard.UNHEARD): Verdict.FAILED,
-    (Lease.LAPSED, Heard.BRIDGED): Verdict.SUSPECT,
-    (Lease.UNKNOWN, Heard.HEARD): Verdict.PRESENT,
-    (Lease.UNKNOWN, Heard.SUSPECT): Verdict.SUSPECT,
-    (Lease.UNKNOWN, Heard.UNHEARD): Verdict.FAILED,
-    (Lease.UNKNOWN, Heard.BRIDGED): Verdict.SUSPECT,
+    DETACHED = "adrift"  # it does not, other members do
+    ISOLATED = "alone"
+
+
+VERDICTS: dict[tuple[LeaseStatus, Reachability], Verdict] = {
+    (LeaseStatus.LIVE, Reachability.ALIVE): Verdict.PRESENT,
+    (LeaseStatus.LIVE, Reachability.SUSPECT): Verdict.SUSPECT,
+    (LeaseStatus.LIVE, Reachability.UNREACHABLE): Verdict.FAILED,
+    (LeaseStatus.LIVE, Reachability.INDIRECT): Verdict.LINK_FAULT,
+    (LeaseStatus.LAPSED, Reachability.ALIVE): Verdict.PRESENT,  # detached, still serving
+    (LeaseStatus.LAPSED, Reachability.SUSPECT): Verdict.FAILED,
+    (LeaseStatus.LAPSED, Reachability.UNREACHABLE): Verdict.FAILED,
+    (LeaseStatus.LAPSED, Reachability.INDIRECT): Verdict.SUSPECT,
+    (LeaseStatus.UNKNOWN, Reachability.ALIVE): Verdict.PRESENT,
+    (LeaseStatus.UNKNOWN, Reachability.SUSPECT): Verdict.SUSPECT,
+    (LeaseStatus.UNKNOWN, Reachability.UNREACHABLE): Verdict.FAILED,
+    (LeaseStatus.UNKNOWN, Reachability.INDIRECT): Verdict.SUSPECT,
 }
 
 
-def verdict(lease: Lease, heard: Heard, leaving: bool = False) -> Verdict:
-    """The verdict on a sibling; a row that is `leaving` stays so for as long as it is not unheard."""
-    if leaving and heard is not Heard.UNHEARD:
+def verdict(lease: LeaseStatus, reachability: Reachability, leaving: bool = False) -> Verdict:
+    """The verdict on a member; one that is leaving stays `LEAVING` until it is unreachable."""
+    if leaving and reachability is not Reachability.UNREACHABLE:
         return Verdict.LEAVING
-    return VERDICTS[lease, heard]
+    return VERDICTS[lease, reachability]
 
 
-def stand(now: float, ttl_ms: float, renewed: float | None, heard: float | None, heard_ms: float) -> Stand:
-    """This node's own stand.
+def connectivity(
+    now: float, ttl_ms: float, renewed: float | None, last_ack: float | None, ack_valid_ms: float
+) -> Connectivity:
+    """This node's own connectivity.
 
-    `renewed` is when the last renewal that was answered was sent, `heard` when any sibling last answered (ms
-    on the clock of `now`; None: never). Past half a term without a renewal the view of leases is stale.
+    `renewed` is when the last renewal that was answered was sent, `last_ack` when any member last acked a
+    probe (ms on the clock of `now`; None: never). Past half a term without a renewal the view of leases is
+    stale.
     """
     if renewed is not None and now - renewed < ttl_ms / 2:
-        return Stand.ATTACHED
-    if heard is not None and now - heard < heard_ms:
-        return Stand.ADRIFT
-    return Stand.ALONE
+        return Connectivity.ATTACHED
+    if last_ack is not None and now - last_ack < ack_valid_ms:
+        return Connectivity.DETACHED
+    return Connectivity.ISOLATED
--- a/orchidledge/net/fleet/part.py
+++ b/orchidledge/net/fleet/part.py
@@ -13,16 +13,16 @@
 from orchidledge import interface as api
 from orchidledge.members import (
     Changed,
-    Config,
+    Connectivity,
+    DetectorConfig,
     Enrolment,
-    Hearing,
-    Lease,
+    FailureDetector,
+    LeaseStatus,
     Sibling,
-    Stand,
     Verdict,
     Viewed,
     Word,
-    stand,
+    connectivity,
     verdict,
 )
 from orchidledge.net.clock import Clock
@@ -31,7 +31,7 @@
 from orchidledge.net.driver import Driver
 from orchidledge.net.fleet import lease as lease_shell
 from orchidledge.net.fleet.agent import Agent, LeaseAnswer
-from orchidledge.net.fleet.hearing import HearingShell, log
+from orchidledge.net.fleet.probing import ProbeTransport, log
 from orchidledge.net.fleet.routing import Routing
 from orchidledge.net.fleet.sight import Sight
 from orchidledge.net.fleet.store import RouteStore
@@ -42,7 +42,7 @@
 from orchidledge.view import Offsets
 
 ORDER_MS = 3_000.0  # an operator's word that the list service has not answered by then is a no
-HEARD_MS = 3_000.0  # a node that no sibling has answered for so long, nor the list service, is alone
+SIBLING_MS = 3_000.0  # a node that no sibling has answered for so long, nor the list service, is alone
 
 
 class FleetPart:
@@ -71,8 +71,9 @@
         self.lease = lease_shell.Lease(
             Enrolment(name, settings.listen, settings.zone, start, random), agent, self.clock, self.offsets
         )
-        asking = Config(period_ms=settings.ask_every_ms, ask_timeout_ms=settings.ask_timeout_ms)
-        self.hearing = HearingShell(Hearing(0, random, asking), self.clock, config.member_sockets // 2)
+        detection = DetectorConfig(period_ms=settings.ask_every_ms, probe_timeout_ms=settings.ask_timeout_ms)
+        detector = FailureDetector(0, random, detection)
+        self.probing = ProbeTransport(detector, self.clock, config.member_sockets // 2)
         folder = settings.folder
         store = RouteStore(folder) if folder is not None else None
         follower = Follower(classes, settings.clock_bound_ms)
@@ -85,9 +86,9 @@
         self.lease.on_answer = self._on_answer
         self.lease.on_gone = self._on_gone
         self.lease.on_share = self._on_share
-        self.hearing.before_tick = self._before_tick
-        self.hearing.on_view = self._on_view
-        self.hearing.on_change = self._on_change
+        self.probing.before_tick = self._before_tick
+        self.probing.on_view = self._on_view
+        self.probing.on_change = self._on_change
 
     # -------------------------------------------------------------- as a part of the node
 
@@ -97,7 +98,7 @@
         self.routing.start()
         self._on_share()
         self.sight.start()
-        self.hearing.listen(self.settings.address, self.lease.start)
+        self.probing.listen(self.settings.address, self.lease.start)
 
     def drains(self) -> None:
         self.lease.leaving()
@@ -107,7 +108,7 @@
 
     def close(self) -> None:
         self.lease.close()
-        self.hearing.close()
+        self.probing.close()
         self.routing.close()
         self.sight.close()
 
@@ -116,10 +117,10 @@
         counts = Counter(self.verdicts(now).values())
         lines: dict[str, float] = {f"members_{kind.value}": counts[kind] for kind in Verdict}
         lines |= {
-            "members_asks": self.hearing.asks,
-            "members_asked": self.hearing.asked,
-            "members_refused": self.hearing.refused,
-            "members_ignored": self.hearing.core.counts.total(),
+            "members_asks": self.probing.probes_sent,
+            "members_asked": self.probing.probes_received,
+            "members_refused": self.probing.refused,
+            "members_ignored": self.probing.core.ignored.total(),
             "view_refused": self.sight.refused,
             "lease_failures": self.lease.failures,
             "share": round(self.lease.core.taking(now), 6),
@@ -133,13 +134,13 @@
 
     def _on_answer(self, now: float, answer: LeaseAnswer) -> None:
         core = self.lease.core
-        self.hearing.core.enrolled(answer.incarnation)
+        self.probing.core.set_incarnation(answer.incarnation)
         siblings = [
             Sibling(member.incarnation, member.name, member.address)
             for member in core.members
             if member.state != "left"
         ]
-        self.hearing.carry_out(self.hearing.core.know(now, siblings))
+        self.probing.carry_out(self.probing.core.set_members(now, siblings))
         others = [sibling.incarnation for sibling in siblings if sibling.incarnation != answer.incarnation]
         self.sight.members(others)
         service = self.lease.service_ms(now)
@@ -162,16 +163,16 @@
     def _before_tick(self, now: float) -> None:
         core, service = self.lease.core, self.lease.service_ms(now)
         if service is not None and core.incarnation is not None:
-            self.hearing.core.stand(now, core.standing(now), max(0.0, service[0]))
+            self.probing.core.set_standing(now, core.standing(now), max(0.0, service[0]))
         if not core.attached(now):
             core.heard(now, self._words(now))
             self._on_share()
-        self.hearing.core.show(self.sight.share(now))
+        self.probing.core.set_view(self.sight.share(now))
 
     def _words(self, now: float) -> dict[int, Word]:
         """What siblings said of themselves, each no later than it may have been said by this node's clock."""
         words = {}
-        for incarnation, (standing, said) in self.hearing.core.standings().items():
+        for incarnation, (standing, said) in self.probing.core.standings().items():
             span = self.offsets.to_own(lease_shell.SERVICE, now, said)
             if span is not None:
                 words[incarnation] = Word(standing, span[0])
@@ -199,35 +200,35 @@
 
     # -------------------------------------------------------------------------- for operators
 
-    def stand(self, now: float) -> Stand:
+    def stand(self, now: float) -> Connectivity:
         core = self.lease.core
         renewed = now if core.attached(now) else None
-        return stand(now, core.ttl_ms, renewed, self.hearing.core.last_heard, HEARD_MS)
+        return connectivity(now, core.ttl_ms, renewed, self.probing.core.last_ack_at, SIBLING_MS)
 
     def verdicts(self, now: float) -> dict[int, Verdict]:
         core = self.lease.core
-        attached, heard = core.attached(now), self.hearing.core.states()
+        attached, reachability = core.attached(now), self.probing.core.reachability()
         found = {}
         for member in core.members:
-            if member.incarnation in heard:
-                lease = Lease.LAPSED if member.state == "lapsed" else Lease.LIVE
+            if member.incarnation in reachability:
+                lease = LeaseStatus.LAPSED if member.state == "lapsed" else LeaseStatus.LIVE
                 leaving = member.state in ("leaving", "left")
-                known = lease if attached else Lease.UNKNOWN
-                found[member.incarnation] = verdict(known, heard[member.incarnation], leaving)
+                known = lease if attached else LeaseStatus.UNKNOWN
+                found[member.incarnation] = verdict(known, reachability[member.incarnation], leaving)
         return found
 
     def status(self) -> dict[str, Any]:
         """The body of GET /status/members."""
         now, core = self.clock.ms(), self.lease.core
         share, service = core.share(now), self.lease.service_ms(now)
-        heard, verdicts = self.hearing.core.states(), self.verdicts(now)
+        reachability, verdicts = self.probing.core.reachability(), self.verdicts(now)
         siblings = [
             {
                 "name": member.name,
                 "incarnation": member.incarnation,
                 "address": member.address,
                 "state": member.state,
-                "hearing": heard[member.incarnation].value,
+                "hearing": reachability[member.incarnation].value,
                 "verdict": verdicts[member.incarnation].value,
             }
             for member in core.members
@@ -245,8 +246,8 @@
             "now_ms": now,
             "service_ms": service,
             "routes": self.routing.core.status(now),
-            "health": self.hearing.core.health,
-            "ignored": dict(self.hearing.core.counts),
+            "health": self.probing.core.health,
+            "ignored": dict(self.probing.core.ignored),
             "siblings": siblings,
         }
 
--- a/orchidledge/net/fleet/hearing.py
+++ b/orchidledge/net/fleet/probing.py
@@ -1,5 +1,5 @@
-"""Hearing, carried out: the address where siblings ask, the calls that ask them, and the pulse of the
-core."""
+"""Transport of the failure detector: the listener for probes, the calls that carry probes, and the timer of
+its ticks."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 import tenacity
 
-from orchidledge.members import Action, Ask, AskThrough, Changed, Hearing, Reply, Viewed
+from orchidledge.members import Ack, Action, Changed, FailureDetector, IndirectProbe, Probe, Viewed
 from orchidledge.net import web
 from orchidledge.net.discovery import parse_address
 from orchidledge.net.fleet.times import Alarm, FleetClock, Tasks
@@ -18,24 +18,26 @@
 
 log = logging.getLogger("orchidledge")
 
-ASK, THROUGH = "/members/ask", "/members/ask-through"
-LONGEST_S = 3.0  # an indirect call that the core has not answered by then is refused
+PROBE_PATH, INDIRECT_PROBE_PATH = "/members/ask", "/members/ask-through"
+INDIRECT_TIMEOUT_S = 3.0  # an indirect probe that has no result by then is refused
 LISTEN_PAUSE_S = 0.2
 MAX_BODY = 64 * 1024  # any peer may come here
-UNDER_WAY = 128  # indirect calls of siblings at once; a further one is refused
+MAX_INDIRECT = 128  # indirect probes of other members at once; a further one is refused
 
 
-class HearingShell:
-    """`before_tick(now)` puts in what goes out with the next calls, `on_view` and `on_change` take what
-    comes."""
+class ProbeTransport:
+    """Carries out the actions of a failure detector.
 
-    def __init__(self, core: Hearing, clock: FleetClock, connections: int = 128) -> None:
-        """At most so many from peers, whoever they are, and as many kept to siblings."""
+    `before_tick(now)` sets what goes out with the next probes; `on_view` and `on_change` receive what comes.
+    """
+
+    def __init__(self, core: FailureDetector, clock: FleetClock, connections: int = 128) -> None:
+        """`connections`: accepted at most, whoever the peers are, and as many kept open to members."""
         self.core = core
         self.before_tick: Callable[[float], None] = lambda now: None
         self.on_view: Callable[[Viewed], None] = lambda viewed: None
         self.on_change: Callable[[Changed], None] = lambda changed: None
-        self.asks = self.asked = 0
+        self.probes_sent = self.probes_received = 0
         self._clock = clock
         self._alarm = Alarm(self._tick)
         self._tasks = Tasks()
@@ -76,11 +78,11 @@
     def carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             match action:
-                case Ask():
-                    self._tasks.run(self._ask(action, ASK))
-                case AskThrough():
-                    self._tasks.run(self._ask(action, THROUGH))
-                case Reply():
+                case Probe():
+                    self._tasks.run(self._probe(action, PROBE_PATH))
+                case IndirectProbe():
+                    self._tasks.run(self._probe(action, INDIRECT_PROBE_PATH))
+                case Ack():
                     waiting = self._waiting.pop(action.call, None)
                     if waiting is not None and not waiting.done():
                         waiting.set_result(action.payload)
@@ -95,49 +97,49 @@
         self.carry_out(self.core.tick(now))
         self._alarm.at(self._clock.loop_time(max(now + 1.0, self.core.due or now)))
 
-    async def _ask(self, action: Ask | AskThrough, path: str) -> None:
-        self.asks += 1
+    async def _probe(self, action: Probe | IndirectProbe, path: str) -> None:
+        self.probes_sent += 1
         try:
             address = parse_address(action.address)
             reply = await self._client.call(address, "POST", path, action.payload, action.timeout_ms / 1000.0)
         except (OSError, TimeoutError, ValueError) as error:
             refused = isinstance(error, ConnectionRefusedError)
-            self.carry_out(self.core.failed(self._clock.ms(), action.id, refused))
+            self.carry_out(self.core.on_failure(self._clock.ms(), action.id, refused))
             return
         if reply.status == 200:
-            self.carry_out(self.core.answered(self._clock.ms(), action.id, reply.body))
+            self.carry_out(self.core.on_ack(self._clock.ms(), action.id, reply.body))
         else:
-            self.carry_out(self.core.failed(self._clock.ms(), action.id, refused=False))
+            self.carry_out(self.core.on_failure(self._clock.ms(), action.id, refused=False))
 
-    # ------------------------------------------------------------------- being asked
+    # ------------------------------------------------------------------- being probed
 
     async def _handle(self, call: web.Call) -> web.Answer:
         """Nothing that comes in here raises or is held for long; what is refused is counted, with a line
         now and then."""
-        self.asked += 1
-        if call.method != "POST" or call.path not in (ASK, THROUGH):
+        self.probes_received += 1
+        if call.method != "POST" or call.path not in (PROBE_PATH, INDIRECT_PROBE_PATH):
             return self._refuse(404, f"no {call.method[:20]} {call.path[:60]}")
         now = self._clock.ms()
-        if call.path == ASK:
-            payload, actions = self.core.asked(now, call.body)
+        if call.path == PROBE_PATH:
+            payload, actions = self.core.on_probe(now, call.body)
             self.carry_out(actions)
-            return self._refuse(400, "unreadable ask") if payload is None else web.Answer(200, payload)
-        if len(self._waiting) >= UNDER_WAY:
-            return self._refuse(503, "too many indirect asks")
-        return await self._ask_for(now, call.body)
+            return self._refuse(400, "unreadable probe") if payload is None else web.Answer(200, payload)
+        if len(self._waiting) >= MAX_INDIRECT:
+            return self._refuse(503, "too many indirect probes")
+        return await self._handle_indirect_probe(now, call.body)
 
-    async def _ask_for(self, now: float, body: bytes) -> web.Answer:
+    async def _handle_indirect_probe(self, now: float, body: bytes) -> web.Answer:
         number = next(self._numbers)
         waiting = self._waiting[number] = asyncio.get_running_loop().create_future()
         try:
-            self.carry_out(self.core.asked_for(now, number, body))
-            async with asyncio.timeout(LONGEST_S):
+            self.carry_out(self.core.on_indirect_probe(now, number, body))
+            async with asyncio.timeout(INDIRECT_TIMEOUT_S):
                 payload = await waiting
         except TimeoutError:
-            return self._refuse(503, "an indirect ask took too long")
+            return self._refuse(503, "an indirect probe took too long")
         finally:
             self._waiting.pop(number, None)
-        return self._refuse(400, "unreadable ask") if payload is None else web.Answer(200, payload)
+        return self._refuse(400, "unreadable probe") if payload is None else web.Answer(200, payload)
 
     def _refuse(self, status: int, why: str) -> web.Answer:
         self._refused += 1
--- a/tests/hearing_sim.py
+++ b/tests/detector_sim.py
@@ -1,4 +1,4 @@
-"""N hearing cores on a simulated network, in simulated time, from one seed.
+"""N failure detectors on a simulated network, in simulated time, from one seed.
 
 A call is two messages. Each may be lost, and takes a time drawn anew; links may be cut one way or both, a
 process killed (its machine refuses) or its machine lost (silence), a node stopped and continued. What reaches
@@ -15,14 +15,14 @@
 from enum import Enum
 
 from orchidledge.members import (
+    Ack,
     Action,
-    Ask,
-    AskThrough,
     Changed,
-    Config,
-    Heard,
-    Hearing,
-    Reply,
+    DetectorConfig,
+    FailureDetector,
+    IndirectProbe,
+    Probe,
+    Reachability,
     Sibling,
     Viewed,
 )
@@ -39,7 +39,7 @@
 @dataclass
 class Node:
     incarnation: int
-    hearing: Hearing
+    detector: FailureDetector
     skew: float  # of its clock to the simulation's
     rng: random.Random
     alive: bool = True
@@ -49,7 +49,7 @@
     replies: dict[int, Callable[[bytes | None], None]] = field(default_factory=dict)
     sent: int = 0
     sent_bytes: int = 0
-    answered_bytes: int = 0
+    ack_bytes_received: int = 0
     viewed: list[Viewed] = field(default_factory=list)
 
 
@@ -60,7 +60,7 @@
         self,
         size: int,
         seed: int,
-        config: Config | None = None,
+        config: DetectorConfig | None = None,
         delay: tuple[float, float] = (0.3, 1.0),
         loss: float = 0.0,
     ) -> None:
@@ -76,9 +76,9 @@
         for node in self.nodes.values():
             self.after(self.rng.uniform(0, 100), lambda node=node: self._tick(node))  # type: ignore[misc]
 
-    def _node(self, number: int, config: Config | None) -> Node:
+    def _node(self, number: int, config: DetectorConfig | None) -> Node:
         own = random.Random(self.rng.random())
-        return Node(number, Hearing(number, own, config), self.rng.uniform(-1e6, 1e6), own)
+        return Node(number, FailureDetector(number, own, config), self.rng.uniform(-1e6, 1e6), own)
 
     def clock(self, node: Node) -> float:
         return self.now + node.skew
@@ -88,7 +88,7 @@
 
     def tell_all(self) -> None:
         for node in self.nodes.values():
-            node.hearing.know(self.clock(node), self.siblings())
+            node.detector.set_members(self.clock(node), self.siblings())
 
     # -------------------------------------------------------------- faults
 
@@ -138,15 +138,15 @@
 
     # -------------------------------------------------------------- what is seen
 
-    def seen(self, target: int) -> dict[int, Heard]:
+    def seen(self, target: int) -> dict[int, Reachability]:
         """What each running node has of the target."""
         return {
-            number: node.hearing.states()[target]
+            number: node.detector.reachability()[target]
             for number, node in self.nodes.items()
             if number != target and node.alive
         }
 
-    def turned(self, state: Heard) -> list[tuple[float, int, int]]:
+    def turned(self, state: Reachability) -> list[tuple[float, int, int]]:
         """Every change to this state: when, observer, of whom."""
         return [(at, who, change.incarnation) for at, who, change in self.changes if change.new is state]
 
@@ -161,18 +161,18 @@
 
     def _tick(self, node: Node) -> None:
         def tick() -> None:
-            self._do(node, node.hearing.tick(self.clock(node)))
-            assert node.hearing.due is not None
-            self.after(max(0.1, node.hearing.due - self.clock(node)), lambda: self._tick(node))
+            self._do(node, node.detector.tick(self.clock(node)))
+            assert node.detector.due is not None
+            self.after(max(0.1, node.detector.due - self.clock(node)), lambda: self._tick(node))
 
         self._in_turn(node, tick)
 
     def _do(self, node: Node, actions: Iterable[Action]) -> None:
         for action in actions:
             match action:
-                case Ask() | AskThrough():
+                case Probe() | IndirectProbe():
                     self._call(node, action)
-                case Reply():
+                case Ack():
                     node.replies.pop(action.call)(action.payload)
                 case Changed():
                     self.changes.append((self.now, node.incarnation, action))
@@ -181,7 +181,7 @@
 
     # -------------------------------------------------------------- calls
 
-    def _call(self, node: Node, action: Ask | AskThrough) -> None:
+    def _call(self, node: Node, action: Probe | IndirectProbe) -> None:
         node.sent += 1
         node.sent_bytes += len(action.payload)
         other = self.nodes[int(action.address.removeprefix("at-"))]
@@ -198,16 +198,16 @@
 
         def back(payload: bytes | None) -> None:
             if payload is None:
-                end(lambda: node.hearing.failed(self.clock(node), action.id, False))
+                end(lambda: node.detector.on_failure(self.clock(node), action.id, False))
             else:
-                node.answered_bytes += len(payload)
-                end(lambda: node.hearing.answered(self.clock(node), action.id, payload))
+                node.ack_bytes_received += len(payload)
+                end(lambda: node.detector.on_ack(self.clock(node), action.id, payload))
 
         def arrive() -> None:
             if not other.alive:
                 if other.gone is not Gone.SILENT:
                     refused = other.gone is Gone.REFUSED
-                    refuse = lambda: node.hearing.failed(self.clock(node), action.id, refused)  # noqa: E731
+                    refuse = lambda: node.detector.on_failure(self.clock(node), action.id, refused)  # noqa: E731
                     self._message(other, node, lambda: end(refuse), lost_back)
                 return
             answer = lambda payload: self._message(other, node, lambda: back(payload), lost_back)  # noqa: E731
@@ -216,19 +216,21 @@
         lost = self.rng.random() < self.loss
         lost_back = lost and self.rng.random() < 0.5
         self._message(node, other, arrive, lost and not lost_back)
-        timeout = lambda: node.hearing.failed(self.clock(node), action.id, False)  # noqa: E731
+        timeout = lambda: node.detector.on_failure(self.clock(node), action.id, False)  # noqa: E731
         self.after(action.timeout_ms, lambda: end(timeout))
 
     def _message(self, sender: Node, to: Node, arrive: Callable[[], None], lost: bool) -> None:
         if not lost and (sender.incarnation, to.incarnation) not in self.cut:
             self.after(self.rng.uniform(*self.delay), arrive)
 
-    def _serve(self, node: Node, action: Ask | AskThrough, answer: Callable[[bytes | None], None]) -> None:
-        if isinstance(action, Ask):
-            payload, actions = node.hearing.asked(self.clock(node), action.payload)
+    def _serve(
+        self, node: Node, action: Probe | IndirectProbe, answer: Callable[[bytes | None], None]
+    ) -> None:
+        if isinstance(action, Probe):
+            payload, actions = node.detector.on_probe(self.clock(node), action.payload)
             answer(payload)
         else:
             call = next(self._ids)
             node.replies[call] = answer
-            actions = node.hearing.asked_for(self.clock(node), call, action.payload)
+            actions = node.detector.on_indirect_probe(self.clock(node), call, action.payload)
         self._do(node, actions)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""Nodes that know each other, as processes with faults between them: hearing, leases and shares.
+"""Nodes that know each other, as processes with faults between them: failure detection, leases and shares.
 
 The share rule, every request's answer and the calm after the faults are checked by `watched` in each.
 """
@@ -14,7 +14,15 @@
 import msgspec
 import pytest
 
-from orchidledge.members.payload import COUNT_MOST, Message, Rumour, Standing, Statement, Told, write
+from orchidledge.members.payload import (
+    MAX_COUNT,
+    MemberStatus,
+    MemberUpdate,
+    Message,
+    Standing,
+    Statement,
+    write,
+)
 from tests.fleet import until
 from tests.members import LIMIT_S, TTL_MS, Fleet
 from tests.watch import GAP_S, Sample, Status, apart, overtaken
@@ -206,15 +214,15 @@
         own, sibling = status["incarnation"], status["siblings"][0]["incarnation"]
         size, refused, lines = rss_kb(fleet, 0), fleet.nodes[0].metric("proxy.members_refused"), said(fleet)
         start = time.monotonic()
-        stranger = Message(10**9, 0, 1.0, rumours=(Rumour(sibling, 900, Told.UNHEARD, (own,)),))
+        stranger = Message(10**9, 0, 1.0, updates=(MemberUpdate(sibling, 900, MemberStatus.FAILED, (own,)),))
         good = msgspec.structs.asdict(stranger)
         bad: list[bytes] = [rng.randbytes(rng.randrange(1, 3000)) for _ in range(200)]
         bad += [write(stranger)[:cut] for cut in range(1, 20)]
         bad += [
             msgspec.msgpack.encode(list((good | change).values()))
             for change in (
-                {"sender": -1}, {"count": COUNT_MOST + 1}, {"at": float("nan")}, {"at": 1e300},
-                {"found": 9}, {"rumours": [[1, 0, 0, []]] * 65}, {"statements": [[1, 0, 1.0]] * 513},
+                {"sender": -1}, {"count": MAX_COUNT + 1}, {"at": float("nan")}, {"at": 1e300},
+                {"result": 9}, {"updates": [[1, 0, 0, []]] * 65}, {"statements": [[1, 0, 1.0]] * 513},
                 {"view": b"x" * 16385},
             )
         ]  # fmt: skip
@@ -224,7 +232,7 @@
         assert post(port, "nothing", b"") == 404
         assert raw(port, b"\x16\x03\x01\x00garbage\r\n\r\n").startswith(b"HTTP/1.1 400")
         forged = (
-            Message(sibling, COUNT_MOST, 1.0, rumours=(Rumour(own, COUNT_MOST, Told.UNHEARD),)),
+            Message(sibling, MAX_COUNT, 1.0, updates=(MemberUpdate(own, MAX_COUNT, MemberStatus.FAILED),)),
             Message(own, 5, 1.0),
             Message(sibling, 0, 1.0, statements=(Statement(sibling, Standing.YIELDED, 1e15),), view=b"\xc1"),
         )
