Mark a draining member as leaving in its own group

Cause: the command `leaving` read the group of members that name no service only, so a draining node of a service's group was answered "unknown", its siblings were not told, and no probe of them showed it as leaving.

Ruled out: that `FleetState.leaving` is at fault; it finds the group, and was not called.

Change: the command asks the state.

--- a/orchidledge/registry/fleet.py
+++ b/orchidledge/registry/fleet.py
@@ -158,7 +158,7 @@
 
     @replicated  # type: ignore[untyped-decorator]
     def leaving(self, stamp: float, term: int, incarnation: int) -> bool | None:
-        return self._run(stamp, term, lambda: self.state.ledger.leaving(incarnation), bool)
+        return self._run(stamp, term, lambda: self.state.leaving(incarnation), bool)
 
     @replicated  # type: ignore[untyped-decorator]
     def leave(self, stamp: float, term: int, incarnation: int) -> bool | None:
