Count a request's time from before the pause in which it waited unread

Cause: a caller that sends several requests at once, in pieces, has the first and a part of the second read; reading then pauses until the first has its answer, and what lay in the kernel meanwhile counted as come when it was read. With a deadline of 1 s and a first server that hangs the second request was answered 1.96 s after its last byte (lost past 1.5 s), and its attempt told 983 ms with 15 left. Ruled out: requests that come in one piece (parsed at once, their time ran: 0.99 s), and the answers' way. Change: the connection remembers when its reading stopped; where bytes wait in the kernel as it goes on, what is read first counts as come then, the earliest moment possible. Pace and overdue clocks stay as they were. Reading further ahead was not chosen: it takes memory that one connection is not to have.

--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -44,7 +44,7 @@
         elif self.state is not State.CLOSED:
             if self._requests.call is None:
                 self.since = now
-            self._requests.feed(data, now)
+            self._requests.feed(data, now, self._reading.arrival(now))
             if self._linger is None:  # Guard: requests parsed behind the end were served
                 self._advance()
 
--- a/orchidledge/net/flow.py
+++ b/orchidledge/net/flow.py
@@ -7,6 +7,8 @@
 import struct
 from collections.abc import Callable
 
+from orchidledge.net.http import readable
+
 LINGER_S = (
     1.0  # how long after a fatal answer, and after the last that a caller still sends, that is dropped,
 )
@@ -26,6 +28,8 @@
         self._on_held = on_held  # told for how long a body had to wait
         self._held_at: float | None = None  # the loop's time since when one has had to
         self._full = False
+        self._stopped_at: float | None = None  # the loop's time since when nothing is read
+        self._unread_since: float | None = None  # what is read next came after this, while nothing was
 
     @property
     def body_held(self) -> bool:
@@ -51,11 +55,21 @@
         self._full = full
         self._apply()
 
+    def arrival(self, now: float) -> float:
+        """The earliest moment at which what is read now may have come."""
+        since, self._unread_since = self._unread_since, None
+        return now if since is None else since
+
     def _apply(self) -> None:
         if self._full or self._held_at is not None:
+            if self._stopped_at is None:
+                self._stopped_at = self._loop.time()
             self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
+            return
+        if self._stopped_at is not None and readable(self._transport):
+            self._unread_since = self._stopped_at
+        self._stopped_at = None
+        self._transport.resume_reading()
 
 
 class Writing:
--- a/orchidledge/net/request_parser.py
+++ b/orchidledge/net/request_parser.py
@@ -42,6 +42,7 @@
         self._on_head = on_head
         self._on_whole = on_whole
         self._now = now
+        self._arrival = now
         self._parser = httptools.HttpRequestParser(self)
         self.state = Receiving.IDLE
         self.fault = 0  # the status that answers what was wrong
@@ -53,8 +54,9 @@
         self._named = 0  # bytes of the target, headers and trailers
         self._head = 0  # bytes that have come of a head that is not whole
 
-    def feed(self, data: bytes, now: float) -> None:
-        self._now = now
+    def feed(self, data: bytes, now: float, arrival: float) -> None:
+        """`arrival`: the earliest moment at which these bytes may have come; they are paced by `now`."""
+        self._now, self._arrival = now, arrival
         if self.state is Receiving.ERROR:
             return
         try:
@@ -141,7 +143,8 @@
         if call is None or self.state is Receiving.ERROR:
             return
         self.state, self.call, self.fresh = Receiving.IDLE, None, False
-        call.arrived = self._now
+        # Guard: what waited unread behind another request was given its whole time once more.
+        call.arrived = self._arrival
         call.coming = False
         call.body.end()
         self._on_whole(call)
