Answer a long request in its caller's time when its server is late or takes nothing

Cause: of a request over 64 KiB that comes in pieces the rest waits in the kernel while no server takes the first part. Its time began when the last byte was read: with a deadline of 1 s and a connection 0.8 s late the answer came 1.79 s after that byte, and from a server that takes nothing after 10 s (lost past 1.5 s). Ruled out: bodies that come whole in one piece (0.99 s), and a server that is late for a short request. Change: the last byte counts as come when the reading stopped, as for requests behind another; a server may take nothing for no longer than the request's own time. That silence runs from when it stopped taking: it ran from the last time it had made the node wait, so that one short stop cut off a request long under way. Each test fails without its line. Not covered: of a rest beyond one read (256 KiB) the time still begins when it is read.

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -106,7 +106,7 @@
         self._upload: _Upload | None = None  # a long request under way
         self.unreadable = False  # what came is no answer as HTTP has it, or too long to be one
         self.idle_since = 0.0
-        self.taken_at = 0.0  # and of the last that the server took of a long request
+        self.taken_at = 0.0  # and since when it has yet to take more of a long request
         self.heard_at = 0.0  # the loop's time of the last bytes
 
     # -------------------------------------------------------------- for the owner
@@ -187,6 +187,7 @@
 
     def pause_writing(self) -> None:
         if self._upload is not None:
+            self.taken_at = asyncio.get_running_loop().time()
             self._upload.body.hold()
 
     def resume_writing(self) -> None:
--- a/orchidledge/net/jobs.py
+++ b/orchidledge/net/jobs.py
@@ -129,12 +129,13 @@
         if job.done:
             return
         self.coming -= 1
-        job.whole_at = self._loop.time()
+        # Guard: what its server was slow to take had waited unread here, and its caller's time ran meanwhile.
+        job.whole_at = job.call.arrived
         job.give_up_at = job.whole_at + job.give_up_s
         self._set_backstop(job)
         for attempt in job.attempts:
             if attempt is not None:
-                attempt.run_clock(job.give_up_s)
+                attempt.run_clock(job.give_up_at - self._loop.time())
         self._tell(api.Arrived(job.id, self._clock.ms(job.give_up_at)))
 
     def _on_gone(self, job: Job) -> None:
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -57,6 +57,9 @@
         self._chunked = chunked
         self._body = body  # what follows those bytes, if it is long
         self._timeout_s = timeout_s
+        # Guard: of a long request that its server stops taking the last byte may have come and wait unread,
+        # and its caller waits for no longer than this from then on.
+        self._untaken_s = min(SILENT_S, timeout_s)
         self._request = request  # the bytes to send, given the seconds left to wait
         self._on_result = on_result
         self._over = False
@@ -71,10 +74,10 @@
         if body is None or body.ended:
             self._timer = loop.call_at(self._end_at, self._time_out)
         else:
-            self._timer = loop.call_later(SILENT_S, self._watch_sending)
+            self._timer = loop.call_later(self._untaken_s, self._watch_sending)
 
     def run_clock(self, limit_s: float) -> None:
-        """The request's last byte has come: its time runs from now."""
+        """The request's last byte has come: its client waits for so long from now."""
         if not self._over:
             self._timer.cancel()
             loop = asyncio.get_running_loop()
@@ -181,9 +184,9 @@
     def _watch_sending(self) -> None:
         """Give up on a server that takes nothing of a long request; its caller is watched elsewhere."""
         loop = asyncio.get_running_loop()
-        connection, due = self._connection, loop.time() + SILENT_S
+        connection, due = self._connection, loop.time() + self._untaken_s
         if connection is not None and self._body is not None and self._body.held:
-            due = connection.taken_at + SILENT_S
+            due = connection.taken_at + self._untaken_s
         if due <= loop.time():
             self._finish(Result.CONNECT_FAILED)
         else:
--- a/tests/test_connection_pieces.py
+++ b/tests/test_connection_pieces.py
@@ -1,13 +1,18 @@
-"""Requests that a caller sends at once, in pieces: the time of those that wait unread runs too."""
+"""Requests that come in pieces: the time of what waits unread behind another, or for its server, runs too."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
 
 import pytest
 from callers import connect
 from clocks import run
-from loopback import Held, Message, Peer, reply, request, running, until
+from loopback import Held, Message, Peer, reply, request, running, targets, until
+
+from orchidledge.net.node import Node
 
 DEADLINE_S = 1.0
 LATE_S = 0.5  # past its time by so much a request is lost, by the operators' terms
@@ -70,3 +75,125 @@
             caller.close()
 
     run(main())
+
+
+# ----------------------------------------------------------------- long requests
+
+LONG = request("post", "q1", bytes(100 * 1024), Req_Deadline_Ms="1000")
+LONGER = request("post", "q1", bytes(300 * 1024), Req_Deadline_Ms="1000")  # than the kernels on the way hold
+PART = 70_000  # of either: too much to be held whole
+
+
+async def send_long(caller: socket.socket, node: Node) -> None:
+    """All of it, in two pieces: the second waits unread while nobody takes the first."""
+    loop = asyncio.get_running_loop()
+    caller.setblocking(False)
+    await loop.sock_sendall(caller, LONG[:PART])
+    await until(lambda: node.jobs.held)
+    await loop.sock_sendall(caller, LONG[PART:])
+
+
+async def status(caller: socket.socket) -> bytes:
+    loop = asyncio.get_running_loop()
+    return (await asyncio.wait_for(loop.sock_recv(caller, 65_536), 20.0)).split(b" ")[1]
+
+
+def test_the_time_of_a_long_request_runs_while_its_server_is_late_to_connect():
+    """Guard: it ran from when the last byte was read, and the answer came 0.8 s after the caller's time."""
+
+    async def main():
+        server = Held()
+        async with running(server) as node:
+            opened = node.pool.open
+
+            async def late(endpoint):
+                await asyncio.sleep(0.8)
+                return await opened(endpoint)
+
+            node.pool.open = late
+            caller = connect(node)
+            began = node.loop.time()
+            await send_long(caller, node)
+            assert await status(caller) == b"504"
+            assert len(server.seen) == 1
+            assert node.loop.time() - began < DEADLINE_S + LATE_S / 2
+            caller.close()
+
+    run(main())
+
+
+class StoppingServer:
+    """Takes so much of one request, and the rest when it is told; then it answers. The kernels on the way to
+    it hold little."""
+
+    def __init__(self, takes: int) -> None:
+        self._takes = takes
+        self.taken = asyncio.Event()
+        self.go_on = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readexactly(self._takes)
+        self.taken.set()
+        await self.go_on.wait()
+        with contextlib.suppress(TimeoutError):  # until no more comes
+            while await asyncio.wait_for(reader.read(1024), 0.05):
+                pass
+        writer.write(reply())
+
+    @contextlib.asynccontextmanager
+    async def before(self) -> AsyncIterator[Node]:
+        """A node in front of it."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        server = await asyncio.start_server(self._serve, sock=sock, limit=1024)
+        endpoint = f"127.0.0.1:{sock.getsockname()[1]}"
+        async with running(known=targets(s0=(endpoint, "Ready"))) as node:
+            opened = node.pool.open
+
+            async def small(endpoint):
+                connection = await opened(endpoint)
+                its_socket = connection._transport.get_extra_info("socket")
+                its_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                return connection
+
+            node.pool.open = small
+            yield node
+        server.close()
+
+
+def test_a_long_request_that_its_server_does_not_take_is_answered_in_time():
+    """Guard: for 10 s nobody looked, and the caller's time was over after one."""
+
+    async def main():
+        async with StoppingServer(0).before() as node:
+            caller = connect(node)
+            began = node.loop.time()
+            await send_long(caller, node)
+            assert await status(caller) == b"503"  # it has not run
+            assert node.loop.time() - began < DEADLINE_S + LATE_S / 2
+            caller.close()
+
+    run(main())
+
+
+def test_a_server_that_stops_taking_for_a_moment_is_waited_for():
+    """Guard: the time in which nothing had come to be sent counted as its own."""
+
+    async def main():
+        server = StoppingServer(PART - 1000)
+        async with server.before() as node:
+            caller, loop = connect(node), asyncio.get_running_loop()
+            caller.setblocking(False)
+            began = node.loop.time()
+            await loop.sock_sendall(caller, LONGER[:PART])
+            await server.taken.wait()
+            await asyncio.sleep(0.9)  # so far all was taken at once
+            await loop.sock_sendall(caller, LONGER[PART:])
+            await asyncio.sleep(0.3)
+            assert node.loop.time() - began > DEADLINE_S
+            server.go_on.set()
+            assert await status(caller) == b"200"
+            caller.close()
+
+    run(main())
