--- a/orchidledge/net/fleet/part.py
+++ b/orchidledge/net/fleet/part.py
@@ -115,6 +115,7 @@
         self.probing.close()
         self.routing.close()
         self.sight.close()
+        self._agent.close()
 
     def metrics(self) -> str:
         now = self.clock.ms()
