Scale tests: the latency and processor time that a node adds to a call

Nobody had measured the node's own share of a call: bench/fleet.py times the stub server with it, from a thread beside it. Here the same call goes through a node and straight to a stub server, one after another in a drawn order, as a Poisson process; stub servers are processes of their own, and times end at the socket. A second direct call in each group tells the noise of machine and method, and schedstat how long the node waited for a core. Ruled out: taking the difference of two quantiles alone, which is no call's latency.

--- /dev/null
+++ b/bench/scale/datapath.py
@@ -0,0 +1,262 @@
+"""`python -m bench.scale datapath`: the latency, processor time and memory that a node adds to calls.
+
+Real processes on loopback: list service, agent, stub servers, and a node with its default settings; with
+`--members` also one that knows siblings, in the same run. One record holds all rates of a run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import psutil
+import typer
+
+from bench.fleet_world import LIMIT_S, Plan, World
+from bench.scale import records
+from bench.scale.caller import Address, Caller
+from bench.scale.paired import DIRECT, NOISE, Paired, PairedRun, quantile_ms
+from bench.scale.platform import read_size
+from bench.scale.stub_pool import StubPool
+from tests.fleet import until
+from tests.nodes import Node
+
+KIND = "datapath"
+OFF, ON = "off", "on"  # the node without and with `members`
+IDLE_S = 5.0
+WARM_CALLS = 200
+MB = 1024.0 * 1024.0
+
+app = typer.Typer()
+
+
+@dataclass(frozen=True)
+class Bench:
+    """What runs: the nodes under test by path, and the stub servers behind them."""
+
+    nodes: dict[str, Node]
+    servers: list[Address]
+
+    def process(self, path: str) -> psutil.Process:
+        process = self.nodes[path].process
+        assert process is not None
+        return psutil.Process(process.pid)
+
+    def callers(self, seed: int) -> dict[str, Caller]:
+        found = {name: Caller(self.servers, seed) for name in (DIRECT, NOISE)}
+        return found | {name: Caller([("127.0.0.1", node.port)], seed) for name, node in self.nodes.items()}
+
+
+@contextmanager
+def started(folder: Path, servers: int, siblings: int, members: bool) -> Iterator[Bench]:
+    """A node without `members`, and if `members` one among so many siblings."""
+    plan = Plan(1 + siblings if members else 1, members=members, ttl_ms=5_000, servers=servers, pool=StubPool)
+    with World(folder, plan) as world:
+        nodes = {OFF: world.node(0, members=False)} if members else {OFF: world.nodes[0]}
+        if members:
+            nodes[ON] = world.nodes[0]
+            world.launch([nodes[OFF]])
+        try:
+            for node in nodes.values():
+                until(lambda node=node: node.listed() == servers, LIMIT_S, "the list")  # type: ignore[misc]
+            if members:
+                world.until_shared()
+            yield Bench(nodes, [("127.0.0.1", world.pool.port(at)) for at in range(servers)])
+        finally:
+            nodes[OFF].stop()
+
+
+# ------------------------------------------------------------------------ one rate
+
+
+@dataclass(frozen=True)
+class ProcessorTime:
+    """A process's time on cores so far, its time ready to run without one, and when both were read."""
+
+    used_s: float
+    waited_s: float
+    read_s: float
+
+    @classmethod
+    def of(cls, process: psutil.Process) -> ProcessorTime:
+        times = process.cpu_times()
+        return cls(times.user + times.system, run_queue_wait_s(process), time.monotonic())
+
+    def percent_since(self, earlier: ProcessorTime) -> float:
+        return 100.0 * (self.used_s - earlier.used_s) / (self.read_s - earlier.read_s)
+
+    def waited_percent_since(self, earlier: ProcessorTime) -> float:
+        return 100.0 * (self.waited_s - earlier.waited_s) / (self.read_s - earlier.read_s)
+
+
+def run_queue_wait_s(process: psutil.Process) -> float:
+    """How long its threads have been ready to run without a core: the second figure of schedstat."""
+    threads = Path(f"/proc/{process.pid}/task").iterdir()
+    return sum(int((thread / "schedstat").read_text().split()[1]) for thread in threads) / 1e9
+
+
+@dataclass(frozen=True)
+class NodeCost:
+    """What a node's process used of a core, sent nothing and under the calls; its memory at the end."""
+
+    idle_percent: float
+    busy_percent: float
+    waited_percent: float  # ready to run under the calls, while other processes held the cores
+    memory_mb: float
+
+    def ms_per_call(self, calls_per_s: float) -> float:
+        return (self.busy_percent - self.idle_percent) * 10.0 / calls_per_s
+
+    def waited_ms_per_call(self, calls_per_s: float) -> float:
+        return self.waited_percent * 10.0 / calls_per_s
+
+
+@dataclass(frozen=True)
+class Measured:
+    """What one rate gave."""
+
+    calls: Paired
+    costs: dict[str, NodeCost]  # by path
+
+
+async def measure(bench: Bench, rate: float, groups: int, seed: int) -> Measured:
+    processes = {path: bench.process(path) for path in bench.nodes}
+    callers = bench.callers(seed)
+    run = PairedRun(callers, rate, seed)
+    await run.warm(WARM_CALLS)
+    idle_from = {path: ProcessorTime.of(process) for path, process in processes.items()}
+    await asyncio.sleep(IDLE_S)
+    busy_from = {path: ProcessorTime.of(process) for path, process in processes.items()}
+    calls = await run.measure(groups)
+    ended = {path: ProcessorTime.of(process) for path, process in processes.items()}
+    costs = {
+        path: NodeCost(
+            idle_percent=busy_from[path].percent_since(idle_from[path]),
+            busy_percent=ended[path].percent_since(busy_from[path]),
+            waited_percent=ended[path].waited_percent_since(busy_from[path]),
+            memory_mb=process.memory_info().rss / MB,
+        )
+        for path, process in processes.items()
+    }
+    for caller in callers.values():
+        caller.close()
+    return Measured(calls, costs)
+
+
+# ---------------------------------------------------------------------- the record
+
+
+def phase(rate: float, path: str) -> str:
+    return f"{rate:g}/s" if path == OFF else f"{rate:g}/s, members"
+
+
+def add_figures(run: records.Run, rate: float, measured: Measured) -> None:
+    calls = measured.calls
+    calls_per_s = calls.groups / calls.span_s
+    plain = phase(rate, OFF)
+    for name in (DIRECT, NOISE):
+        _add_latency(run, name, calls, name, plain)
+    run.add("call", "calls_per_s", round(calls_per_s, 2), "1/s", plain, calls.groups)
+    run.add("call", "failed", sum(calls.failed.values()), "calls", plain, calls.groups)
+    for path, cost in measured.costs.items():
+        at = phase(rate, path)
+        _add_latency(run, "through", calls, path, at)
+        run.add("node", "call_cpu_ms", round(cost.ms_per_call(calls_per_s), 4), "ms", at, calls.groups)
+        waited_ms = cost.waited_ms_per_call(calls_per_s)
+        run.add("node", "call_wait_for_core_ms", round(waited_ms, 4), "ms", at, calls.groups)
+        run.add("node", "cpu_percent", round(cost.busy_percent, 3), "%", at)
+        run.add("node", "idle_cpu_percent", round(cost.idle_percent, 3), "%", at)
+        run.add("node", "memory_mb", round(cost.memory_mb, 1), "MB", at)
+
+
+def _add_latency(run: records.Run, name: str, calls: Paired, path: str, at: str) -> None:
+    times = calls.paths[path]
+    for percent in (50, 99):
+        value = round(quantile_ms(times.total, percent), 3)
+        run.add("call", f"{name}_p{percent}_ms", value, "ms", at, calls.groups)
+    if path == DIRECT:
+        return
+    added = "noise" if path == NOISE else "added"
+    for percent in (50, 99):
+        value = round(quantile_ms(times.added, percent), 3)
+        run.add("call", f"{added}_pair_p{percent}_ms", value, "ms", at, calls.groups)
+
+
+def check(run: records.Run, rate: float, measured: Measured, bound_ms: float) -> None:
+    """Note what the run missed."""
+    for path in measured.costs:
+        added_ms = quantile_ms(measured.calls.paths[path].added, 99.0)
+        if added_ms > bound_ms:
+            run.failures.append(f"{phase(rate, path)}: p99 added {added_ms:.3f} ms, bound {bound_ms:g} ms")
+    for said, count in sorted(measured.calls.failed.items()):
+        run.failures.append(f"{rate:g}/s: {count} calls failed: {said}")
+
+
+# --------------------------------------------------------------------- the command
+
+FEWEST_GROUPS = 3000  # 30 calls lie beyond the p99
+LONGEST_S = 150.0  # for one rate
+LOWEST_RATE, HIGHEST_RATE = 0.1, 2000.0
+
+
+def groups_at(rate: float, seconds: float) -> int:
+    """So many groups that the p99 has some samples beyond it, within the time for one rate."""
+    return max(1, int(min(max(FEWEST_GROUPS, rate * seconds), rate * LONGEST_S)))
+
+
+def parse_rates(text: str) -> list[float]:
+    try:
+        rates = [float(word) for word in text.split(",")]
+    except ValueError:
+        rates = []
+    if not rates or not all(LOWEST_RATE <= rate <= HIGHEST_RATE for rate in rates):
+        raise typer.BadParameter(f"{text!r}: rates are numbers from {LOWEST_RATE:g} to {HIGHEST_RATE:g}")
+    return rates
+
+
+@app.command()
+def datapath(
+    rate: Annotated[str, typer.Option(help="Calls a second on the node, each in turn.")] = "23,93,400",
+    seconds: Annotated[float, typer.Option(help="For each rate, if that gives enough calls.")] = 30.0,
+    servers: Annotated[int, typer.Option(min=1, max=32)] = 7,
+    members: Annotated[bool, typer.Option(help="Measure a node with `members` beside it.")] = False,
+    siblings: Annotated[int, typer.Option(min=0, max=32, help="Of that node.")] = 6,
+    seed: int = 1,
+    record: Annotated[bool, typer.Option(help="Write a record.")] = True,
+) -> None:
+    """The latency and the processor time that a node adds to a call, beside the same call sent directly."""
+    rates = parse_rates(rate)
+    options: dict[str, records.Option] = {
+        "rate": rate,
+        "seconds": seconds,
+        "servers": servers,
+        "members": members,
+        "siblings": siblings if members else 0,
+    }
+    run = records.Run(KIND, 0.0, seed, options)
+    bound_ms = read_size().bounds.added_latency_p99_ms
+    with (
+        tempfile.TemporaryDirectory(prefix="scale-datapath-") as folder,
+        started(Path(folder), servers, siblings, members) as bench,
+    ):
+        for calls_per_s in rates:
+            groups = groups_at(calls_per_s, seconds)
+            typer.echo(f"{calls_per_s:g}/s: {groups} groups of calls, {groups / calls_per_s:.0f} s")
+            measured = asyncio.run(measure(bench, calls_per_s, groups, seed))
+            add_figures(run, calls_per_s, measured)
+            check(run, calls_per_s, measured, bound_ms)
+    finished = run.finish()
+    for figure in finished.figures:
+        typer.echo(
+            f"  {figure.phase:<16} {figure.role:<5} {figure.name:<22} {figure.value:>10} {figure.unit}"
+        )
+    for failure in finished.failures:
+        typer.echo(f"missed: {failure}")
+    if record:
+        typer.echo(f"record: {records.append(finished).name}")
--- /dev/null
+++ b/bench/scale/paired.py
@@ -0,0 +1,115 @@
+"""The same call by several paths, one after another in an order drawn anew, as a Poisson process of groups.
+
+What a path adds is its latency less that of the direct call of the same group. Each group holds two direct
+calls: what the second seems to add to the first is the noise of machine and method.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from dataclasses import dataclass, field
+from random import Random
+
+from hdrh.histogram import HdrHistogram
+
+from bench.scale.caller import Caller, FailedCallError
+
+DIRECT, NOISE = "direct", "noise"
+LONGEST_US = 10_000_000
+DIGITS = 3
+
+Latencies = dict[str, int]  # ns, by path
+
+
+def histogram() -> HdrHistogram:
+    """Of times in microseconds."""
+    return HdrHistogram(1, LONGEST_US, DIGITS)
+
+
+def quantile_ms(times: HdrHistogram, percent: float) -> float:
+    return float(times.get_value_at_percentile(percent)) / 1000.0
+
+
+@dataclass
+class PathTimes:
+    """What the calls of one path took, and what each took longer than the direct call of its group."""
+
+    total: HdrHistogram = field(default_factory=histogram)
+    added: HdrHistogram = field(default_factory=histogram)
+    faster: int = 0  # calls that took less than the direct one: 0 in `added`
+
+    def record(self, taken_ns: int, direct_ns: int) -> None:
+        self.total.record_value(taken_ns // 1000)
+        self.added.record_value(max(0, taken_ns - direct_ns) // 1000)
+        self.faster += taken_ns < direct_ns
+
+
+@dataclass
+class Paired:
+    """All groups of one run."""
+
+    paths: dict[str, PathTimes]
+    groups: int = 0
+    failed: dict[str, int] = field(default_factory=dict)  # calls by what went wrong
+    span_s: float = 0.0
+
+    def record(self, latencies: Latencies) -> None:
+        self.groups += 1
+        for name, taken_ns in latencies.items():
+            self.paths[name].record(taken_ns, latencies[DIRECT])
+
+    def fail(self, error: FailedCallError) -> None:
+        self.failed[str(error)] = self.failed.get(str(error), 0) + 1
+
+
+class PairedRun:
+    """Groups of calls at `rate` a second, none waiting for another."""
+
+    def __init__(self, callers: dict[str, Caller], rate: float, seed: int) -> None:
+        """`callers`: one for each path, DIRECT and NOISE among them."""
+        self._callers, self._rate, self._random = callers, rate, Random(seed)
+        self._sent = 0
+        self._groups: set[asyncio.Task[None]] = set()
+
+    async def warm(self, calls: int) -> None:
+        """So many calls by each path that are not measured."""
+        for _ in range(calls):
+            for caller in self._callers.values():
+                await caller.call(self._next_name())
+
+    async def measure(self, groups: int) -> Paired:
+        found = Paired({name: PathTimes() for name in self._callers})
+        loop = asyncio.get_running_loop()
+        gc.collect()
+        gc.disable()
+        began = due = loop.time()
+        try:
+            for _ in range(groups):
+                due += self._random.expovariate(self._rate)
+                await asyncio.sleep(max(0.0, due - loop.time()))
+                self._begin_group(found)
+            await asyncio.gather(*self._groups)
+        finally:
+            gc.enable()
+        found.span_s = loop.time() - began
+        return found
+
+    def _begin_group(self, found: Paired) -> None:
+        task = asyncio.create_task(self._group(found))
+        self._groups.add(task)
+        task.add_done_callback(self._groups.discard)
+
+    async def _group(self, found: Paired) -> None:
+        latencies: Latencies = {}
+        try:
+            for name in self._random.sample(sorted(self._callers), len(self._callers)):
+                latencies[name] = await self._callers[name].call(self._next_name())
+        except (FailedCallError, OSError) as error:
+            found.fail(error if isinstance(error, FailedCallError) else FailedCallError(str(error)))
+            return
+        found.record(latencies)
+
+    def _next_name(self) -> str:
+        self._sent += 1
+        return f"call-{self._sent}"
--- /dev/null
+++ b/bench/scale/stub_pool.py
@@ -0,0 +1,48 @@
+"""Stub servers as processes of their own, in place of the tests' pool on a thread."""
+
+from __future__ import annotations
+
+import socket
+import subprocess
+import tempfile
+from contextlib import suppress
+from pathlib import Path
+
+from tests.fleet import spawn, until
+from tests.ports import free_port
+from tests.servers import ServerPool
+
+
+class StubPool(ServerPool):
+    """So many processes of bench.scale.stub_server; latency and room of the tests' pool don't apply."""
+
+    def __init__(self, count: int, latency_ms: float = 0.0, room: int | None = None) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="stub-servers-")
+        self.ports = [free_port() for _ in range(count)]
+        self._processes: list[subprocess.Popen[bytes]] = []
+        try:
+            self._processes += [self._spawn(port) for port in self.ports]
+            for port in self.ports:
+                until(lambda port=port: _accepts(port), what=f"stub server at {port}")  # type: ignore[misc]
+        except BaseException:
+            self.close()
+            raise
+
+    def _spawn(self, port: int) -> subprocess.Popen[bytes]:
+        log = Path(self._folder.name) / f"stub-{port}.log"
+        return spawn(["-m", "bench.scale.stub_server", str(port)], log)
+
+    def port(self, at: int = 0) -> int:
+        return self.ports[at]
+
+    def close(self) -> None:
+        for process in self._processes:
+            process.kill()
+            process.wait(10)
+        with suppress(OSError):
+            self._folder.cleanup()
+
+
+def _accepts(port: int) -> bool:
+    socket.create_connection(("127.0.0.1", port), timeout=0.5).close()
+    return True
--- /dev/null
+++ b/tests/test_scale_datapath.py
@@ -0,0 +1,90 @@
+"""The measuring of the data path (bench/scale): pairs of calls, what fails, and the parsing of rates."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import typer
+
+from bench.scale.caller import Caller, FailedCallError, is_whole
+from bench.scale.datapath import groups_at, parse_rates
+from bench.scale.paired import DIRECT, NOISE, Paired, PairedRun
+from tests.loopback import Message, Peer, reply
+
+SLOW_S = 0.02
+
+
+async def _paired(direct: Peer, node: Peer, groups: int) -> Paired:
+    for peer in (direct, node):
+        await peer.start()
+    addresses = {DIRECT: direct.port, NOISE: direct.port, "off": node.port}
+    callers = {name: Caller([("127.0.0.1", port)], seed=1) for name, port in addresses.items()}
+    try:
+        return await PairedRun(callers, rate=1000.0, seed=1).measure(groups)
+    finally:
+        for caller in callers.values():
+            caller.close()
+        for peer in (direct, node):
+            peer.stop()
+
+
+def test_added_latency_is_taken_from_the_direct_call_of_the_same_group() -> None:
+    async def slow(_message: Message) -> bytes:
+        await asyncio.sleep(SLOW_S)
+        return reply()
+
+    found = asyncio.run(_paired(Peer(), Peer(slow), groups=50))
+
+    assert found.groups == 50
+    assert found.failed == {}
+    through, added = found.paths["off"].total, found.paths["off"].added
+    assert through.get_min_value() >= SLOW_S * 1e6 * 0.99  # the histogram keeps three digits
+    assert 0 < added.get_value_at_percentile(50) <= through.get_value_at_percentile(50)
+    assert found.paths[DIRECT].added.get_max_value() == 0
+
+
+def test_a_group_with_a_failed_call_is_counted_and_not_measured() -> None:
+    async def refuse(_message: Message) -> bytes:
+        return reply(503, b"")
+
+    found = asyncio.run(_paired(Peer(), Peer(refuse), groups=5))
+
+    assert found.groups == 0
+    assert found.failed == {"HTTP/1.1 503 Word": 5}
+
+
+def test_a_closed_connection_fails_its_call() -> None:
+    async def closed() -> None:
+        async def close(_message: Message) -> None:
+            return None
+
+        peer = await Peer(close).start()
+        caller = Caller([("127.0.0.1", peer.port)], seed=1)
+        try:
+            with pytest.raises(FailedCallError, match="closed"):
+                await caller.call("call-1")
+        finally:
+            peer.stop()
+
+    asyncio.run(closed())
+
+
+def test_an_answer_is_whole_with_all_of_its_body() -> None:
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n"
+    assert not is_whole(b"HTTP/1.1 200 OK\r\n")
+    assert not is_whole(head + b"don")
+    assert is_whole(head + b"done")
+
+
+def test_a_slow_rate_is_measured_longer_but_within_its_limit() -> None:
+    assert groups_at(400.0, 30.0) == 12_000
+    assert groups_at(93.0, 30.0) == 3_000
+    assert groups_at(1.0, 30.0) == 150
+
+
+def test_rates_are_numbers_in_range() -> None:
+    assert parse_rates("23,93") == [23.0, 93.0]
+    for text in ("0", "1,9999", "x"):
+        with pytest.raises(typer.BadParameter):
+            parse_rates(text)
