Scale tests: what a user's call sends in chains of up to 24 tiers

Servers call the next tier through nodes of their own, and a node repeats what its server answers with an error: whether sends multiply with depth had not been looked at. Real Balancers in simulated time, without sockets, deterministic by seed; the last tier healthy, slow, failing or saturated. Ruled out: chains of real processes, which one machine doesn't fit and which give no exact counts.

--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -7,7 +7,12 @@
 
 import typer
 
-PARTS = ("control", "datapath", "report")  # modules of this package, each with commands in its `app`
+PARTS = (
+    "control",
+    "datapath",
+    "chains",
+    "report",
+)  # modules of this package, each with commands in its `app`
 
 
 def commands() -> typer.Typer:
