CAPACITY.md: its tables are filled and checked from the records of the scale tests

The page has to give slopes, what they work out to at the operators' size, the bound, whether it is met and by which mechanism, without a figure typed by hand. A command fills the tables between markers and a test fails where they differ. What each table shows, its bounds and mechanisms stand in report.toml; lines are least squares with standard errors; a bound is judged as measured at factor 1, else as worked out; a miss no larger than twice the noise is undecided. Ruled out: a page made whole by the script, which would bury the prose in code.

--- /dev/null
+++ b/bench/scale/fits.py
@@ -0,0 +1,65 @@
+"""Straight lines through measured points: slope and intercept with their standard errors."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+import numpy as np
+from msgspec import Struct
+
+FEWEST_FOR_SPREAD = 3  # through two points every line fits
+
+
+class Point(Struct, frozen=True, order=True):
+    x: float
+    y: float
+
+
+class Estimate(Struct, frozen=True):
+    """A value and its standard error; None: too few points to tell."""
+
+    value: float
+    error: float | None = None
+
+
+class Fit(Struct, frozen=True):
+    """Least squares of y over x."""
+
+    slope: Estimate
+    intercept: Estimate
+    points: int
+    variance: float | None  # of what the line leaves over
+    mean_x: float
+    sum_x2: float  # of squared distances from the mean
+
+    def at(self, x: float) -> Estimate:
+        value = self.intercept.value + self.slope.value * x
+        if self.variance is None:
+            return Estimate(value)
+        leverage = 1.0 / self.points + (x - self.mean_x) ** 2 / self.sum_x2
+        return Estimate(value, math.sqrt(self.variance * leverage))
+
+
+def fit(points: Sequence[Point]) -> Fit | None:
+    """None where fewer than two different x were measured."""
+    if len({point.x for point in points}) < 2:
+        return None
+    x = np.array([point.x for point in points])
+    y = np.array([point.y for point in points])
+    design = np.column_stack([np.ones_like(x), x])
+    (intercept, slope), *_ = np.linalg.lstsq(design, y, rcond=None)
+    left_over = float(((y - design @ np.array([intercept, slope])) ** 2).sum())
+    mean_x = float(x.mean())
+    sum_x2 = float(((x - mean_x) ** 2).sum())
+    variance = left_over / (len(x) - 2) if len(x) >= FEWEST_FOR_SPREAD else None
+    slope_error = None if variance is None else math.sqrt(variance / sum_x2)
+    intercept_error = None if variance is None else math.sqrt(variance * (1 / len(x) + mean_x**2 / sum_x2))
+    return Fit(
+        slope=Estimate(float(slope), slope_error),
+        intercept=Estimate(float(intercept), intercept_error),
+        points=len(x),
+        variance=variance,
+        mean_x=mean_x,
+        sum_x2=sum_x2,
+    )
--- /dev/null
+++ b/bench/scale/series.py
@@ -0,0 +1,107 @@
+"""Points of one figure over the size of the platform, the rate of calls, or the size of a service.
+
+Of records that tell of the same place and seed the newest counts. Runs of the control path with a changed
+cadence of probes are trials of another program, so none of their figures count here.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator, Sequence
+from typing import Literal
+
+from msgspec import Struct
+
+from bench.scale.fits import Fit, Point, fit
+from bench.scale.layout import Axis, Phase, Row
+from bench.scale.records import Record, Value
+
+Scope = Literal["service", "all"]
+
+RATE = re.compile(r"([0-9.]+)/s(.*)")
+OF_SERVICE = re.compile(r"(\S+) .*\(service of ([0-9]+)\)")
+
+
+class Sample(Struct, frozen=True):
+    """One value of one record; None: the run didn't get there."""
+
+    x: float
+    value: float | None
+
+
+class Series(Struct, frozen=True):
+    """All that was measured of a figure in one phase."""
+
+    samples: list[Sample]
+
+    @property
+    def points(self) -> list[Point]:
+        return [Point(sample.x, sample.value) for sample in self.samples if sample.value is not None]
+
+    @property
+    def line(self) -> Fit | None:
+        return fit(self.points)
+
+    def near(self, x: float, within: float = 0.02) -> list[Sample]:
+        """What was measured at this place."""
+        return [sample for sample in self.samples if abs(sample.x - x) <= within * x]
+
+    def below(self, x: float, within: float = 0.02) -> Series:
+        return Series([sample for sample in self.samples if sample.x < x * (1.0 - within)])
+
+
+def scope_of(record: Record) -> Scope:
+    """Whether nodes shared by service in that run, or all with all."""
+    figure = record.find("platform", "scoped_by_service")
+    return "service" if figure is not None and figure.value is True else "all"
+
+
+def newest_scope(records: Sequence[Record]) -> Scope:
+    scopes = {scope_of(record) for record in records if record.kind == "control"}
+    return "service" if "service" in scopes else "all"
+
+
+def chosen(records: Sequence[Record], kind: str, scope: Scope) -> list[Record]:
+    """The runs whose figures count, the newest first."""
+    found = [record for record in records if record.kind == kind and _is_ordinary(record)]
+    if kind == "control":
+        found = [record for record in found if scope_of(record) == scope]
+    return sorted(found, key=lambda record: record.started, reverse=True)
+
+
+def _is_ordinary(record: Record) -> bool:
+    options = record.options
+    return options.get("probes", True) is True and options.get("probe_period_ms") is None
+
+
+def series(records: Sequence[Record], axis: Axis, row: Row, phase: Phase, name: str = "") -> Series:
+    """`records`: the newest first; `name`: another figure in the place of the row's."""
+    newest: dict[tuple[str, float, int], Sample] = {}
+    for record in records:
+        for key, sample in _samples(record, axis, row, phase, name or row.figure):
+            newest.setdefault((key, sample.x, record.seed), sample)
+    return Series(sorted(newest.values(), key=lambda sample: sample.x))
+
+
+def _samples(record: Record, axis: Axis, row: Row, phase: Phase, name: str) -> Iterator[tuple[str, Sample]]:
+    """With what tells apart samples of one record at one place."""
+    if axis == "nodes":
+        nodes, figure = record.number("platform", "nodes"), record.find(row.role, name, phase.name)
+        if nodes is not None and figure is not None:
+            yield "", Sample(nodes, _number(figure.value))
+        return
+    for figure in record.figures:
+        if figure.role != row.role:
+            continue
+        if axis == "calls" and figure.name == name:
+            found = RATE.fullmatch(figure.phase)
+            if found is not None and found[2] == phase.name:
+                yield "", Sample(float(found[1]), _number(figure.value))
+        elif axis == "service" and figure.phase == phase.name:
+            found = OF_SERVICE.fullmatch(figure.name)
+            if found is not None and found[1] == name:
+                yield f"{record.factor} {figure.name}", Sample(float(found[2]), _number(figure.value))
+
+
+def _number(value: Value) -> float | None:
+    return None if value is None or isinstance(value, str) else float(value)
--- /dev/null
+++ b/bench/scale/sources.py
@@ -0,0 +1,22 @@
+"""What docs/CAPACITY.md is made from."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from bench.scale.layout import Layout
+from bench.scale.platform import Size
+from bench.scale.records import Record
+from bench.scale.series import newest_scope
+from bench.scale.verdicts import Judged, judge_all
+
+
+class Sources(Struct, frozen=True):
+    """All that the page is made from."""
+
+    layout: Layout
+    size: Size
+    records: list[Record]
+
+    def judged(self) -> list[Judged]:
+        return judge_all(self.layout, self.size.bounds, self.records, newest_scope(self.records))
--- /dev/null
+++ b/bench/scale/summary_tables.py
@@ -0,0 +1,138 @@
+"""Tables of docs/CAPACITY.md over all roles: chains, control machines, and what is missing."""
+
+from __future__ import annotations
+
+from bench.scale.chains import KIND as CHAINS
+from bench.scale.chains import MULTIPLIED
+from bench.scale.markdown import NOTHING, estimate, number, table
+from bench.scale.records import Record
+from bench.scale.role_tables import NOT_RUN, figure_at
+from bench.scale.sources import Sources
+from bench.scale.verdicts import Judged, Verdict
+
+# -------------------------------------------------------------------------- chains
+
+CHAIN_FIGURES = (
+    ("sends_per_call", "sends"),
+    ("sends_per_call_p99", "p99"),
+    ("most_sends_for_a_call", "most"),
+    ("worst_tier", "busiest tier"),
+    ("worst_tier_sends_per_call", "its sends"),
+    ("worst_tier_sends_per_call_let_in", "its sends a call let in"),
+    ("last_tier_sends_per_call", "sends to the last"),
+    ("goodput_share", "answered in time"),
+    ("refused_share", "refused"),
+    ("failed_share", "failed"),
+    ("refusals_inside_per_call", "refusals behind the front"),
+)
+
+
+def chain_records(sources: Sources) -> list[Record]:
+    """The newest for each rate and number of attempts."""
+    newest: dict[tuple[object, object], Record] = {}
+    for record in sorted(sources.records, key=lambda record: record.started):
+        if record.kind == CHAINS:
+            newest[record.options.get("rate"), record.options.get("attempts")] = record
+    return list(newest.values())
+
+
+def chains(sources: Sources) -> str:
+    heads = ["calls/s", "attempts", "last tier, depth", *(head for _, head in CHAIN_FIGURES)]
+    rows = [row for record in chain_records(sources) for row in _chain_rows(record)]
+    return table(heads, rows)
+
+
+def _chain_rows(record: Record) -> list[list[str]]:
+    phases = dict.fromkeys(figure.phase for figure in record.figures)
+    options = [str(record.options.get(name, NOTHING)) for name in ("rate", "attempts")]
+    return [
+        [*options, phase, *(_chain_cell(record, name, phase) for name, _ in CHAIN_FIGURES)]
+        for phase in phases
+    ]
+
+
+def _chain_cell(record: Record, name: str, phase: str) -> str:
+    value = record.number("chain", name, phase)
+    return NOT_RUN if value is None else number(value)
+
+
+# ------------------------------------------------------------------------ machines
+
+MACHINE_FIGURES = (
+    ("cpu_percent_max", "CPU, % of a core"),
+    ("rss_mb_max", "memory, MB"),
+    ("bytes_in_max", "bytes/s in"),
+    ("bytes_out_max", "bytes/s out"),
+)
+ORDINARY = "steady"
+
+
+def machines(sources: Sources) -> str:
+    """What is placed on each control machine, with the figures of its roles at ordinary time, at factor 1."""
+    heads = ["machine", "region", "zone", "runs", *(head for _, head in MACHINE_FIGURES)]
+    of_role = {
+        (judged.row.role, judged.row.figure): figure_at(judged.series, judged.table.targets[0].x)
+        for judged in sources.judged()
+        if judged.phase.name == ORDINARY and judged.table.axis == "nodes"
+    }
+    rows = []
+    for machine in sources.layout.machines:
+        what = ", ".join(machine.roles) or machine.note or "nothing"
+        cells = [
+            " + ".join(of_role.get((role, figure), NOT_RUN) for role in machine.roles) or "0"
+            for figure, _ in MACHINE_FIGURES
+        ]
+        rows.append([machine.name, machine.region, machine.zone, what, *cells])
+    return table(heads, rows)
+
+
+# ------------------------------------------------------------------------- missing
+
+
+def missing(sources: Sources) -> str:
+    """What breaks its bound, worst first; then what is undecided, and what was not run."""
+    found = sources.judged()
+    broken = sorted((one for one in found if one.verdict is Verdict.MISSED), key=lambda one: -one.ratio)
+    lines = [f"{at}. {_broken(judged)}" for at, judged in enumerate(broken, 1)]
+    lines += [f"{at}. {text}" for at, text in enumerate(_multiplied(sources), len(broken) + 1)]
+    undecided = [f"- undecided: {_broken(one)}" for one in found if one.verdict is Verdict.UNDECIDED]
+    not_run = [f"- {one.name}" for one in found if one.limit is not None and one.verdict is Verdict.NOT_RUN]
+    parts = [lines or ["No bound was found broken."], undecided]
+    if not_run:
+        parts.append(["Bounds whose figure was not run at this size:", "", *not_run])
+    return "\n\n".join("\n".join(part) for part in parts if part) + "\n"
+
+
+def _broken(judged: Judged) -> str:
+    limit = number(judged.limit or 0.0)
+    if judged.value is None:
+        told = f"not reached, bound {limit} {judged.row.unit}"
+    else:
+        basis = "measured" if judged.measured else "worked out"
+        told = f"{estimate(judged.value)} {judged.row.unit} ({basis}), bound {limit}: {_over(judged)}"
+    noise = NOTHING if judged.noise is None else f"; noise {number(judged.noise)}"
+    return f"{judged.name}: {told}{noise}. Carried by: {judged.row.mechanism}."
+
+
+def _over(judged: Judged) -> str:
+    return f"{number(judged.ratio)} times" if judged.limit else "over a bound of 0"
+
+
+def _multiplied(sources: Sources) -> list[str]:
+    """The worst chain of each record whose sends multiply."""
+    name, found = "worst_tier_sends_per_call_let_in", []
+    for record in chain_records(sources):
+        values = [
+            (float(one.value), one.phase)
+            for one in record.figures
+            if one.name == name and isinstance(one.value, int | float)
+        ]
+        worst, phase = max(values, default=(0.0, NOTHING))
+        if worst > MULTIPLIED:
+            ratio = number(worst / MULTIPLIED)
+            found.append(
+                f"chains at {record.options.get('rate')} calls/s, {record.options.get('attempts')} attempts "
+                f"({phase}): {number(worst)} sends to one tier for a call let in, bound of these tests "
+                f"{number(MULTIPLIED)}: {ratio} times. Carried by: {sources.layout.chains_mechanism}."
+            )
+    return found
