--- /dev/null
+++ b/bench/scale/hollow.py
@@ -0,0 +1,306 @@
+"""A hollow node: the program's own control path (net/fleet and the cores under it) without callers, servers
+and balancer, and its agent's code beside it in the same process.
+
+All that is taken from the program under test is imported here, so that a name which has moved is mended here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import itertools
+import math
+import time
+from collections.abc import Callable, Iterable
+from types import SimpleNamespace
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+import structlog
+
+from bench.scale.histograms import Times
+from bench.scale.hollow_names import CHANGE
+from bench.scale.messages import HollowSpec, Setup
+from orchidledge import interface as api
+from orchidledge.decide import Balancer
+from orchidledge.members import Enrolment
+from orchidledge.net import web
+from orchidledge.net.clock import Clock
+from orchidledge.net.config import Config, parse_config
+from orchidledge.net.fleet import part as fleet_part
+from orchidledge.net.fleet.agent import Agent
+from orchidledge.registry.agent import Follower
+from orchidledge.registry.settings import Agent as AgentSettings
+from tests.loopback import config_row
+
+SCOPED = "service" in inspect.signature(Enrolment).parameters  # whether shares are by service
+ALL = "all"  # the group where they are not
+LATE = 0.25  # of the term: a renewal that took longer counts as late
+KEPT_MOST = 128  # connections kept to siblings and from them, as a real node has
+KEPT_LARGE = 16  # in a group of over KEPT_MOST each is dialled anew anyhow before its turn comes again
+LIST_CONFIRMED_MS = 2_000.0
+SEEN_EVERY_S = 1.0  # own facts on servers are made anew, as calls would make them
+
+
+class Figures:
+    """What the nodes of a process measure together, since the last `take`."""
+
+    def __init__(self) -> None:
+        self.renewals, self.enrolments, self.changes = Times(), Times(), Times()
+        self.by_agent = Times()  # of the renewals, those through an agent process
+        self.renewed = self.late = self.unknown = self.yielded = 0
+        self.refused: dict[str, int] = {}
+        self.changes_seen: dict[str, int] = {}
+
+    def refuse(self, path: str, why: str) -> None:
+        key = f"{path} {why}"
+        self.refused[key] = self.refused.get(key, 0) + 1
+
+    def saw_change(self, uid: str) -> None:
+        written_ns = int(uid.rpartition("-")[2])
+        self.changes.add((time.monotonic_ns() - written_ns) / 1e6)
+        self.changes_seen[uid] = self.changes_seen.get(uid, 0) + 1
+
+
+class InnerAgent(Follower):
+    """The agent's code, called without a socket between it and its node."""
+
+    def __init__(self, spec: HollowSpec, instances: list[int], figures: Figures) -> None:
+        settings = AgentSettings(
+            listen=("127.0.0.1", spec.port), registries=tuple(("127.0.0.1", port) for port in instances)
+        )
+        quiet = structlog.make_filtering_bound_logger(60)
+        super().__init__(settings, structlog.wrap_logger(None, wrapper_class=quiet))
+        self.figures = figures
+
+    def _take(self, source_rev: int, whole: bool, targets: list[Any]) -> None:
+        known = set(self.cache.entries) if whole else set()
+        super()._take(source_rev, whole, targets)
+        for target in targets:
+            uid = target["uid"]
+            if uid.startswith(CHANGE) and uid not in known and target.get("state") != "Gone":
+                self.figures.saw_change(uid)
+
+    async def call(self, method: str, target: str, body: bytes, timeout_ms: float) -> web.Reply:
+        url = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        async with asyncio.timeout(timeout_ms / 1000.0):
+            answer = await self.handle(web.Call(method, url.path, query, {}, body))
+        return web.Reply(answer.status, answer.headers, answer.body)
+
+
+class MeasuredAgent(Agent):
+    """The node's side of its agent: inner or a real process; each call is timed and what fails is counted."""
+
+    def __init__(self, address: Callable[[], Any], node: HollowNode) -> None:
+        super().__init__(address)
+        self._node = node
+
+    async def post(self, path: str, body: Any, timeout_ms: float) -> web.Reply:
+        sent = time.monotonic()
+        try:
+            reply = await self._post(path, body, timeout_ms)
+        except (OSError, TimeoutError) as failure:
+            self._failed(path, type(failure).__name__)
+            raise
+        if reply.status != 200:
+            self._failed(path, str(reply.status))
+        elif path in ("enrol", "renew"):
+            self._timed((time.monotonic() - sent) * 1000.0)
+        return reply
+
+    async def _post(self, path: str, body: Any, timeout_ms: float) -> web.Reply:
+        agent = self._address()
+        if not isinstance(agent, InnerAgent):
+            return await super().post(path, body, timeout_ms)
+        return await agent.call("POST", f"/fleet/{path}", orjson.dumps(body), timeout_ms)
+
+    async def get(self, target: str, timeout_ms: float) -> web.Reply:
+        agent = self._address()
+        if not isinstance(agent, InnerAgent):
+            return await super().get(target, timeout_ms)
+        return await agent.call("GET", f"/fleet/{target}", b"", timeout_ms)
+
+    def _timed(self, ms: float) -> None:
+        figures = self._node.figures
+        figures.renewals.add(ms)
+        if self._node.agent is None:
+            figures.by_agent.add(ms)
+        figures.renewed += 1
+        figures.late += ms > LATE * self._node.ttl_ms
+
+    def _failed(self, path: str, why: str) -> None:
+        figures = self._node.figures
+        figures.refuse(path, why)
+        figures.late += path == "renew"
+        figures.unknown += (path, why) == ("renew", "404")
+
+
+class HollowNode:
+    """One node; `start` again after an end, as a process that is started anew."""
+
+    def __init__(self, spec: HollowSpec, setup: Setup, figures: Figures) -> None:
+        self.spec, self._setup, self.figures = spec, setup, figures
+        self.group = spec.service if SCOPED else ALL
+        self.part: Any = None
+        self.agent: InnerAgent | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._began = 0.0
+        self._had_share = False
+
+    async def start(self) -> None:
+        self._began = time.monotonic()
+        if self.spec.agent_port is None:
+            self.agent = InnerAgent(self.spec, self._setup.instances, self.figures)
+            self._tasks.append(asyncio.create_task(self.agent.follow()))
+        self.part = self._make_part()
+        self._time_enrolment()
+        if self._setup.probes:
+            await self.part.start()
+        else:
+            self.part.routing.start()
+            self.part.sight.start()
+            self.part.lease.start()
+        self._tasks.append(asyncio.create_task(self._see_servers()))
+
+    def _make_part(self) -> Any:
+        """The fleet's part as net/node.py makes it, with stand-ins for the rest of the node."""
+        config = _config(self.spec, self._setup)
+        where: Any = self.agent if self.agent is not None else ("127.0.0.1", self.spec.agent_port or 0)
+        watcher = SimpleNamespace(address=where)
+        clock = Clock(asyncio.get_running_loop())
+        servers = _Servers(clock, self._setup.servers[self.spec.service])
+        driver = SimpleNamespace(tell=lambda event: None, before=[], balancer=_balancer(config))
+
+        def agent(address: Callable[[], Any]) -> MeasuredAgent:
+            return MeasuredAgent(address, self)
+
+        fleet_part.Agent = agent  # type: ignore[misc, assignment]
+        return fleet_part.FleetPart(config, clock, servers, watcher, driver)  # type: ignore[arg-type]
+
+    def _time_enrolment(self) -> None:
+        """Note when the first answer comes, ahead of what the part does with it."""
+        lease = self.part.lease
+        carry_on = lease.on_answer
+
+        def first(now: float, answer: Any) -> None:
+            self.figures.enrolments.add((time.monotonic() - self._began) * 1000.0)
+            lease.on_answer = carry_on
+            carry_on(now, answer)
+
+        lease.on_answer = first
+
+    async def _see_servers(self) -> None:
+        """Facts on servers go out with the probes' payloads, as many as calls would make."""
+        view = self.part.sight.view
+        while True:
+            now = self.part.clock.ms()
+            for uid in self._setup.servers[self.spec.service]:
+                view.saw(now, uid, api.Result.OK)
+            await asyncio.sleep(SEEN_EVERY_S)
+
+    async def leave(self) -> None:
+        part, self.part = self.part, None
+        if part is None:
+            return
+        part.drains()
+        await part.stop()
+        self._end(part)
+
+    def vanish(self) -> None:
+        part, self.part = self.part, None
+        if part is not None:
+            self._end(part)
+
+    def _end(self, part: Any) -> None:
+        part.close()
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
+        self.agent, self._had_share = None, False
+
+    def taking(self) -> float:
+        """The share that this node takes now."""
+        if self.part is None:
+            return 0.0
+        share = float(self.part.lease.core.taking(self.part.clock.ms()))
+        if self._had_share and share <= 0.0:
+            self.figures.yielded += 1
+        self._had_share = share > 0.0
+        return share
+
+    def measure_into(self, figures: Figures) -> None:
+        self.figures = figures
+        if self.agent is not None:
+            self.agent.figures = figures
+
+    def part_probes(self) -> tuple[int, int]:
+        """Sent and taken since the node's start."""
+        if self.part is None:
+            return 0, 0
+        detector = failure_detector(self.part)
+        return detector.asks, detector.asked
+
+    def verdicts(self) -> Iterable[Any]:
+        return self.part.verdicts(self.part.clock.ms()).values()
+
+    @property
+    def ttl_ms(self) -> float:
+        return float(self.part.lease.core.ttl_ms) if self.part is not None else math.inf
+
+    @property
+    def enrolled(self) -> bool:
+        return self.part is not None and self.part.lease.core.incarnation is not None
+
+    @property
+    def attached(self) -> bool:
+        return self.enrolled and bool(self.part.lease.core.attached(self.part.clock.ms()))
+
+    @property
+    def elector(self) -> bool:
+        return self.enrolled and bool(self.part.lease.core.elector)
+
+    @property
+    def has_list(self) -> bool:
+        return self.agent is not None and self.agent.cache.have
+
+
+class _Servers:
+    """The server list as the view reads it: the servers of the node's own service."""
+
+    def __init__(self, clock: Clock, uids: list[str]) -> None:
+        self._clock = clock
+        self.listed = {uid: (api.Server(uid), ("127.0.0.1", 9)) for uid in uids}
+        self.listed_rev = self.origin_rev = 1
+
+    @property
+    def confirmed_ms(self) -> float:
+        return self._clock.ms() // LIST_CONFIRMED_MS * LIST_CONFIRMED_MS
+
+
+def failure_detector(part: Any) -> Any:
+    """The shell that sends and takes the probes."""
+    return part.hearing
+
+
+_seeds = itertools.count(1)
+
+
+def _config(spec: HollowSpec, setup: Setup) -> Config:
+    group = len(setup.servers[spec.service]) if SCOPED else len(setup.regions)
+    kept = KEPT_MOST if group <= KEPT_MOST else KEPT_LARGE
+    members: dict[str, Any] = {"listen": f"127.0.0.1:{spec.port}", "zone": spec.zone}
+    if setup.probe_period_ms is not None:
+        members["ask_every_ms"] = setup.probe_period_ms
+    if SCOPED:
+        members["service"] = spec.service
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 8 * kept}
+    row = config_row("127.0.0.1:9", name=spec.name, members=members, limits=limits)
+    return parse_config(orjson.dumps(row))
+
+
+def _balancer(config: Config) -> Any:
+    """Its period is the real module's; it has no calls."""
+    real = Balancer(config.settings, next(_seeds), 0.0)
+    return SimpleNamespace(period_ms=real.period_ms, pool=lambda: (0.0, 0, 0.0))
