--- a/bench/scale/datapath.py
+++ b/bench/scale/datapath.py
@@ -163,9 +163,9 @@
     for name in (DIRECT, NOISE):
         _add_latency(run, name, calls, name, plain)
     run.add("call", "calls_per_s", round(calls_per_s, 2), "1/s", plain, calls.groups)
-    run.add("call", "failed", sum(calls.failed.values()), "calls", plain, calls.groups)
     for path, cost in measured.costs.items():
         at = phase(rate, path)
+        run.add("call", "failed", calls.failed_by(path), "calls", at, calls.groups)
         _add_latency(run, "through", calls, path, at)
         run.add("node", "call_cpu_ms", round(cost.ms_per_call(calls_per_s), 4), "ms", at, calls.groups)
         waited_ms = cost.waited_ms_per_call(calls_per_s)
@@ -194,8 +194,8 @@
         added_ms = quantile_ms(measured.calls.paths[path].added, 99.0)
         if added_ms > bound_ms:
             run.failures.append(f"{phase(rate, path)}: p99 added {added_ms:.3f} ms, bound {bound_ms:g} ms")
-    for said, count in sorted(measured.calls.failed.items()):
-        run.failures.append(f"{rate:g}/s: {count} calls failed: {said}")
+    for (path, said), count in sorted(measured.calls.failed.items()):
+        run.failures.append(f"{phase(rate, path)}: {count} calls by the path {path} failed: {said}")
 
 
 # --------------------------------------------------------------------- the command
--- a/bench/scale/paired.py
+++ b/bench/scale/paired.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import gc
+from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 
@@ -51,7 +52,7 @@
 
     paths: dict[str, PathTimes]
     groups: int = 0
-    failed: dict[str, int] = field(default_factory=dict)  # calls by what went wrong
+    failed: Counter[tuple[str, str]] = field(default_factory=Counter)  # calls by path and what went wrong
     span_s: float = 0.0
 
     def record(self, latencies: Latencies) -> None:
@@ -59,8 +60,8 @@
         for name, taken_ns in latencies.items():
             self.paths[name].record(taken_ns, latencies[DIRECT])
 
-    def fail(self, error: FailedCallError) -> None:
-        self.failed[str(error)] = self.failed.get(str(error), 0) + 1
+    def failed_by(self, path: str) -> int:
+        return sum(count for (name, _), count in self.failed.items() if name == path)
 
 
 class PairedRun:
@@ -102,12 +103,12 @@
 
     async def _group(self, found: Paired) -> None:
         latencies: Latencies = {}
-        try:
-            for name in self._random.sample(sorted(self._callers), len(self._callers)):
+        for name in self._random.sample(sorted(self._callers), len(self._callers)):
+            try:
                 latencies[name] = await self._callers[name].call(self._next_name())
-        except (FailedCallError, OSError) as error:
-            found.fail(error if isinstance(error, FailedCallError) else FailedCallError(str(error)))
-            return
+            except (FailedCallError, OSError) as error:
+                found.failed[name, str(error)] += 1
+                return
         found.record(latencies)
 
     def _next_name(self) -> str:
--- a/tests/test_scale_datapath.py
+++ b/tests/test_scale_datapath.py
@@ -51,7 +51,8 @@
     found = asyncio.run(_paired(Peer(), Peer(refuse), groups=5))
 
     assert found.groups == 0
-    assert found.failed == {"HTTP/1.1 503 Word": 5}
+    assert found.failed == {("off", "HTTP/1.1 503 Word"): 5}
+    assert (found.failed_by("off"), found.failed_by(DIRECT)) == (5, 0)
 
 
 def test_a_closed_connection_fails_its_call() -> None:
