--- a/bench/scale/datapath.py
+++ b/bench/scale/datapath.py
@@ -158,7 +158,7 @@
 
 def add_figures(run: records.Run, rate: float, measured: Measured) -> None:
     calls = measured.calls
-    calls_per_s = calls.groups / calls.span_s
+    calls_per_s = calls.groups_per_s
     plain = phase(rate, OFF)
     for name in (DIRECT, NOISE):
         _add_latency(run, name, calls, name, plain)
--- a/bench/scale/paired.py
+++ b/bench/scale/paired.py
@@ -9,6 +9,7 @@
 import asyncio
 import gc
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 
@@ -60,6 +61,11 @@
         for name, taken_ns in latencies.items():
             self.paths[name].record(taken_ns, latencies[DIRECT])
 
+    @property
+    def groups_per_s(self) -> float:
+        """Those that broke off too."""
+        return (self.groups + self.failed.total()) / self.span_s
+
     def failed_by(self, path: str) -> int:
         return sum(count for (name, _), count in self.failed.items() if name == path)
 
@@ -74,10 +80,11 @@
         self._groups: set[asyncio.Task[None]] = set()
 
     async def warm(self, calls: int) -> None:
-        """So many calls by each path that are not measured."""
+        """So many calls by each path that are not measured, whatever becomes of them."""
         for _ in range(calls):
             for caller in self._callers.values():
-                await caller.call(self._next_name())
+                with suppress(FailedCallError, OSError):
+                    await caller.call(self._next_name())
 
     async def measure(self, groups: int) -> Paired:
         found = Paired({name: PathTimes() for name in self._callers})
