Scale tests: a node's start waits for its end; an interrupted run cleans up

A restart began while the old process of the node still said that it leaves, and then lost its agent's tasks to that end: the run waited 30 s for lists.

--- a/bench/scale/control.py
+++ b/bench/scale/control.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import signal
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
@@ -64,6 +66,7 @@
         run.add("platform", "services", len(platform.services), "services")
         run.add("platform", "largest_service", platform.largest().nodes, "nodes")
         run.add("platform", "scoped_by_service", world.scoped)
+        _cancel_on_signals()
         try:
             async with asyncio.timeout(plan.limit_s):
                 await _carry_out(world, run, plan)
@@ -81,6 +84,15 @@
     return run.finish()
 
 
+def _cancel_on_signals() -> None:
+    """An interrupted run ends what it has started. Signals reach the main thread alone."""
+    task = asyncio.current_task()
+    assert task is not None
+    with contextlib.suppress(ValueError, RuntimeError):
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+
+
 async def _carry_out(world: World, run: Run, plan: Plan) -> None:
     began = time.monotonic()
     say(f"starting {len(world.hollow)} hollow and {len(world.real_places)} real nodes")
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -143,6 +143,7 @@
     def __init__(self, spec: HollowSpec, setup: Setup, figures: Figures) -> None:
         self.spec, self._setup, self.figures = spec, setup, figures
         self.group = spec.service if SCOPED else ALL
+        self.turn = asyncio.Lock()  # held while it starts or ends
         self.part: Any = None
         self.agent: InnerAgent | None = None
         self._tasks: list[asyncio.Task[None]] = []
--- a/bench/scale/hollow_process.py
+++ b/bench/scale/hollow_process.py
@@ -72,24 +72,25 @@
 
     async def _start(self, index: int, wait_s: float) -> None:
         await asyncio.sleep(wait_s)
-        mute = self._mute.pop(index, None)
-        if mute is not None:
-            mute.close()
         node = self._nodes[index]
-        if node.part is None:
-            region_of_task.set(node.spec.region)  # of this task and all that come of it
-            await node.start()
+        async with node.turn:
+            mute = self._mute.pop(index, None)
+            if mute is not None:
+                mute.close()
+            if node.part is None:
+                region_of_task.set(node.spec.region)  # of this task and all that come of it
+                await node.start()
 
     async def _end(self, index: int, leaves: bool) -> None:
         node = self._nodes[index]
-        if node.part is not None:
+        async with node.turn:
             self._probes_of_ended[0] += node.part_probes()[0]
             self._probes_of_ended[1] += node.part_probes()[1]
-        if leaves:
-            await node.leave()
-            return
-        node.vanish()
-        self._mute[index] = _mute_listener(node.spec.port)
+            if leaves:
+                await node.leave()
+            else:
+                node.vanish()
+                self._mute[index] = _mute_listener(node.spec.port)
 
     # ------------------------------------------------------------------- measuring
 
