--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -240,8 +240,7 @@
         """Sent and taken since the node's start."""
         if self.part is None:
             return 0, 0
-        detector = failure_detector(self.part)
-        return detector.asks, detector.asked
+        return probes(self.part)
 
     def verdicts(self) -> list[str]:
         """What this node makes of each sibling."""
@@ -283,9 +282,11 @@
         return self._clock.ms() // LIST_CONFIRMED_MS * LIST_CONFIRMED_MS
 
 
-def failure_detector(part: Any) -> Any:
-    """The shell that sends and takes the probes."""
-    return part.hearing
+def probes(part: Any) -> tuple[int, int]:
+    """Sent and taken; earlier releases name their shell otherwise."""
+    if hasattr(part, "probing"):
+        return part.probing.probes_sent, part.probing.probes_received
+    return part.hearing.asks, part.hearing.asked
 
 
 _seeds = itertools.count(1)
--- a/bench/scale/world.py
+++ b/bench/scale/world.py
@@ -244,12 +244,9 @@
 
 def _is_scoped(program: Program) -> bool:
     """Whether the program under test has shares by service."""
-    settings = [
-        path.read_text()
-        for path in (program.checkout / "orchidledge").rglob("*.py")
-        if "class FleetSettings" in path.read_text()
-    ]
-    return any("    service: str" in text for text in settings)
+    texts = [path.read_text() for path in (program.checkout / "orchidledge").rglob("*.py")]
+    settings = [text.partition("class FleetSettings")[2] for text in texts]
+    return any("\n    service: " in text for text in settings)
 
 
 def make_folder() -> tempfile.TemporaryDirectory[str]:
