--- a/bench/scale/control.py
+++ b/bench/scale/control.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import signal
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
@@ -25,6 +27,7 @@
 EVENT_TTLS, PARTED_TTLS = 3.0, 6.0
 START_SPREAD_S = 10.0
 MOST_PROCESSES = 8
+REFUSED = 3  # exit status
 NODES_PER_PROCESS = 25  # at least, where there are so many
 
 app = typer.Typer()
@@ -64,6 +67,7 @@
         run.add("platform", "services", len(platform.services), "services")
         run.add("platform", "largest_service", platform.largest().nodes, "nodes")
         run.add("platform", "scoped_by_service", world.scoped)
+        _cancel_on_signals()
         try:
             async with asyncio.timeout(plan.limit_s):
                 await _carry_out(world, run, plan)
@@ -81,6 +85,15 @@
     return run.finish()
 
 
+def _cancel_on_signals() -> None:
+    """An interrupted run ends what it has started. Signals reach the main thread alone."""
+    task = asyncio.current_task()
+    assert task is not None
+    with contextlib.suppress(ValueError, RuntimeError):
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+
+
 async def _carry_out(world: World, run: Run, plan: Plan) -> None:
     began = time.monotonic()
     say(f"starting {len(world.hollow)} hollow and {len(world.real_places)} real nodes")
@@ -126,9 +139,12 @@
     }
 
 
-def print_record(record: Record) -> None:
+def print_record(record: Record, whole: bool) -> None:
+    """All figures, or those that answer a goal; then what was missed."""
+    names = {goal.name for goal in goals.control_goals(0.0, 0.0, 0.0)}
     for figure in record.figures:
-        typer.echo(f"{figure.phase:18} {figure.role:9} {figure.name:44} {figure.value} {figure.unit}")
+        if whole or figure.name in names:
+            typer.echo(f"{figure.phase:18} {figure.role:9} {figure.name:44} {figure.value} {figure.unit}")
     for failure in record.failures:
         typer.echo(f"MISSED {failure}")
 
@@ -148,6 +164,8 @@
     real_agents: Annotated[int, typer.Option(help="Hollow nodes with an agent process each.")] = 0,
     processes: Annotated[int | None, typer.Option(help="Of hollow nodes.")] = None,
     limit_s: float = LIMIT_S,
+    start_spread_s: Annotated[float, typer.Option(help="All nodes start within so long.")] = START_SPREAD_S,
+    whole: Annotated[bool, typer.Option(help="Print every figure.")] = False,
     keep: Annotated[bool, typer.Option(help="Write the record to bench/scale/records.")] = True,
 ) -> None:
     """All nodes from nothing, ordinary churn, a killed leader, a lost rack and zone, parted regions."""
@@ -167,7 +185,7 @@
         relayed="regions" in chosen,
     )
     durations = Durations(
-        start_spread=START_SPREAD_S,
+        start_spread=start_spread_s,
         steady=60.0 * minutes,
         hurry=hurry,
         event=EVENT_TTLS * term_s,
@@ -175,7 +193,11 @@
     )
     if limits.load_is_high():
         say("the machine is busy: times of this run tell of other programs too")
-    record = asyncio.run(run_control(Plan(options, durations, chosen, limit_s)))
-    print_record(record)
+    try:
+        record = asyncio.run(run_control(Plan(options, durations, chosen, limit_s)))
+    except limits.TooLargeError as refusal:
+        typer.echo(f"refused: {refusal}", err=True)
+        raise typer.Exit(REFUSED) from refusal
+    print_record(record, whole)
     if keep:
         say(f"written: {records.append(record)}")
