Probe once a second, and at the urgent pace while cut off or with a suspect about

Need: at ten probes a second the failure detector costs over twice what a node may spend on all control work. Change: period_ms is 1000 and urgent_period_ms 100, in the node's configuration ask_every_ms and urgent_ask_every_ms. The urgent pace holds while the node's own standing is not ATTACHED, the first probe at once, and while it knows of a suspect, as a suspicion and its refutation have to spread in the same time as before. Marks and the view's entry follow the steady pace. Tests of the 100 ms pace state it.

--- a/orchidledge/members/actions.py
+++ b/orchidledge/members/actions.py
@@ -12,7 +12,8 @@
 class DetectorConfig:
     """Settings of the failure detector; times in ms. Raises ValueError for figures it could not work with."""
 
-    period_ms: float = 100.0  # the protocol period: one member is probed each
+    period_ms: float = 1000.0  # the protocol period: one member is probed each
+    urgent_period_ms: float = 100.0  # while this node is not attached, or knows of a suspect
     probe_timeout_ms: float = 500.0  # over a round trip between the furthest nodes
     helpers: int = 3  # members asked for an indirect probe
     tick_ms: float = 50.0  # the longest wait between ticks, so that a pause of this process shows
@@ -33,6 +34,7 @@
     def __post_init__(self) -> None:
         times = (
             self.period_ms,
+            self.urgent_period_ms,
             self.probe_timeout_ms,
             self.tick_ms,
             self.late_ms,
--- a/orchidledge/members/failure_detector.py
+++ b/orchidledge/members/failure_detector.py
@@ -36,7 +36,8 @@
         self._members = MemberList(self._local)
         self._gossip = Gossip(self._local, self._members, rng)
         self._probing = Probing(self._local, self._members, self._gossip, rng)
-        self._next_period: float | None = None
+        self._standing = Standing.ATTACHED
+        self._probed_at: float | None = None  # None: a probe is due at once
         self.last_ack_at: float | None = None  # when any member last acked a probe
 
     # -------------------------------------------------------------- facts
@@ -56,8 +57,15 @@
         return [*self._members.take_changes()]
 
     def set_standing(self, now: float, standing: Standing, s_ms: float) -> None:
-        """What this node states of its own share, at this service time."""
+        """What this node states of its own share, at this service time.
+
+        A node that is no longer attached has to tell the others, and to hear from them, before its lease
+        ends: its next probe is due at once, and further ones at the urgent pace.
+        """
         self._gossip.standings.set_own(now, standing, s_ms)
+        if standing is not self._standing and standing is not Standing.ATTACHED:
+            self._probed_at = None
+        self._standing = standing
 
     def set_view(self, view: bytes) -> None:
         """The opaque entry that goes with every payload from now on; one over 16 KiB is not sent."""
@@ -68,16 +76,14 @@
         self._record_wakeup(now)
         self._members.expire_suspicions(now)
         actions: list[Action] = []
-        next_period = now if self._next_period is None else self._next_period
-        if now >= next_period:
-            period_ms = self._config.period_ms
+        probe_due = self._next_probe(now)
+        if now >= probe_due:
             # Periods missed are not made up for.
-            next_period = max(next_period, now - period_ms) + period_ms * self._local.timeout_factor
+            self._probed_at = probe_due if now - probe_due < self._period_ms() else now
             self._probing.drop_abandoned(now)
             actions.extend(self._probing.next_probe(now))
-        self._next_period = next_period
         next_expiry = max(now + 1.0, self._members.next_expiry())
-        self._local.due = min(now + self._config.tick_ms, next_period, next_expiry)
+        self._local.due = min(now + self._config.tick_ms, self._next_probe(now), next_expiry)
         return [*actions, *self._members.take_changes()]
 
     def on_ack(self, now: float, probe_id: int, payload: bytes) -> list[Action]:
@@ -132,6 +138,18 @@
         viewed = self._gossip.receive(now, message)
         return [*viewed, self._probing.relay(now, call, message), *self._members.take_changes()]
 
+    def _next_probe(self, now: float) -> float:
+        """When the next probe is due."""
+        if self._probed_at is None:
+            return now
+        return self._probed_at + self._period_ms() * self._local.timeout_factor
+
+    def _period_ms(self) -> float:
+        """The protocol period now: urgent while statements or suspicions have to spread, else steady."""
+        if self._standing is not Standing.ATTACHED or self._members.has_suspects:
+            return min(self._config.urgent_period_ms, self._config.period_ms)
+        return self._config.period_ms
+
     # -------------------------------------------------------------- what is known
 
     @property
--- a/orchidledge/members/member_list.py
+++ b/orchidledge/members/member_list.py
@@ -153,6 +153,11 @@
             peer.suspected_at += longer
             peer.suspicion_ends += longer
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any member is suspected at present."""
+        return bool(self._suspects)
+
     def next_expiry(self) -> float:
         """When the next suspicion ends; inf if there is none."""
         return min((self.peers[key].suspicion_ends for key in self._suspects), default=math.inf)
--- a/orchidledge/net/fleet/part.py
+++ b/orchidledge/net/fleet/part.py
@@ -71,7 +71,11 @@
         self.lease = lease_shell.Lease(
             Enrolment(name, settings.listen, settings.zone, start, random), agent, self.clock, self.offsets
         )
-        detection = DetectorConfig(period_ms=settings.ask_every_ms, probe_timeout_ms=settings.ask_timeout_ms)
+        detection = DetectorConfig(
+            period_ms=settings.ask_every_ms,
+            urgent_period_ms=settings.urgent_ask_every_ms,
+            probe_timeout_ms=settings.ask_timeout_ms,
+        )
         detector = FailureDetector(0, random, detection)
         self.probing = ProbeTransport(detector, self.clock, config.member_sockets // 2)
         folder = settings.folder
--- a/orchidledge/net/fleet/settings.py
+++ b/orchidledge/net/fleet/settings.py
@@ -17,7 +17,8 @@
     listen: str  # host:port where siblings call this node; its address in the list service
     zone: str = ""
     routes: str = ""  # folder of the route versions prepared here; none: this node prepares none
-    ask_every_ms: float = 100.0  # one sibling is asked each period
+    ask_every_ms: float = 1000.0  # one sibling is probed each period
+    urgent_ask_every_ms: float = 100.0  # while not attached to the list service, or with a sibling suspected
     ask_timeout_ms: float = 500.0
     marks_every_ms: float = 250.0
     clock_bound_ms: float = 250.0  # a node that knows service time less closely votes no
@@ -40,7 +41,7 @@
             raise ValueError("listen: port 0 is no address that siblings could call")
     except (msgspec.ValidationError, ValueError) as error:
         raise ValueError(f"members: {error}") from error
-    for key in ("ask_every_ms", "ask_timeout_ms", "marks_every_ms", "clock_bound_ms"):
+    for key in ("ask_every_ms", "urgent_ask_every_ms", "ask_timeout_ms", "marks_every_ms", "clock_bound_ms"):
         if not 1.0 <= getattr(found, key) <= 60_000.0:
             raise ValueError(f"members: {key}: {getattr(found, key)!r} is not from 1 to 60000")
     return found
--- a/tests/detector_sim.py
+++ b/tests/detector_sim.py
@@ -24,9 +24,13 @@
     Probe,
     Reachability,
     Sibling,
+    Standing,
     Viewed,
 )
 
+SERVICE_OFFSET_MS = 1e6  # service time less the simulation's
+RENEWAL = 0.2  # of a lease term: nodes' last renewals before a cut are spread over so much
+
 
 class Gone(Enum):
     """What a caller sees of a process that has ended."""
@@ -51,6 +55,8 @@
     sent_bytes: int = 0
     ack_bytes_received: int = 0
     viewed: list[Viewed] = field(default_factory=list)
+    standing: Standing | None = None  # stated anew before each tick
+    held_at: float | None = None  # when it began to hold
 
 
 class World:
@@ -104,6 +110,14 @@
         self.stop(number, lasts)
         self.after(every, lambda: self.stop_every(number, every, lasts))
 
+    def cut_from_service(self, ttl_ms: float) -> None:
+        """All nodes lose the list service together: each begins to hold as its last renewal grows old."""
+        for node in self.nodes.values():
+            self.after(self.rng.uniform(0.0, RENEWAL * ttl_ms), lambda node=node: self._hold(node))  # type: ignore[misc]
+
+    def _hold(self, node: Node) -> None:
+        node.standing, node.held_at = Standing.HOLDING, self.now
+
     def cut_between(self, left: Iterable[int], right: Iterable[int]) -> None:
         for one, other in itertools.product(list(left), list(right)):
             self.cut |= {(one, other), (other, one)}
@@ -150,6 +164,21 @@
         """Every change to this state: when, observer, of whom."""
         return [(at, who, change.incarnation) for at, who, change in self.changes if change.new is state]
 
+    def majority_waits(self, most: float) -> list[float]:
+        """From when each node began to hold to when it knew that a majority does, inf if not in `most`."""
+        waits: dict[int, float] = {}
+        end = self.now + most
+        while self.now < end and len(waits) < len(self.nodes):
+            self.run(10.0)
+            for number, node in self.nodes.items():
+                if number not in waits and node.held_at is not None and self._knows_majority(node):
+                    waits[number] = self.now - node.held_at
+        return [waits.get(number, float("inf")) for number in self.nodes]
+
+    def _knows_majority(self, node: Node) -> bool:
+        holding = [said for said, _ in node.detector.standings().values() if said is Standing.HOLDING]
+        return 2 * len(holding) > len(self.nodes)
+
     # -------------------------------------------------------------- nodes
 
     def _in_turn(self, node: Node, event: Callable[[], None]) -> None:
@@ -161,6 +190,9 @@
 
     def _tick(self, node: Node) -> None:
         def tick() -> None:
+            if node.standing is not None:
+                service_ms = self.now + SERVICE_OFFSET_MS
+                node.detector.set_standing(self.clock(node), node.standing, service_ms)
             self._do(node, node.detector.tick(self.clock(node)))
             assert node.detector.due is not None
             self.after(max(0.1, node.detector.due - self.clock(node)), lambda: self._tick(node))
--- a/tests/members.py
+++ b/tests/members.py
@@ -58,6 +58,7 @@
             "listen": f"127.0.0.1:{self._listens[at]}",
             "routes": str(folder / f"routes-{at}"),
             "clock_offset_ms": CLOCKS_MS[at],
+            "ask_every_ms": 100.0,
         }
         settings = {"registryMode": "push"}
         return Node(folder, [], self.posts[at].port, name=f"n{at}", settings=settings, members=members)
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -4,6 +4,7 @@
 
 import pickle
 import random
+from dataclasses import replace
 from itertools import product
 
 import pytest
@@ -11,21 +12,15 @@
 from hypothesis import strategies as st
 
 from orchidledge.members import (
-    VERDICTS,
     Ack,
     Changed,
-    Connectivity,
     DetectorConfig,
     FailureDetector,
     IndirectProbe,
-    LeaseStatus,
     Probe,
     Reachability,
     Sibling,
     Standing,
-    Verdict,
-    connectivity,
-    verdict,
 )
 from orchidledge.members.payload import (
     MAX_PAYLOAD_BYTES,
@@ -42,6 +37,7 @@
 
 HOSTILE = {"delay": (20.0, 200.0), "loss": 0.02}
 MINUTE = 60_000.0
+EVERY_100_MS = DetectorConfig(period_ms=100.0)
 
 
 def all_have(world: World, target: int, state: Reachability) -> bool:
@@ -49,8 +45,9 @@
 
 
 def core(siblings: int = 3, **config: float) -> FailureDetector:
-    """Node 1 of a fleet, its siblings 2 and up known at time 0."""
-    detector = FailureDetector(1, random.Random(1), DetectorConfig(**config))  # type: ignore[arg-type]
+    """Node 1 of a fleet, its siblings 2 and up known at time 0; it probes every 100 ms."""
+    settings = DetectorConfig(**({"period_ms": 100.0} | config))  # type: ignore[arg-type]
+    detector = FailureDetector(1, random.Random(1), settings)
     rows = [Sibling(number, f"n{number}", f"at-{number}") for number in range(1, siblings + 2)]
     detector.set_members(0.0, rows)
     return detector
@@ -65,7 +62,7 @@
 
 
 def test_no_live_node_is_declared_failed_by_loss_slow_links_and_short_stops() -> None:
-    world = World(12, seed=4, **HOSTILE)
+    world = World(12, seed=4, config=EVERY_100_MS, **HOSTILE)
     for number, every in ((3, 600.0), (4, 700.0), (5, 1300.0)):
         world.stop_every(number, every, lasts=300.0)
     world.run(5 * MINUTE)
@@ -74,7 +71,7 @@
 
 
 def test_without_time_to_refute_the_same_faults_do_end_in_false_verdicts() -> None:
-    world = World(12, seed=4, config=DetectorConfig(suspicion_min_ms=1, suspicion_max_ms=1), **HOSTILE)
+    world = World(12, seed=4, config=replace(EVERY_100_MS, suspicion_min_ms=1, suspicion_max_ms=1), **HOSTILE)
     for number in (3, 4, 5):
         world.stop_every(number, 600.0, lasts=300.0)
     world.run(2 * MINUTE)
@@ -86,7 +83,7 @@
 )
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_killed_node_is_declared_failed_by_all_others(seed: int, gone: Gone, within: float) -> None:
-    world = World(20, seed)
+    world = World(20, seed, config=EVERY_100_MS)
     world.run(3000)
     world.kill(7, gone)
     assert world.run_until(lambda: all_have(world, 7, Reachability.UNREACHABLE), most=within) < within
@@ -95,7 +92,7 @@
 
 @pytest.mark.parametrize("one_way", [False, True])
 def test_a_link_that_others_bridge_is_told_from_a_failure(one_way: bool) -> None:
-    world = World(10, seed=2, **HOSTILE)
+    world = World(10, seed=2, config=EVERY_100_MS, **HOSTILE)
     world.cut = {(3, 7)} if one_way else {(3, 7), (7, 3)}
     ends = world.nodes[3].detector, world.nodes[7].detector
     seen = lambda: (ends[0].reachability()[7], ends[1].reachability()[3])  # noqa: E731
@@ -111,7 +108,7 @@
 
 
 def test_halves_lose_each_other_and_nobody_else_and_find_each_other_again() -> None:
-    world = World(10, seed=3, **HOSTILE)
+    world = World(10, seed=3, config=EVERY_100_MS, **HOSTILE)
     world.run(2000)
     left, right = range(1, 6), range(6, 11)
     world.cut_between(left, right)
@@ -127,7 +124,7 @@
 
 
 def test_a_node_stopped_for_long_suspects_nobody_for_it_and_is_alive_again() -> None:
-    world = World(8, seed=5)
+    world = World(8, seed=5, config=EVERY_100_MS)
     world.run(2000)
     world.stop(2, lasts=8000)
     world.run(7990)
@@ -141,14 +138,14 @@
 def test_calls_of_a_node_do_not_grow_with_the_fleet() -> None:
     rates = []
     for size in (10, 60):
-        world = World(size, seed=1)
+        world = World(size, seed=1, config=EVERY_100_MS)
         world.run(5000)
         rates.append(sum(node.sent for node in world.nodes.values()) / size / 5)
     assert rates[1] == pytest.approx(rates[0], rel=0.02)
 
 
 def test_nodes_that_are_known_to_be_gone_cost_no_calls_through_others() -> None:
-    world = World(9, seed=1)
+    world = World(9, seed=1, config=EVERY_100_MS)
     for number in (2, 4, 6):
         world.kill(number, Gone.SILENT)
     world.run(10_000)
@@ -158,7 +155,7 @@
 
 
 def test_standings_and_views_reach_the_whole_fleet() -> None:
-    world = World(20, seed=6, **HOSTILE)
+    world = World(20, seed=6, config=EVERY_100_MS, **HOSTILE)
     for number, node in world.nodes.items():
         node.detector.set_standing(world.clock(node), Standing.HOLDING, 5000.0 + number)
         node.detector.set_view(bytes([number]))
@@ -173,7 +170,7 @@
 
 
 def test_corrupt_payloads_raise_nothing_and_leave_nothing_behind() -> None:
-    world = World(8, seed=7)
+    world = World(8, seed=7, config=EVERY_100_MS)
     rng = random.Random(8)
     for _ in range(400):
         world.run(50)
@@ -199,7 +196,12 @@
 
 
 def answer(detector: FailureDetector, *updates: MemberUpdate, sender: int = 2, now: float = 0.0) -> Message:
-    payload, _ = detector.on_probe(now, write(Message(sender, 0, 0.0, updates=updates)))
+    return received(detector, write(Message(sender, 0, 0.0, updates=updates)), now)
+
+
+def received(detector: FailureDetector, probe: bytes, now: float = 0.0) -> Message:
+    """The ack of a probe."""
+    payload, _ = detector.on_probe(now, probe)
     assert payload is not None
     message = read(payload)
     assert message is not None
@@ -426,39 +428,6 @@
     assert detector.standings()[1] == (Standing.ATTACHED, 1000.0)
 
 
-# ------------------------------------------------------------------ verdicts
-
-
-def test_the_verdict_is_defined_for_every_pair_and_a_sibling_that_answers_never_fails() -> None:
-    assert set(VERDICTS) == set(product(LeaseStatus, Reachability))
-    of = {
-        state: {found for (_, other), found in VERDICTS.items() if other is state} for state in Reachability
-    }
-    assert of[Reachability.UNREACHABLE] == {Verdict.FAILED}
-    assert of[Reachability.ALIVE] == {Verdict.PRESENT}
-    assert [pair for pair, found in VERDICTS.items() if found is Verdict.LINK_FAULT] == [
-        (LeaseStatus.LIVE, Reachability.INDIRECT)
-    ]
-    assert verdict(LeaseStatus.LAPSED, Reachability.SUSPECT) is Verdict.FAILED
-    assert verdict(LeaseStatus.LAPSED, Reachability.SUSPECT, leaving=True) is Verdict.LEAVING
-    assert verdict(LeaseStatus.LIVE, Reachability.UNREACHABLE, leaving=True) is Verdict.FAILED
-
-
-@pytest.mark.parametrize(
-    ("renewed", "last_ack", "expected"),
-    [
-        (8501.0, None, Connectivity.ATTACHED),
-        (8500.0, 9001.0, Connectivity.DETACHED),
-        (None, 9000.0, Connectivity.ISOLATED),
-        (None, None, Connectivity.ISOLATED),
-    ],
-)
-def test_a_node_knows_its_own_connectivity(
-    renewed: float | None, last_ack: float | None, expected: Connectivity
-) -> None:
-    assert connectivity(10_000.0, 3000.0, renewed, last_ack, ack_valid_ms=1000.0) is expected
-
-
 @pytest.mark.parametrize(
     "bad",
     [
--- /dev/null
+++ b/tests/test_members_verdict.py
@@ -0,0 +1,47 @@
+"""The verdict on a member, and a node's own connectivity."""
+
+from __future__ import annotations
+
+from itertools import product
+
+import pytest
+
+from orchidledge.members import (
+    VERDICTS,
+    Connectivity,
+    LeaseStatus,
+    Reachability,
+    Verdict,
+    connectivity,
+    verdict,
+)
+
+
+def test_the_verdict_is_defined_for_every_pair_and_a_sibling_that_answers_never_fails() -> None:
+    assert set(VERDICTS) == set(product(LeaseStatus, Reachability))
+    of = {
+        state: {found for (_, other), found in VERDICTS.items() if other is state} for state in Reachability
+    }
+    assert of[Reachability.UNREACHABLE] == {Verdict.FAILED}
+    assert of[Reachability.ALIVE] == {Verdict.PRESENT}
+    assert [pair for pair, found in VERDICTS.items() if found is Verdict.LINK_FAULT] == [
+        (LeaseStatus.LIVE, Reachability.INDIRECT)
+    ]
+    assert verdict(LeaseStatus.LAPSED, Reachability.SUSPECT) is Verdict.FAILED
+    assert verdict(LeaseStatus.LAPSED, Reachability.SUSPECT, leaving=True) is Verdict.LEAVING
+    assert verdict(LeaseStatus.LIVE, Reachability.UNREACHABLE, leaving=True) is Verdict.FAILED
+
+
+@pytest.mark.parametrize(
+    ("renewed", "last_ack", "expected"),
+    [
+        (8501.0, None, Connectivity.ATTACHED),
+        (8500.0, 9001.0, Connectivity.DETACHED),
+        (None, 9000.0, Connectivity.ISOLATED),
+        (None, None, Connectivity.ISOLATED),
+    ],
+)
+def test_a_node_knows_its_own_connectivity(
+    renewed: float | None, last_ack: float | None, expected: Connectivity
+) -> None:
+    assert connectivity(10_000.0, 3000.0, renewed, last_ack, ack_valid_ms=1000.0) is expected
