Gossip no statements of other members that are attached

Need: each probe and ack carried 13 bytes of statement for each member, so bytes grew with the group. Change: a payload has the node's own statement and those of others that are HOLDING or YIELDED. No node acts on another's ATTACHED statement: why a node that rests on HOLDING statements stays safe is in Standings.to_send. Test: which statements are passed on, and that a HOLDING one overtaken by an ATTACHED one no longer is.

--- a/orchidledge/members/standings.py
+++ b/orchidledge/members/standings.py
@@ -53,11 +53,19 @@
         self._known = {key: statement for key, statement in self._known.items() if key in members}
 
     def to_send(self, rng: random.Random) -> tuple[Statement, ...]:
-        """The statements of the next payload."""
+        """The statements of the next payload: this node's own, and those of others that are not attached.
+
+        An `ATTACHED` statement of another is not passed on, as no node acts on one. A node that holds its
+        share past its lease rests on `HOLDING` statements alone, each for HOLD of a term from its making
+        (members/enrolment.py). Its maker, attached again, counts towards a majority that could give the share
+        away only after a whole term without a gap (members/leases.py), so a `HOLDING` statement that has been
+        overtaken has expired by then, whether or not the later one was heard of.
+        """
         own = () if self._own is None else (self._own,)
-        if len(self._known) < MAX_STATEMENTS:
-            return (*own, *self._known.values())
-        return (*own, *rng.sample(list(self._known.values()), MAX_STATEMENTS - 1))
+        others = [known for known in self._known.values() if known.standing is not Standing.ATTACHED]
+        if len(others) >= MAX_STATEMENTS:
+            others = rng.sample(others, MAX_STATEMENTS - 1)
+        return (*own, *others)
 
     def table(self) -> dict[int, tuple[Standing, float]]:
         """The newest statement of each member, this one included: (standing, its service time)."""
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -320,6 +320,25 @@
     assert (detector.incarnation, sorted(detector.standings())) == (8, [3])
 
 
+def test_only_statements_of_others_that_are_not_attached_are_passed_on() -> None:
+    detector = core(siblings=4)
+    detector.set_standing(0.0, Standing.ATTACHED, 1000.0)
+    standings = {2: Standing.ATTACHED, 3: Standing.HOLDING, 4: Standing.YIELDED, 5: Standing.ATTACHED}
+    said = tuple(Statement(number, standing, 900.0) for number, standing in standings.items())
+    passed_on = received(detector, write(Message(2, 0, 0.0, statements=said))).statements
+    assert detector.standings() == {1: (Standing.ATTACHED, 1000.0)} | {
+        number: (standing, 900.0) for number, standing in standings.items()
+    }
+    assert {(told.incarnation, told.standing) for told in passed_on} == {
+        (1, Standing.ATTACHED),
+        (3, Standing.HOLDING),
+        (4, Standing.YIELDED),
+    }
+    overtaken = Message(3, 0, 0.0, statements=(Statement(3, Standing.ATTACHED, 950.0),))
+    again = received(detector, write(overtaken)).statements
+    assert {told.incarnation for told in again} == {1, 4}
+
+
 def test_statements_from_the_future_of_this_node_or_before_its_time_is_known_are_not_taken() -> None:
     detector = core()
     said = (
