--- a/tests/hearing_sim.py
+++ b/tests/hearing_sim.py
@@ -69,6 +69,7 @@
         self.delay, self.loss = delay, loss
         self.cut: set[tuple[int, int]] = set()  # (from, to): messages on it vanish
         self.changes: list[tuple[float, int, Changed]] = []  # when, observer, change
+        self.before_tick: Callable[[Node], None] = lambda node: None
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._ids = itertools.count(1)
         self.nodes = {number: self._node(number, config) for number in range(1, size + 1)}
@@ -152,20 +153,21 @@
 
     # -------------------------------------------------------------- nodes
 
-    def _in_turn(self, node: Node, event: Callable[[], None]) -> None:
+    def in_turn(self, node: Node, event: Callable[[], None]) -> None:
         """Run an event of a node's: not after its death, and when it goes on if it is stopped."""
         if node.stopped and node.alive:
-            node.waiting.append(lambda: self._in_turn(node, event))
+            node.waiting.append(lambda: self.in_turn(node, event))
         elif node.alive:
             event()
 
     def _tick(self, node: Node) -> None:
         def tick() -> None:
+            self.before_tick(node)
             self._do(node, node.hearing.tick(self.clock(node)))
             assert node.hearing.due is not None
             self.after(max(0.1, node.hearing.due - self.clock(node)), lambda: self._tick(node))
 
-        self._in_turn(node, tick)
+        self.in_turn(node, tick)
 
     def _do(self, node: Node, actions: Iterable[Action]) -> None:
         for action in actions:
@@ -194,7 +196,7 @@
                     over = True
                     self._do(node, event())
 
-            self._in_turn(node, once)
+            self.in_turn(node, once)
 
         def back(payload: bytes | None) -> None:
             if payload is None:
@@ -211,7 +213,7 @@
                     self._message(other, node, lambda: end(refuse), lost_back)
                 return
             answer = lambda payload: self._message(other, node, lambda: back(payload), lost_back)  # noqa: E731
-            self._in_turn(other, lambda: self._serve(other, action, answer))
+            self.in_turn(other, lambda: self._serve(other, action, answer))
 
         lost = self.rng.random() < self.loss
         lost_back = lost and self.rng.random() < 0.5
