--- a/tests/test_members_holding.py
+++ b/tests/test_members_holding.py
@@ -1,7 +1,7 @@
 """Nodes cut off from the list service and from half of their siblings, on an injected clock: who holds its
 share, who yields, and when.
 
-The real cores of hearing, enrolment and leases. The same cuts befall processes in test_fleet.py.
+The real cores of the failure detector, enrolment and leases. The same cuts befall processes in test_fleet.py.
 """
 
 from __future__ import annotations
@@ -10,10 +10,10 @@
 
 import pytest
 
-from orchidledge.members import Call, Config, Enrolment, Standing, Word
+from orchidledge.members import Call, DetectorConfig, Enrolment, Standing, Word
 from orchidledge.members.leases import LeaseClock
 from orchidledge.members.ledger import Ledger
-from tests.hearing_sim import Node, World
+from tests.detector_sim import Node, World
 
 TTL_MS, ASK_EVERY_MS = 6_000.0, 100.0  # as tests/members.py gives processes
 ANSWER_MS = 25.0  # from a renewal to its answer
@@ -26,10 +26,10 @@
 
 
 class LeasedWorld:
-    """A world of hearing whose nodes have leases of one list service that never fails."""
+    """A world of failure detectors whose nodes have leases of one list service that never fails."""
 
     def __init__(self, seed: int) -> None:
-        self.world = World(SIZE, seed, Config(period_ms=ASK_EVERY_MS))
+        self.world = World(SIZE, seed, DetectorConfig(period_ms=ASK_EVERY_MS))
         self.rng = Random(seed)
         self.cut_off: set[int] = set()
         self.ledger, self.leases = Ledger(), LeaseClock(TTL_MS)
@@ -83,11 +83,11 @@
             assert renewed is not None
             row = renewed
             self.leases.renewed(self.world.now, number, seq, call.body["answered"])
-        answer = self.ledger.answer(row, call.body.get("acked", -1)) | {"ttl_ms": TTL_MS}
+        grant = self.ledger.grant(row, call.body.get("acked", -1), call.body.get("delta", False))
 
         def arrive() -> None:
             if number not in self.cut_off:
-                self.enrolments[number].answered(self.clock(number), call.number, answer)
+                self.enrolments[number].granted(self.clock(number), call.number, grant, TTL_MS)
 
         self.world.after(ANSWER_MS / 2, lambda: self.world.in_turn(node, arrive))
 
@@ -105,14 +105,14 @@
     # ------------------------------------------------------------------------- siblings
 
     def _before_tick(self, node: Node) -> None:
-        """As the shell does before each tick of hearing."""
+        """As the shell does before each tick of the failure detector."""
         enrolment, now = self.enrolments[node.incarnation], self.world.clock(node)
         if enrolment.incarnation is None:
             return
         service_ms = self.world.now + SERVICE_MS
-        node.hearing.stand(now, enrolment.standing(now), service_ms)
+        node.detector.set_standing(now, enrolment.standing(now), service_ms)
         if not enrolment.attached(now):
-            told = node.hearing.standings()
+            told = node.detector.standings()
             words = {
                 number: Word(standing, now + said - service_ms) for number, (standing, said) in told.items()
             }
