Registry settings: refuse election times that pysyncobj does not start with

Cause or need: an instance with election_max_ms over 1500 ended with a traceback (`assert self.connectionTimeout >= self.raftMaxTimeout`) where every other bad figure gives one line with its key and line; likewise election_min_ms of no more than three append periods.

Ruled out: a longer connection timeout; a peer that fell silent would be dialled anew later.

Change: both are refused as the file is read, the connection timeout is a named constant.

--- a/orchidledge/registry/service.py
+++ b/orchidledge/registry/service.py
@@ -28,7 +28,7 @@
 from orchidledge.registry.fleet_web import FleetWeb
 from orchidledge.registry.leases import TargetLeases
 from orchidledge.registry.service_clock import ServiceClock
-from orchidledge.registry.settings import Instance
+from orchidledge.registry.settings import CONNECTION_TIMEOUT_MS, Instance
 from orchidledge.registry.store import Catalog, clean_target
 
 COMMIT_S = 2.0  # a write not committed in this time is refused; the caller tries again
@@ -80,7 +80,7 @@
             # down, so that a parted one says it is stale rather than leading alone for pysyncobj's 30 s.
             leaderFallbackTimeout=2 * config.election_max_ms / 1000.0,
             connectionRetryTime=0.5,
-            connectionTimeout=1.5,
+            connectionTimeout=CONNECTION_TIMEOUT_MS / 1000.0,
             serializer=dump.write,
             deserializer=dump.read,
             onStateChanged=self.fleet.state_changed,
--- a/orchidledge/registry/settings.py
+++ b/orchidledge/registry/settings.py
@@ -18,6 +18,10 @@
 
 from orchidledge.net.upstream import Address
 
+# A peer unheard so long is dialled anew; pysyncobj starts with no election time above it, nor with one that
+# is not above so many append periods.
+CONNECTION_TIMEOUT_MS = 1_500
+MIN_APPENDS_PER_ELECTION = 3
 ENDPOINT = re.compile(r"^127(\.\d{1,3}){3}:\d{1,5}$|^localhost:\d{1,5}$")
 
 
@@ -148,9 +152,8 @@
     peers = node.addresses("peers")
     raft = node.address("raft")
     folder = Path(node.get("data", str))
-    election = (raft_keys.get("election_min_ms", int, 400), raft_keys.get("election_max_ms", int, 1_000))
-    if election[0] >= election[1]:
-        raise raft_keys.fail("election_max_ms", "not above election_min_ms")
+    append_period_ms = raft_keys.get("append_period_ms", int, 10)
+    election_min_ms, election_max_ms = _election_times(raft_keys, append_period_ms)
     return Instance(
         name=node.get("name", str),
         listen=node.address("listen"),
@@ -160,13 +163,25 @@
         ttl_ms=lease.get("ttl_ms", int, 10_000),
         max_wait_ms=min(watch.get("max_wait_ms", int, 60_000), 60_000),
         keep_gone=watch.get("keep_gone", int, 10_000),
-        append_period_ms=raft_keys.get("append_period_ms", int, 10),
-        election_min_ms=election[0],
-        election_max_ms=election[1],
+        append_period_ms=append_period_ms,
+        election_min_ms=election_min_ms,
+        election_max_ms=election_max_ms,
         members=_members(members),
     )
 
 
+def _election_times(table: _Fields, append_period_ms: int) -> tuple[int, int]:
+    """The least and the most; ConfigError for times that pysyncobj would not start with."""
+    least, most = table.get("election_min_ms", int, 400), table.get("election_max_ms", int, 1_000)
+    if least <= MIN_APPENDS_PER_ELECTION * append_period_ms:
+        raise table.fail("election_min_ms", f"not above {MIN_APPENDS_PER_ELECTION} x append_period_ms")
+    if least >= most:
+        raise table.fail("election_max_ms", "not above election_min_ms")
+    if most > CONNECTION_TIMEOUT_MS:
+        raise table.fail("election_max_ms", f"{most} is over {CONNECTION_TIMEOUT_MS}")
+    return least, most
+
+
 def _members(table: _Fields) -> Members:
     ttl_ms = table.get("ttl_ms", int, 5_000)
     if not 200 <= ttl_ms <= 600_000:  # renewals come in a fifth of it, and pass Raft in some 50 ms
--- a/tests/test_registry_parts.py
+++ b/tests/test_registry_parts.py
@@ -27,6 +27,11 @@
             GOOD + "[raft]\nelection_min_ms = 900\nelection_max_ms = 800\n",
             "election_max_ms (line 9): not above",
         ),
+        (GOOD + "[raft]\nelection_max_ms = 1501\n", "election_max_ms (line 8): 1501 is over 1500"),
+        (
+            GOOD + "[raft]\nappend_period_ms = 100\nelection_min_ms = 300\n",
+            "election_min_ms (line 9): not above 3 x append_period_ms",
+        ),
         (GOOD.replace('name = "r0"\n', ""), "instance.name: missing"),
         (
             GOOD + "[lease]\nttl_ms = 9\n[members]\nttl_ms = 9\n",
