--- /dev/null
+++ b/tests/hollow.py
@@ -0,0 +1,276 @@
+"""Hollow members: the real enrolment core and the real client of the list service, without callers, servers
+or probes, many in one process on one event loop.
+
+All of them are read at one moment, so the share rule is checked exactly: the shares of a service's members
+and of those that name none sum to at most 1 at every sample. What siblings say of themselves passes in the
+process, where a test can part them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from itertools import count
+from random import Random
+from typing import Any
+
+from orchidledge.members import Enrolment, Word
+from orchidledge.members.messages import LeaseAnswer
+from orchidledge.net.clock import Clock
+from orchidledge.net.fleet.agent import Agent
+from orchidledge.net.fleet.lease import Lease
+from orchidledge.net.fleet.times import FleetClock
+from orchidledge.net.upstream import Address
+from orchidledge.net.web import Reply
+from orchidledge.view import Offsets
+from tests.faults import LoopThread
+from tests.fleet import Registry, ask, until
+
+SAMPLE_S = 0.02
+WORDS_S = 0.1  # how often siblings hear of each other
+MOST = 1.0 + 1e-9
+LIMIT_S = 60.0  # for anything that should come about: the machine may be slow
+
+Post = Callable[[str, dict[str, Any], float], Awaitable[Reply]]
+
+
+class Line(Agent):
+    """What stands between a member and the instances: each call goes to the next of those that it reaches.
+
+    `on_post(path, body, timeout_ms, through)` stands in a call's place where a test injects faults.
+    """
+
+    def __init__(self, instances: Sequence[Address]) -> None:
+        super().__init__(self._next)
+        self.instances = list(instances)
+        self.reached: Callable[[int], bool] = lambda index: True
+        self.on_post: Callable[[str, dict[str, Any], float, Post], Awaitable[Reply]] | None = None
+        self.answers: Counter[tuple[str, int]] = Counter()  # by path and status
+        self._turn = count()
+
+    def _next(self) -> Address:
+        for _ in self.instances:
+            index = next(self._turn) % len(self.instances)
+            if self.reached(index):
+                return self.instances[index]
+        raise ConnectionError("cut off from every instance")
+
+    async def post(self, path: str, body: dict[str, Any], timeout_ms: float) -> Reply:
+        through = super().post
+        reply = await (
+            through(path, body, timeout_ms)
+            if self.on_post is None
+            else self.on_post(path, body, timeout_ms, through)
+        )
+        self.answers[path, reply.status] += 1
+        return reply
+
+
+class Hollow:
+    """A member; made on the loop of its `Hollows`."""
+
+    def __init__(self, number: int, service: str, instances: Sequence[Address], clock: FleetClock) -> None:
+        self.name, self.service, self.zone = f"h{number}", service, "z"
+        self.address = f"127.0.0.1:{10_000 + number}"
+        self.incarnations: list[int] = []  # in the order that they were given
+        self.gone = 0  # how often the service had no row of it
+        self.renewals = 0  # answered and used
+        self.words: dict[int, Word] = {}
+        self.line, self._clock = Line(instances), clock
+        self._starts = count(1)
+        self.lease: Lease | None = None
+
+    @property
+    def core(self) -> Enrolment:
+        assert self.lease is not None
+        return self.lease.core
+
+    @property
+    def enrolled(self) -> bool:
+        """Whether it runs and has a row, as far as it knows."""
+        return self.lease is not None and self.core.incarnation is not None
+
+    def start(self, watches: bool = False) -> None:
+        """Begin a process at this address; `watches`: with a watch for changes, else with renewals alone."""
+        start = f"{self.name}-{next(self._starts)}"
+        core = Enrolment(self.name, self.address, self.zone, start, Random(start), self.service)
+        self.words = {}
+        self.lease = Lease(core, self.line, self._clock, Offsets())
+        self.lease.on_answer, self.lease.on_gone = self._on_answer, self._on_gone
+        if watches:
+            self.lease.start()
+        else:
+            self.lease._tick()
+
+    def kill(self) -> None:
+        """It ends at once and says nothing."""
+        if self.lease is not None:
+            self.lease.close()
+            self.lease = None
+
+    async def leave(self) -> None:
+        if self.lease is not None:
+            await self.lease.leave()
+            self.kill()
+
+    def taking(self, now: float) -> float:
+        return 0.0 if self.lease is None else self.core.taking(now)
+
+    def _on_answer(self, now: float, answer: LeaseAnswer) -> None:
+        assert self.lease is not None
+        self.lease.told(answer.rev, int(answer.routes.get("rev", 0)))
+        self.renewals += 1
+        if answer.incarnation not in self.incarnations[-1:]:
+            self.incarnations.append(answer.incarnation)
+
+    def _on_gone(self, now: float) -> None:
+        self.gone += 1
+
+
+class Hollows:
+    """All hollow members of a test, on a loop of their own, read over and over."""
+
+    def __init__(self, registry: Registry, sample_s: float = SAMPLE_S) -> None:
+        self.registry, self._numbers, self._sample_s = registry, count(), sample_s
+        self._instances = [("127.0.0.1", port) for port in registry.http]
+        self._loops = LoopThread()
+        self.clock: FleetClock = self._loops.call(lambda: FleetClock(Clock(asyncio.get_running_loop())))
+        self.all: list[Hollow] = []
+        self.parted: Callable[[Hollow, Hollow], bool] = lambda one, other: False
+        self.samples = 0
+        self.broken: list[str] = []
+        self._tasks = [self._loops.call(lambda: asyncio.create_task(self._sample()))]
+        self._tasks.append(self._loops.call(lambda: asyncio.create_task(self._speak())))
+
+    def add(self, service: str, many: int) -> list[Hollow]:
+        """So many more members of this service, not started."""
+        new = [Hollow(next(self._numbers), service, self._instances, self.clock) for _ in range(many)]
+        self.all.extend(new)
+        return new
+
+    def start(self, members: Iterable[Hollow], watches: bool = False) -> None:
+        self.call(lambda: [member.start(watches) for member in members])
+
+    def start_within(self, members: Sequence[Hollow], seconds: float, rng: Random) -> None:
+        """Start these, each at a moment drawn from so many seconds."""
+
+        def plan() -> None:
+            loop = asyncio.get_running_loop()
+            for member in members:
+                loop.call_later(rng.uniform(0.0, seconds), member.start)
+
+        self.call(plan)
+
+    def call(self, work: Callable[[], Any]) -> Any:
+        """Done on the loop, between its callbacks."""
+        return self._loops.call(work)
+
+    def run(self, work: Any) -> Any:
+        return self._loops.run(work)
+
+    # ------------------------------------------------------------------ what is waited for
+
+    def until(self, what: str, check: Callable[[float], bool], within_s: float = LIMIT_S) -> None:
+        """Until check(now) holds, asked on the loop."""
+        until(lambda: self.call(lambda: check(self.clock.ms())), within_s, what)
+
+    def until_shared(self, members: Sequence[Hollow]) -> None:
+        """Until each takes its part of the whole among these, is an elector and knows just these."""
+
+        def shared(now: float) -> bool:
+            return all(
+                abs(member.taking(now) - 1.0 / len(members)) < 1e-6
+                and member.core.elector
+                and len(member.core.members) == len(members)
+                for member in members
+            )
+
+        try:
+            self.until(f"{len(members)} of {members[0].service!r} sharing", shared)
+        except AssertionError as error:
+            now = self.clock.ms()
+            seen = [(one.name, one.taking(now), one.core.elector, len(one.core.members)) for one in members]
+            raise AssertionError(f"{error}: {seen[:12]}") from error
+
+    def until_sampled(self, times: int) -> None:
+        aim = self.samples + times
+        until(lambda: self.samples >= aim, LIMIT_S, "samples")
+
+    # ------------------------------------------------------------------ its duties
+
+    async def _sample(self) -> None:
+        incarnations: dict[str, int] = {}
+        while True:
+            now = self.clock.ms()
+            self._check_shares(now)
+            for member in self.all:
+                newest = member.incarnations[-1] if member.incarnations else 0
+                if newest < incarnations.get(member.name, 0):
+                    self.broken.append(f"{member.name}: incarnations {member.incarnations}")
+                incarnations[member.name] = newest
+            self.samples += 1
+            await asyncio.sleep(self._sample_s)
+
+    def _check_shares(self, now: float) -> None:
+        totals: dict[str, float] = {}
+        for member in self.all:
+            totals[member.service] = totals.get(member.service, 0.0) + member.taking(now)
+        everywhere = totals.pop("", 0.0)
+        for service, total in (totals or {"": 0.0}).items():
+            if total + everywhere > MOST:
+                self.broken.append(f"{service!r}: {total} and {everywhere} of members that name none")
+
+    async def _speak(self) -> None:
+        """Members that are not attached hear what siblings in reach say of themselves."""
+        while True:
+            now = self.clock.ms()
+            groups: dict[str, list[Hollow]] = {}
+            for member in self.all:
+                if member.enrolled:
+                    groups.setdefault(member.service, []).append(member)
+            for siblings in groups.values():
+                for member in siblings:
+                    if not member.core.attached(now):
+                        self._hear(member, siblings, now)
+            await asyncio.sleep(WORDS_S)
+
+    def _hear(self, member: Hollow, siblings: list[Hollow], now: float) -> None:
+        for other in siblings:
+            if other is not member and not self.parted(member, other):
+                assert other.core.incarnation is not None
+                member.words[other.core.incarnation] = Word(other.core.standing(now), now)
+        member.core.heard(now, member.words)
+
+    # ------------------------------------------------------------------ the end
+
+    def leave(self, members: Sequence[Hollow]) -> None:
+        """These leave, and are no longer read."""
+
+        async def all_leave() -> None:
+            await asyncio.gather(*(member.leave() for member in members))
+
+        self.run(all_leave())
+        for member in members:
+            self.all.remove(member)
+
+    def check(self) -> None:
+        """No sample broke a rule so far."""
+        assert self.samples > 5
+        assert not self.broken, self.broken[:3]
+
+    def close(self) -> None:
+        self.call(lambda: [member.kill() for member in self.all])
+        self._loops.close()
+
+
+def rows(registry: Registry, service: str | None = None) -> list[dict[str, Any]]:
+    """The rows of a service, or of all, as an instance has applied them."""
+    path = "/fleet/members" + ("" if service is None else f"?service={service}")
+
+    def read() -> list[list[dict[str, Any]]] | None:
+        status, _, page = ask(registry.http[registry.leader()], "GET", path)
+        return [page["members"]] if status == 200 else None
+
+    [found] = until(read, LIMIT_S, "a read of the rows")
+    return found  # type: ignore[no-any-return]
