--- a/tests/hollow.py
+++ b/tests/hollow.py
@@ -25,12 +25,11 @@
 from orchidledge.net.web import Reply
 from orchidledge.view import Offsets
 from tests.faults import LoopThread
-from tests.fleet import Registry, ask, until
+from tests.fleet import Registry, until
+from tests.groups import LIMIT_S, MOST
 
 SAMPLE_S = 0.02
 WORDS_S = 0.1  # how often siblings hear of each other
-MOST = 1.0 + 1e-9
-LIMIT_S = 60.0  # for anything that should come about: the machine may be slow
 
 Post = Callable[[str, dict[str, Any], float], Awaitable[Reply]]
 
@@ -173,7 +172,10 @@
 
     def until(self, what: str, check: Callable[[float], bool], within_s: float = LIMIT_S) -> None:
         """Until check(now) holds, asked on the loop."""
-        until(lambda: self.call(lambda: check(self.clock.ms())), within_s, what)
+        until(lambda: self.holds(check), within_s, what)
+
+    def holds(self, check: Callable[[float], bool]) -> bool:
+        return bool(self.call(lambda: check(self.clock.ms())))
 
     def until_shared(self, members: Sequence[Hollow]) -> None:
         """Until each takes its part of the whole among these, is an elector and knows just these."""
@@ -200,15 +202,12 @@
     # ------------------------------------------------------------------ its duties
 
     async def _sample(self) -> None:
-        incarnations: dict[str, int] = {}
         while True:
             now = self.clock.ms()
             self._check_shares(now)
             for member in self.all:
-                newest = member.incarnations[-1] if member.incarnations else 0
-                if newest < incarnations.get(member.name, 0):
+                if member.incarnations != sorted(set(member.incarnations)):
                     self.broken.append(f"{member.name}: incarnations {member.incarnations}")
-                incarnations[member.name] = newest
             self.samples += 1
             await asyncio.sleep(self._sample_s)
 
@@ -262,15 +261,3 @@
     def close(self) -> None:
         self.call(lambda: [member.kill() for member in self.all])
         self._loops.close()
-
-
-def rows(registry: Registry, service: str | None = None) -> list[dict[str, Any]]:
-    """The rows of a service, or of all, as an instance has applied them."""
-    path = "/fleet/members" + ("" if service is None else f"?service={service}")
-
-    def read() -> list[list[dict[str, Any]]] | None:
-        status, _, page = ask(registry.http[registry.leader()], "GET", path)
-        return [page["members"]] if status == 200 else None
-
-    [found] = until(read, LIMIT_S, "a read of the rows")
-    return found  # type: ignore[no-any-return]
--- a/tests/test_groups_crowd.py
+++ b/tests/test_groups_crowd.py
@@ -15,8 +15,9 @@
 
 from orchidledge.net.web import Client
 from orchidledge.registry.fleet_state import MAX_GROUP_ROWS
-from tests.fleet import Registry, ask, until
-from tests.hollow import LIMIT_S, Hollows, rows
+from tests.fleet import ask, until
+from tests.groups import LIMIT_S, GroupRegistry
+from tests.hollow import Hollows
 
 TTL_MS = 60_000  # of rows that nobody renews: they have to last for the test
 SIZES = [100, 60, 40, *[6] * 100, *[5] * 40]  # of 143 groups: 1,000 members
@@ -24,15 +25,14 @@
 
 
 @pytest.fixture(scope="module")
-def registry(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Registry]:
-    keys = {"groups": "true", "ttl_ms": TTL_MS, "clock_bound_ms": 250}
-    cluster = Registry(tmp_path_factory.mktemp("crowd"), members=lambda index: keys)
+def registry(tmp_path_factory: pytest.TempPathFactory) -> Iterator[GroupRegistry]:
+    cluster = GroupRegistry(tmp_path_factory.mktemp("crowd"), TTL_MS)
     yield cluster
     cluster.stop()
 
 
 @pytest.fixture
-def hollows(registry: Registry) -> Iterator[Hollows]:
+def hollows(registry: GroupRegistry) -> Iterator[Hollows]:
     members = Hollows(registry, sample_s=0.1)
     yield members
     try:
@@ -42,7 +42,7 @@
 
 
 def test_a_thousand_enrol_within_two_seconds_while_the_leader_is_killed(
-    registry: Registry, hollows: Hollows
+    registry: GroupRegistry, hollows: Hollows
 ) -> None:
     for at, size in enumerate(SIZES):
         hollows.add(f"crowd-{at}", size)
@@ -58,7 +58,7 @@
     assert hollows.call(enrolled) < 1_000  # it was amid them
     hollows.until("all enrolled", lambda now: enrolled() == 1_000)
     hollows.until("all renewed since", lambda now: all(member.renewals >= 2 for member in members))
-    there = {row["incarnation"]: row for row in rows(registry)}
+    there = {row["incarnation"]: row for row in registry.rows()}
     assert {member.core.incarnation: (member.name, member.service) for member in members} == {
         number: (row["name"], row["service"]) for number, row in there.items()
     }
@@ -81,24 +81,24 @@
     await asyncio.gather(*(enrol(number) for number in range(many)))
 
 
-def refusals(registry: Registry) -> dict[int, int]:
+def refusals(registry: GroupRegistry) -> dict[int, int]:
     return {index: registry.status(index)["enrolments_refused"] for index in registry.live()}
 
 
-def refusal_lines(registry: Registry) -> list[dict[str, Any]]:
+def refusal_lines(registry: GroupRegistry) -> list[dict[str, Any]]:
     logs = [path.read_text() for path in registry.folder.glob("r*.log")]
     return [orjson.loads(line) for text in logs for line in text.splitlines() if "enrolment_refused" in line]
 
 
 def test_a_full_group_refuses_further_members_says_so_once_and_costs_nobody_a_row(
-    registry: Registry, hollows: Hollows, caplog: pytest.LogCaptureFixture
+    registry: GroupRegistry, hollows: Hollows, caplog: pytest.LogCaptureFixture
 ) -> None:
     kept = hollows.add("full", 3)
     hollows.start(kept)
     hollows.until("three enrolled", lambda now: all(one.enrolled for one in kept))
     leader = registry.leader()
     asyncio.run(fill(registry.http[leader], "full", MAX_GROUP_ROWS - len(kept)))
-    before = {row["incarnation"] for row in rows(registry, "full")}
+    before = {row["incarnation"] for row in registry.rows("full")}
     assert len(before) == MAX_GROUP_ROWS
     [further] = hollows.add("full", 1)
     [elsewhere] = hollows.add("not-full", 1)
@@ -126,6 +126,6 @@
     hollows.start([restarted])  # its address is its predecessor's: it takes its place
     hollows.until("the restarted process enrolled", lambda now: restarted.incarnations[-1] > first)
     until(lambda: renewed.renewals > times, LIMIT_S, "a renewal while the group is full")
-    after = {row["incarnation"] for row in rows(registry, "full")}
+    after = {row["incarnation"] for row in registry.rows("full")}
     assert after == before - {first} | {restarted.incarnations[-1]}
     assert [one.gone for one in kept] == [0, 0, 0]
--- a/tests/test_groups_faults.py
+++ b/tests/test_groups_faults.py
@@ -14,22 +14,22 @@
 import pytest
 
 from orchidledge.net.web import Reply
-from tests.fleet import Registry, ask, until
-from tests.hollow import LIMIT_S, Hollow, Hollows, Post, rows
+from tests.fleet import until
+from tests.groups import LIMIT_S, GroupRegistry
+from tests.hollow import Hollow, Hollows, Post
 
 TTL_MS = 2_500
 
 
 @pytest.fixture(scope="module")
-def registry(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Registry]:
-    keys = {"groups": "true", "ttl_ms": TTL_MS, "clock_bound_ms": 250}
-    cluster = Registry(tmp_path_factory.mktemp("faults"), relayed=True, members=lambda index: keys)
+def registry(tmp_path_factory: pytest.TempPathFactory) -> Iterator[GroupRegistry]:
+    cluster = GroupRegistry(tmp_path_factory.mktemp("faults"), TTL_MS, relayed=True)
     yield cluster
     cluster.stop()
 
 
 @pytest.fixture
-def hollows(registry: Registry) -> Iterator[Hollows]:
+def hollows(registry: GroupRegistry) -> Iterator[Hollows]:
     """Each test ends its own members, so that the next finds no group of theirs with a live lease."""
     members = Hollows(registry)
     yield members
@@ -39,23 +39,6 @@
         members.close()
 
 
-def call(registry: Registry, method: str, path: str, body: Any = None) -> tuple[int, Any]:
-    """Said again until it is done or refused."""
-
-    def said() -> tuple[int, Any] | None:
-        for index in registry.live():
-            status, _, answer = ask(registry.http[index], method, f"/fleet/{path}", body)
-            if status != 503:
-                return status, answer
-        return None
-
-    return until(said, LIMIT_S, f"{method} {path}")  # type: ignore[no-any-return]
-
-
-def states(registry: Registry, service: str) -> dict[str, str]:
-    return {row["name"]: row["state"] for row in rows(registry, service)}
-
-
 def untouched(hollows: Hollows, groups: list[list[Hollow]]) -> Any:
     """Each of these groups was as it should be at all samples: none lost its row, lapsed or was parted."""
     for group in groups:
@@ -64,7 +47,7 @@
 
 
 def test_the_largest_group_parted_down_the_middle_costs_the_others_nothing(
-    registry: Registry, hollows: Hollows
+    registry: GroupRegistry, hollows: Hollows
 ) -> None:
     big = hollows.add("big", 20)
     others = [hollows.add(f"other-{at}", 3) for at in range(10)]
@@ -72,7 +55,7 @@
     for group in (big, *others):
         hollows.until_shared(group)
     revisions = {f"other-{at}": others[at][0].core.revision for at in range(10)}
-    ranks = {row["name"]: row["rank"] for row in rows(registry, "big")}
+    ranks = {row["name"]: row["rank"] for row in registry.rows("big")}
     big.sort(key=lambda member: ranks[member.name])
     reach, cut_off = big[0::2], big[1::2]  # the reaching half has the lowest rank: it wins the tie
     hollows.parted = lambda one, other: (one in reach) is not (other in reach)
@@ -97,7 +80,9 @@
     hollows.leave(big + [one for group in others for one in group])
 
 
-def test_a_zone_that_is_lost_and_comes_back_as_new_processes(registry: Registry, hollows: Hollows) -> None:
+def test_a_zone_that_is_lost_and_comes_back_as_new_processes(
+    registry: GroupRegistry, hollows: Hollows
+) -> None:
     """In a group of five with two there, the others take its part; where it had most of a group, or the
     older of two, the rest keeps what it has and nobody takes the whole."""
     groups = {"five": hollows.add("five", 5), "three": hollows.add("three", 3), "two": hollows.add("two", 2)}
@@ -113,7 +98,7 @@
     hollows.until_shared(rest["five"])
     for service in ("three", "two"):
         lost = {member.name: "lapsed" for member in groups[service] if member in zone}
-        until(lambda s=service, x=lost: x.items() <= states(registry, s).items(), LIMIT_S, f"{lost} lapsed")
+        until(lambda s=service, x=lost: x.items() <= registry.states(s).items(), LIMIT_S, f"{lost} lapsed")
     hollows.until_sampled(30)
     now = hollows.clock.ms()
     kept = hollows.call(lambda: [one.taking(now) for one in rest["three"] + rest["two"]])
@@ -128,7 +113,7 @@
 
 
 def test_two_regions_parted_for_longer_than_all_leases_and_joined(
-    registry: Registry, hollows: Hollows
+    registry: GroupRegistry, hollows: Hollows
 ) -> None:
     """One region has two instances, the other has one, which finds no majority."""
     groups = {service: hollows.add(service, 4) for service in ("most-east", "most-west", "even")}
@@ -159,7 +144,7 @@
     hollows.until_shared(groups["most-east"][:3])
     hollows.until_shared(groups["even"][:2])  # a tie is won by the side of the oldest
     assert hollows.call(lambda: groups["most-west"][0].taking(hollows.clock.ms())) == 0.25
-    assert sorted(states(registry, "most-west").values()) == ["lapsed"] * 3 + ["live"]
+    assert sorted(registry.states("most-west").values()) == ["lapsed"] * 3 + ["live"]
     registry.cut(apart, silent=False)
     hollows.parted = lambda one, other: False
     for member in hollows.all:
@@ -172,23 +157,23 @@
 
 
 def test_a_service_ends_with_its_last_member_or_by_an_operator_once_all_leases_have_lapsed(
-    registry: Registry, hollows: Hollows
+    registry: GroupRegistry, hollows: Hollows
 ) -> None:
     left, killed, stays = (hollows.add(service, 3) for service in ("left", "killed", "stays"))
     hollows.start([*left, *killed, *stays])
     for group in (left, killed, stays):
         hollows.until_shared(group)
-    status, said = call(registry, "DELETE", "services/killed")
+    status, said = registry.call("DELETE", "services/killed")
     assert (status, "live leases" in said["error"]) == (409, True), said
     hollows.leave(left)
     hollows.call(lambda: [member.kill() for member in killed])
-    until(lambda: not states(registry, "left"), LIMIT_S, "no row of a service that all have left")
+    until(lambda: not registry.states("left"), LIMIT_S, "no row of a service that all have left")
     lapsed = {member.name: "lapsed" for member in killed}
-    until(lambda: states(registry, "killed") == lapsed, LIMIT_S, "all leases lapsed")
-    status, said = call(registry, "DELETE", "services/killed")
+    until(lambda: registry.states("killed") == lapsed, LIMIT_S, "all leases lapsed")
+    status, said = registry.call("DELETE", "services/killed")
     assert (status, said) == (200, {"removed": sorted(member.incarnations[-1] for member in killed)})
-    assert call(registry, "DELETE", "services/killed") == (200, {"removed": []})
-    assert states(registry, "killed") == {}
+    assert registry.call("DELETE", "services/killed") == (200, {"removed": []})
+    assert registry.states("killed") == {}
     again = hollows.add("killed", 2)  # and it may begin again
     hollows.start(again)
     hollows.until_shared(again)
@@ -237,11 +222,11 @@
     return told.get("since") is not None and told["since"] != acked
 
 
-def until_agreed(registry: Registry, hollows: Hollows, members: list[Hollow], service: str) -> None:
+def until_agreed(registry: GroupRegistry, hollows: Hollows, members: list[Hollow], service: str) -> None:
     """Until every one of these knows the rows of the list service as they are."""
 
     def agreed() -> bool:
-        there = {(row["incarnation"], row["state"]) for row in rows(registry, service)}
+        there = {(row["incarnation"], row["state"]) for row in registry.rows(service)}
         known = hollows.call(
             lambda: [{(row.incarnation, row.state) for row in one.core.members} for one in members]
         )
@@ -252,7 +237,7 @@
 
 @pytest.mark.parametrize("kind", ["lost", "repeated", "older"])
 def test_changes_that_are_lost_repeated_or_overtaken_leave_no_member_with_a_wrong_list(
-    registry: Registry, hollows: Hollows, kind: str
+    registry: GroupRegistry, hollows: Hollows, kind: str
 ) -> None:
     service = f"changes-{kind}"
     members = hollows.add(service, 4)
@@ -266,7 +251,7 @@
         hollows.start([one])
         until_agreed(registry, hollows, members + come[: at + 1], service)
     hollows.leave([members.pop()])
-    until(lambda: len(rows(registry, service)) == 6, LIMIT_S, "the row that has left removed")
+    until(lambda: len(registry.rows(service)) == 6, LIMIT_S, "the row that has left removed")
     until_agreed(registry, hollows, members + come, service)
     assert faults.injected > 0
     hollows.until_shared(members + come)
@@ -275,7 +260,7 @@
 
 
 def test_an_instance_that_was_the_leader_and_is_behind_tells_no_changes_that_do_not_fit(
-    registry: Registry, hollows: Hollows
+    registry: GroupRegistry, hollows: Hollows
 ) -> None:
     members = hollows.add("behind", 4)
     hollows.start(members)
@@ -293,7 +278,7 @@
         one.line.reached = lambda index: index != behind
     hollows.start(come)
     until(
-        lambda: {one.name for one in come} <= states_at(registry, "behind", behind).keys(),
+        lambda: {one.name for one in come} <= registry.states("behind").keys(),
         LIMIT_S,
         "rows that the instance which is behind has not got",
     )
@@ -303,9 +288,3 @@
     hollows.until_shared(members + come)
     untouched(hollows, [members[1:], come])
     hollows.leave(members + come)
-
-
-def states_at(registry: Registry, service: str, avoid: int) -> dict[str, str]:
-    index = registry.live(avoid)[0]
-    page = ask(registry.http[index], "GET", f"/fleet/members?service={service}")[2]
-    return {row["name"]: row["state"] for row in page["members"]}
