Scale tests: pairs of calls that waited for no core are told apart

The scheduler counts how long each process was ready without a core, so pairs with under 0.1 ms of it in all stand as figures of their own.

--- a/bench/scale/caller.py
+++ b/bench/scale/caller.py
@@ -7,7 +7,8 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from random import Random
 
 END_OF_HEAD = b"\r\n\r\n"
@@ -15,12 +16,23 @@
 ANSWER_LIMIT_S = 5.0
 
 Address = tuple[str, int]
+Waits = Callable[[], int]  # ns that the processes on the way have waited for a core so far
 
 
 class FailedCallError(Exception):
     """A call that was answered by anything but 200, or not at all."""
 
 
+@dataclass(frozen=True)
+class CallTime:
+    taken_ns: int
+    waited_ns: int  # that processes on the way were ready to run meanwhile without a core, summed
+
+
+def never_waits() -> int:
+    return 0
+
+
 def request(name: str) -> bytes:
     """A GET that may be repeated freely, under this id."""
     return f"GET /read/{name} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {name}\r\n\r\n".encode()
@@ -38,11 +50,12 @@
 class Connection(asyncio.Protocol):
     """One kept connection, which carries one call at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, waits: Waits) -> None:
         self.open = True
+        self._waits = waits
         self._answer = b""
-        self._sent_ns = 0
-        self._ended: asyncio.Future[int] | None = None
+        self._sent_ns, self._waited_ns = 0, 0
+        self._ended: asyncio.Future[CallTime] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -58,14 +71,15 @@
         if not is_whole(self._answer):
             return
         if self._answer.startswith(OK):
-            self._end(taken_ns)
+            self._end(CallTime(taken_ns, self._waits() - self._waited_ns))
         else:
             self._end(FailedCallError(self._answer.split(b"\r\n")[0].decode("latin-1")))
 
-    async def call(self, data: bytes) -> int:
-        """The call's latency in ns; FailedCallError where it was not answered by a 200."""
+    async def call(self, data: bytes) -> CallTime:
+        """The call's latency; FailedCallError where it was not answered by a 200."""
         self._answer = b""
         self._ended = asyncio.get_running_loop().create_future()
+        self._waited_ns = self._waits()
         self._sent_ns = time.perf_counter_ns()
         self._transport.write(data)
         try:
@@ -79,7 +93,7 @@
         self.open = False
         self._transport.close()
 
-    def _end(self, result: int | FailedCallError) -> None:
+    def _end(self, result: CallTime | FailedCallError) -> None:
         ended, self._ended = self._ended, None
         if ended is None or ended.done():
             return
@@ -92,13 +106,13 @@
 class Caller:
     """Calls to addresses drawn at random, over connections that are opened as they are needed and kept."""
 
-    def __init__(self, addresses: Sequence[Address], seed: int) -> None:
-        self._addresses = list(addresses)
+    def __init__(self, addresses: Sequence[Address], seed: int, waits: Waits = never_waits) -> None:
+        self._addresses, self._waits = list(addresses), waits
         self._random = Random(seed)
         self._idle: dict[Address, list[Connection]] = {address: [] for address in addresses}
 
-    async def call(self, name: str) -> int:
-        """The call's latency in ns, without the opening of a connection."""
+    async def call(self, name: str) -> CallTime:
+        """The call's latency, without the opening of a connection."""
         address = self._random.choice(self._addresses)
         connection = await self._connection(address)
         try:
@@ -113,7 +127,8 @@
             connection = idle.pop()
             if connection.open:
                 return connection
-        _, opened = await asyncio.get_running_loop().create_connection(Connection, *address)
+        loop = asyncio.get_running_loop()
+        _, opened = await loop.create_connection(lambda: Connection(self._waits), *address)
         return opened
 
     def close(self) -> None:
--- a/bench/scale/datapath.py
+++ b/bench/scale/datapath.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import tempfile
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -21,6 +22,7 @@
 from bench.fleet_world import LIMIT_S, Plan, World
 from bench.scale import records
 from bench.scale.caller import Address, Caller
+from bench.scale.core_waits import CoreWaits
 from bench.scale.paired import DIRECT, NOISE, Paired, PairedRun, quantile_ms
 from bench.scale.platform import read_size
 from bench.scale.stub_pool import StubPool
@@ -31,6 +33,7 @@
 OFF, ON = "off", "on"  # the node without and with `members`
 IDLE_S = 5.0
 WARM_CALLS = 200
+FEWEST_SAMPLES = 100  # for a p99
 MB = 1024.0 * 1024.0
 
 app = typer.Typer()
@@ -42,15 +45,33 @@
 
     nodes: dict[str, Node]
     servers: list[Address]
+    server_pids: list[int]
 
     def process(self, path: str) -> psutil.Process:
         process = self.nodes[path].process
         assert process is not None
         return psutil.Process(process.pid)
 
-    def callers(self, seed: int) -> dict[str, Caller]:
-        found = {name: Caller(self.servers, seed) for name in (DIRECT, NOISE)}
-        return found | {name: Caller([("127.0.0.1", node.port)], seed) for name, node in self.nodes.items()}
+    def addresses(self, path: str) -> list[Address]:
+        return [("127.0.0.1", self.nodes[path].port)] if path in self.nodes else self.servers
+
+    def pids(self, path: str) -> list[int]:
+        """Of the processes on the way of a call by this path, this one included."""
+        node = [self.process(path).pid] if path in self.nodes else []
+        return [os.getpid(), *node, *self.server_pids]
+
+
+@contextmanager
+def callers(bench: Bench, seed: int) -> Iterator[dict[str, Caller]]:
+    """One for each path."""
+    with ExitStack() as closing:
+        found = {}
+        for path in (DIRECT, NOISE, *bench.nodes):
+            waits = CoreWaits(bench.pids(path))
+            closing.callback(waits.close)
+            found[path] = Caller(bench.addresses(path), seed, waits)
+            closing.callback(found[path].close)
+        yield found
 
 
 @contextmanager
@@ -67,7 +88,9 @@
                 until(lambda node=node: node.listed() == servers, LIMIT_S, "the list")  # type: ignore[misc]
             if members:
                 world.until_shared()
-            yield Bench(nodes, [("127.0.0.1", world.pool.port(at)) for at in range(servers)])
+            assert isinstance(world.pool, StubPool)
+            addresses = [("127.0.0.1", port) for port in world.pool.ports]
+            yield Bench(nodes, addresses, world.pool.pids)
         finally:
             nodes[OFF].stop()
 
@@ -127,13 +150,13 @@
 
 async def measure(bench: Bench, rate: float, groups: int, seed: int) -> Measured:
     processes = {path: bench.process(path) for path in bench.nodes}
-    callers = bench.callers(seed)
-    run = PairedRun(callers, rate, seed)
-    await run.warm(WARM_CALLS)
-    idle_from = {path: ProcessorTime.of(process) for path, process in processes.items()}
-    await asyncio.sleep(IDLE_S)
-    busy_from = {path: ProcessorTime.of(process) for path, process in processes.items()}
-    calls = await run.measure(groups)
+    with callers(bench, seed) as by_path:
+        run = PairedRun(by_path, rate, seed)
+        await run.warm(WARM_CALLS)
+        idle_from = {path: ProcessorTime.of(process) for path, process in processes.items()}
+        await asyncio.sleep(IDLE_S)
+        busy_from = {path: ProcessorTime.of(process) for path, process in processes.items()}
+        calls = await run.measure(groups)
     ended = {path: ProcessorTime.of(process) for path, process in processes.items()}
     costs = {
         path: NodeCost(
@@ -144,8 +167,6 @@
         )
         for path, process in processes.items()
     }
-    for caller in callers.values():
-        caller.close()
     return Measured(calls, costs)
 
 
@@ -183,9 +204,11 @@
     if path == DIRECT:
         return
     added = "noise" if path == NOISE else "added"
-    for percent in (50, 99):
-        value = round(quantile_ms(times.added, percent), 3)
-        run.add("call", f"{added}_pair_p{percent}_ms", value, "ms", at, calls.groups)
+    for name, found in (("pair", times.added), ("undisturbed", times.undisturbed)):
+        samples = found.get_total_count()
+        for percent in (50, 99) if samples >= FEWEST_SAMPLES else ():
+            value = round(quantile_ms(found, percent), 3)
+            run.add("call", f"{added}_{name}_p{percent}_ms", value, "ms", at, samples)
 
 
 def check(run: records.Run, rate: float, measured: Measured, bound_ms: float) -> None:
@@ -253,9 +276,8 @@
             check(run, calls_per_s, measured, bound_ms)
     finished = run.finish()
     for figure in finished.figures:
-        typer.echo(
-            f"  {figure.phase:<16} {figure.role:<5} {figure.name:<22} {figure.value:>10} {figure.unit}"
-        )
+        named = f"{figure.phase:<16} {figure.role:<5} {figure.name:<24}"
+        typer.echo(f"  {named} {figure.value:>10} {figure.unit:<6} {figure.samples}")
     for failure in finished.failures:
         typer.echo(f"missed: {failure}")
     if record:
--- a/bench/scale/paired.py
+++ b/bench/scale/paired.py
@@ -15,13 +15,14 @@
 
 from hdrh.histogram import HdrHistogram
 
-from bench.scale.caller import Caller, FailedCallError
+from bench.scale.caller import Caller, CallTime, FailedCallError
 
 DIRECT, NOISE = "direct", "noise"
 LONGEST_US = 10_000_000
 DIGITS = 3
+UNDISTURBED_NS = 100_000  # waits for a core in both calls of a pair together
 
-Latencies = dict[str, int]  # ns, by path
+Latencies = dict[str, CallTime]  # by path
 
 
 def histogram() -> HdrHistogram:
@@ -38,13 +39,15 @@
     """What the calls of one path took, and what each took longer than the direct call of its group."""
 
     total: HdrHistogram = field(default_factory=histogram)
-    added: HdrHistogram = field(default_factory=histogram)
-    faster: int = 0  # calls that took less than the direct one: 0 in `added`
+    added: HdrHistogram = field(default_factory=histogram)  # 0 where it took less
+    undisturbed: HdrHistogram = field(default_factory=histogram)  # `added` of pairs that the machine let be
 
-    def record(self, taken_ns: int, direct_ns: int) -> None:
-        self.total.record_value(taken_ns // 1000)
-        self.added.record_value(max(0, taken_ns - direct_ns) // 1000)
-        self.faster += taken_ns < direct_ns
+    def record(self, call: CallTime, direct: CallTime) -> None:
+        self.total.record_value(call.taken_ns // 1000)
+        added_us = max(0, call.taken_ns - direct.taken_ns) // 1000
+        self.added.record_value(added_us)
+        if call.waited_ns + direct.waited_ns <= UNDISTURBED_NS:
+            self.undisturbed.record_value(added_us)
 
 
 @dataclass
@@ -58,8 +61,8 @@
 
     def record(self, latencies: Latencies) -> None:
         self.groups += 1
-        for name, taken_ns in latencies.items():
-            self.paths[name].record(taken_ns, latencies[DIRECT])
+        for name, call in latencies.items():
+            self.paths[name].record(call, latencies[DIRECT])
 
     @property
     def groups_per_s(self) -> float:
--- a/bench/scale/stub_pool.py
+++ b/bench/scale/stub_pool.py
@@ -32,6 +32,10 @@
         log = Path(self._folder.name) / f"stub-{port}.log"
         return spawn(["-m", "bench.scale.stub_server", str(port)], log)
 
+    @property
+    def pids(self) -> list[int]:
+        return [process.pid for process in self._processes]
+
     def port(self, at: int = 0) -> int:
         return self.ports[at]
 
--- a/tests/test_scale_datapath.py
+++ b/tests/test_scale_datapath.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import os
 
 import pytest
 import typer
 
-from bench.scale.caller import Caller, FailedCallError, is_whole
+from bench.scale.caller import Caller, CallTime, FailedCallError, is_whole
+from bench.scale.core_waits import CoreWaits
 from bench.scale.datapath import groups_at, parse_rates
-from bench.scale.paired import DIRECT, NOISE, Paired, PairedRun
+from bench.scale.paired import DIRECT, NOISE, UNDISTURBED_NS, Paired, PairedRun, PathTimes
 from tests.loopback import Message, Peer, reply
 
 SLOW_S = 0.02
@@ -44,6 +46,24 @@
     assert found.paths[DIRECT].added.get_max_value() == 0
 
 
+def test_pairs_that_waited_for_a_core_count_as_disturbed() -> None:
+    times = PathTimes()
+    direct = CallTime(1_000_000, UNDISTURBED_NS // 2)
+    times.record(CallTime(3_000_000, UNDISTURBED_NS // 2), direct)
+    times.record(CallTime(9_000_000, UNDISTURBED_NS), direct)
+    assert times.added.get_total_count() == 2
+    assert times.undisturbed.get_total_count() == 1
+    assert times.undisturbed.get_max_value() == pytest.approx(2000, rel=0.01)
+
+
+def test_waits_for_a_core_are_read_from_the_scheduler() -> None:
+    waits = CoreWaits([os.getpid()])
+    before = waits()
+    assert before > 0
+    assert waits() >= before
+    waits.close()
+
+
 def test_a_group_with_a_failed_call_is_counted_and_not_measured() -> None:
     async def refuse(_message: Message) -> bytes:
         return reply(503, b"")
