--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -100,7 +100,7 @@
         members: Callable[[int], dict[str, int | str]] = lambda index: {},
         raft: dict[str, int] | None = None,
     ) -> None:
-        """`members`, `raft`: the keys of an instance's tables of these names, in TOML's own words (`true`)."""
+        """`members`, `raft`: the keys of an instance's tables of these names, in TOML's words (`true`)."""
         self.folder = folder
         self.members = members
         self.raft_keys = raft or {}
