--- a/tests/detector_sim.py
+++ b/tests/detector_sim.py
@@ -24,9 +24,13 @@
     Probe,
     Reachability,
     Sibling,
+    Standing,
     Viewed,
 )
 
+SERVICE_OFFSET_MS = 1e6  # service time less the simulation's
+RENEWAL = 0.2  # of a lease term: nodes' last renewals before a cut are spread over so much
+
 
 class Gone(Enum):
     """What a caller sees of a process that has ended."""
@@ -51,6 +55,8 @@
     sent_bytes: int = 0
     ack_bytes_received: int = 0
     viewed: list[Viewed] = field(default_factory=list)
+    standing: Standing | None = None  # stated anew before each tick
+    held_at: float | None = None  # when it began to hold
 
 
 class World:
@@ -69,6 +75,7 @@
         self.delay, self.loss = delay, loss
         self.cut: set[tuple[int, int]] = set()  # (from, to): messages on it vanish
         self.changes: list[tuple[float, int, Changed]] = []  # when, observer, change
+        self.before_tick: Callable[[Node], None] = lambda node: None
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._ids = itertools.count(1)
         self.nodes = {number: self._node(number, config) for number in range(1, size + 1)}
@@ -104,6 +111,14 @@
         self.stop(number, lasts)
         self.after(every, lambda: self.stop_every(number, every, lasts))
 
+    def cut_from_service(self, ttl_ms: float) -> None:
+        """All nodes lose the list service together: each begins to hold as its last renewal grows old."""
+        for node in self.nodes.values():
+            self.after(self.rng.uniform(0.0, RENEWAL * ttl_ms), lambda node=node: self._hold(node))  # type: ignore[misc]
+
+    def _hold(self, node: Node) -> None:
+        node.standing, node.held_at = Standing.HOLDING, self.now
+
     def cut_between(self, left: Iterable[int], right: Iterable[int]) -> None:
         for one, other in itertools.product(list(left), list(right)):
             self.cut |= {(one, other), (other, one)}
@@ -150,22 +165,41 @@
         """Every change to this state: when, observer, of whom."""
         return [(at, who, change.incarnation) for at, who, change in self.changes if change.new is state]
 
+    def majority_waits(self, most: float) -> list[float]:
+        """From when each node began to hold to when it knew that a majority does, inf if not in `most`."""
+        waits: dict[int, float] = {}
+        end = self.now + most
+        while self.now < end and len(waits) < len(self.nodes):
+            self.run(10.0)
+            for number, node in self.nodes.items():
+                if number not in waits and node.held_at is not None and self._knows_majority(node):
+                    waits[number] = self.now - node.held_at
+        return [waits.get(number, float("inf")) for number in self.nodes]
+
+    def _knows_majority(self, node: Node) -> bool:
+        holding = [said for said, _ in node.detector.standings().values() if said is Standing.HOLDING]
+        return 2 * len(holding) > len(self.nodes)
+
     # -------------------------------------------------------------- nodes
 
-    def _in_turn(self, node: Node, event: Callable[[], None]) -> None:
+    def in_turn(self, node: Node, event: Callable[[], None]) -> None:
         """Run an event of a node's: not after its death, and when it goes on if it is stopped."""
         if node.stopped and node.alive:
-            node.waiting.append(lambda: self._in_turn(node, event))
+            node.waiting.append(lambda: self.in_turn(node, event))
         elif node.alive:
             event()
 
     def _tick(self, node: Node) -> None:
         def tick() -> None:
+            self.before_tick(node)
+            if node.standing is not None:
+                service_ms = self.now + SERVICE_OFFSET_MS
+                node.detector.set_standing(self.clock(node), node.standing, service_ms)
             self._do(node, node.detector.tick(self.clock(node)))
             assert node.detector.due is not None
             self.after(max(0.1, node.detector.due - self.clock(node)), lambda: self._tick(node))
 
-        self._in_turn(node, tick)
+        self.in_turn(node, tick)
 
     def _do(self, node: Node, actions: Iterable[Action]) -> None:
         for action in actions:
@@ -194,7 +228,7 @@
                     over = True
                     self._do(node, event())
 
-            self._in_turn(node, once)
+            self.in_turn(node, once)
 
         def back(payload: bytes | None) -> None:
             if payload is None:
@@ -211,7 +245,7 @@
                     self._message(other, node, lambda: end(refuse), lost_back)
                 return
             answer = lambda payload: self._message(other, node, lambda: back(payload), lost_back)  # noqa: E731
-            self._in_turn(other, lambda: self._serve(other, action, answer))
+            self.in_turn(other, lambda: self._serve(other, action, answer))
 
         lost = self.rng.random() < self.loss
         lost_back = lost and self.rng.random() < 0.5
