Tick every 100 ms while nothing is under way that a pause could mislead

Ruled out: doing less a tick (the view's entry is already made once a period). Change: ticks stay at 50 ms while a probe is under way, a member is suspected or the node is not attached, so a pause voids the same probes as before; at other times they come every idle_tick_ms, 100.

--- a/orchidledge/members/actions.py
+++ b/orchidledge/members/actions.py
@@ -16,7 +16,8 @@
     urgent_period_ms: float = 100.0  # while this node is not attached, or knows of a suspect
     probe_timeout_ms: float = 500.0  # over a round trip between the furthest nodes
     helpers: int = 3  # members asked for an indirect probe
-    tick_ms: float = 50.0  # the longest wait between ticks, so that a pause of this process shows
+    tick_ms: float = 50.0  # the longest wait between ticks, so that a pause of this process shows,
+    idle_tick_ms: float = 100.0  # and while attached with no probe under way and no suspect known
     late_ms: float = 100.0  # a tick this late means that this process was paused
     suspicion_min_ms: float = (
         1000.0  # after timeouts: once enough accusers agree; grows as log10 of the group past ten
@@ -37,6 +38,7 @@
             self.urgent_period_ms,
             self.probe_timeout_ms,
             self.tick_ms,
+            self.idle_tick_ms,
             self.late_ms,
             self.refused_suspicion_ms,
             self.suspicion_min_ms,
--- a/orchidledge/members/failure_detector.py
+++ b/orchidledge/members/failure_detector.py
@@ -83,7 +83,7 @@
             self._probing.drop_abandoned(now)
             actions.extend(self._probing.next_probe(now))
         next_expiry = max(now + 1.0, self._members.next_expiry())
-        self._local.due = min(now + self._config.tick_ms, self._next_probe(now), next_expiry)
+        self._local.due = min(now + self._tick_ms(), self._next_probe(now), next_expiry)
         return [*actions, *self._members.take_changes()]
 
     def on_ack(self, now: float, probe_id: int, payload: bytes) -> list[Action]:
@@ -144,9 +144,19 @@
             return now
         return self._probed_at + self._period_ms() * self._local.timeout_factor
 
+    def _tick_ms(self) -> float:
+        """The longest wait for the next tick: short where a pause of this process could mislead it."""
+        if self._probing.under_way or self._is_urgent():
+            return self._config.tick_ms
+        return self._config.idle_tick_ms
+
+    def _is_urgent(self) -> bool:
+        """Whether statements or suspicions have to spread."""
+        return self._standing is not Standing.ATTACHED or self._members.has_suspects
+
     def _period_ms(self) -> float:
-        """The protocol period now: urgent while statements or suspicions have to spread, else steady."""
-        if self._standing is not Standing.ATTACHED or self._members.has_suspects:
+        """The protocol period now: urgent or steady."""
+        if self._is_urgent():
             return min(self._config.urgent_period_ms, self._config.period_ms)
         return self._config.period_ms
 
--- a/orchidledge/members/probing.py
+++ b/orchidledge/members/probing.py
@@ -77,6 +77,11 @@
         request = Request(message.target, now, timeout_ms, relayed_for=message.sender, call=call)
         return self._probe(now, request)
 
+    @property
+    def under_way(self) -> bool:
+        """Whether any request awaits its answer."""
+        return bool(self._requests)
+
     def end(self, probe_id: int) -> Request | None:
         """The request of this id, which is over; None if there is none under way."""
         request = self._requests.pop(probe_id, None)
--- a/tests/test_detector_paces.py
+++ b/tests/test_detector_paces.py
@@ -120,3 +120,26 @@
     assert sent == 10
     answer(detector, MemberUpdate(2, 1, MemberStatus.ALIVE), now=1000.0)
     assert not any(isinstance(action, Probe) for action in detector.tick(1000.0))
+
+
+def test_ticks_are_short_while_a_pause_could_mislead_and_longer_while_idle() -> None:
+    detector = core(siblings=3, period_ms=1000.0)
+    detector.set_standing(0.0, Standing.ATTACHED, 1000.0)
+    (probe,) = [action for action in detector.tick(0.0) if isinstance(action, Probe)]
+    assert detector.due == 50.0
+    detector.on_ack(10.0, probe.id, write(Message(probe.target, 0, 0.0)))
+    detector.tick(50.0)
+    assert detector.due == 150.0
+    answer(detector, MemberUpdate(2, 0, MemberStatus.SUSPECT, (3,)), now=100.0)
+    detector.tick(150.0)
+    assert detector.due is not None
+    assert detector.due <= 200.0
+
+
+@pytest.mark.parametrize(("pause_ms", "stops"), [(90.0, 0), (210.0, 1)])
+def test_a_pause_of_an_idle_node_is_seen(pause_ms: float, stops: int) -> None:
+    detector = core(siblings=0, period_ms=1000.0)
+    for now in range(0, 1000, 100):
+        detector.tick(float(now))
+    detector.tick(900.0 + 100.0 + pause_ms)
+    assert detector.ignored["own stops"] == stops
