Check all orders with nodes in two groups, and with new change logs

Need: tests/orders knew one group only, so neither the rule per service nor member lists told as changes were checked in every order.

Change: nodes of a world may name services, start by start, and enrol by the command that knows groups; words are heard within a group. Checked in every state: per service the shares taken and those granted, with those of members that name none, sum to at most 1; a node on a list's present revision has that very list; once faults end each service's whole is taken within four terms; faults of one group leave another its whole and its list's revision. The key covers rows, revisions and change logs of all groups.

Not covered: a group whose last rows are of processes that restarted elsewhere; a search finds that their share is not given away.

--- a/tests/orders/keys.py
+++ b/tests/orders/keys.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+from operator import itemgetter
 from typing import Any
 
 from msgspec import UNSET
 
-from orchidledge.members.enrolment import Call
+from orchidledge.members.enrolment import WHOLE_LIST, Call
 from orchidledge.members.leases import SUPPORT
-from orchidledge.members.ledger import Row
+from orchidledge.members.ledger import Ledger, Row
 from orchidledge.members.messages import LeaseGrant
-from orchidledge.registry.fleet_state import Expiry
+from orchidledge.registry.fleet_state import NO_SERVICE, Expiry
 from tests.orders.parts import TTL, Bounds, Node, Service, members_key, past
 
 
@@ -40,36 +41,71 @@
             lapsed, support, repeats = self.plan.lapsed, self.plan.support, self.plan.repeats
             seqs = tuple((number, numbers.get(number, 0) - seq) for number, seq in lapsed)
             plan = (seqs, tuple(support), repeats == state.repeats)
+        groups = [(NO_SERVICE, state.ledger), *sorted(state.services.items(), key=itemgetter(0))]
+        revisions = {service: ledger.revision for service, ledger in groups}
         return (
             self.faults,
-            tuple(self._node_key(node, state.ledger.revision) for node in self.nodes),
+            tuple(self._node_key(node, revisions) for node in self.nodes),
             tuple(
-                self._row_key(row, numbers.get(row.incarnation, 0), usable.get(row.incarnation, -1))
-                for row in state.ledger.rows()
+                (
+                    service,
+                    self._changes_key(service, ledger),
+                    tuple(
+                        self._row_key(
+                            row,
+                            ledger.revision,
+                            numbers.get(row.incarnation, 0),
+                            usable.get(row.incarnation, -1),
+                        )
+                        for row in ledger.rows()
+                    ),
+                )
+                for service, ledger in groups
             ),
             plan,
             self.broken,
         )
 
-    def _node_key(self, node: Node, revision: int) -> tuple[Any, ...]:
-        if node.cached[:2] != (self.now, revision):
-            node.cached = (self.now, revision, self._made_key(node, revision))
+    def _changes_key(self, service: str, ledger: Ledger) -> tuple[Any, ...]:
+        """The change log as far back as a renewal may yet name: where it begins, and the last change of each
+        member."""
+        named = [ledger.revision]
+        for node in self.nodes:
+            core = node.core
+            if core is not None and node.service == service and core.incarnation in ledger.by_incarnation:
+                named.append(core.revision)
+            named += [
+                sent.call.body["acked"]
+                for sent in node.calls
+                if sent.service == service and sent.call.body.get("incarnation") in ledger.by_incarnation
+            ]
+        since = max(ledger._changes._floor, min(at for at in named if at != WHOLE_LIST))
+        changed = {number: at for at, number in ledger._changes._changes if at > since}
+        return (
+            ledger.revision - since,
+            tuple(sorted((ledger.revision - at, n) for n, at in changed.items())),
+        )
+
+    def _node_key(self, node: Node, revisions: dict[str, int]) -> tuple[Any, ...]:
+        if node.cached[:2] != (self.now, revisions):
+            node.cached = (self.now, revisions, self._made_key(node, revisions))
         made: tuple[Any, ...] = node.cached[2]
         return made
 
-    def _made_key(self, node: Node, revision: int) -> tuple[Any, ...]:
+    def _made_key(self, node: Node, revisions: dict[str, int]) -> tuple[Any, ...]:
         core, own = node.core, self.now + node.skew
+        revision = revisions.get(node.service, 0)
         base = 0 if core is None else core._numbers
         calls = tuple(
             (
                 sent.call.path,
                 base - sent.call.number,
                 self.now - sent.at,
-                *self._body_key(sent.call, base, revision),
+                *self._body_key(sent.call, base, revisions.get(sent.service, 0)),
             )
             for sent in node.calls
         )
-        words = tuple((number, self.now - at) for number, at in node.words)
+        words = tuple((word.incarnation, self.now - word.at) for word in node.words)
         if core is None:
             return (node.starts, calls, words)
         answers = tuple(
@@ -93,6 +129,7 @@
             base - core._answered,
             None if out is None else (out[0].path, base - out[0].number, own - out[1]),
             max(0.0, core._due - own),
+            core._whole_list_wanted,
             members_key(core.members),
         )
 
@@ -103,7 +140,8 @@
         return (
             body["incarnation"],
             base - body["answered"],
-            revision - body["acked"],
+            None if body["acked"] == WHOLE_LIST else revision - body["acked"],
+            body["delta"],
             round(body["using"], 6),
             body["sent"] is None,
         )
@@ -122,8 +160,7 @@
             told.removed,
         )
 
-    def _row_key(self, row: Row, base: int, usable: int) -> tuple[Any, ...]:
-        revision = self.service.state.ledger.revision
+    def _row_key(self, row: Row, revision: int, base: int, usable: int) -> tuple[Any, ...]:
         lease = self.service.clock._leases.get(row.incarnation)
         told = None
         if lease is not None:
--- a/tests/orders/mistakes.py
+++ b/tests/orders/mistakes.py
@@ -7,9 +7,13 @@
 from typing import Any
 
 import pytest
+from msgspec import UNSET
+from msgspec.structs import replace as replace_fields
 
-from orchidledge.members.enrolment import Enrolment, Standing, Word
-from orchidledge.members.ledger import Ledger, Row
+from orchidledge.members.enrolment import WHOLE_LIST, Enrolment, Standing, Word
+from orchidledge.members.ledger import Beside, Ledger, Row
+from orchidledge.members.messages import LeaseGrant
+from orchidledge.registry.fleet_state import NO_SERVICE, FleetState
 from orchidledge.routes.activation import PREPARING, Activations
 from orchidledge.routes.follower import Action, Follower, Stage, Store
 
@@ -110,3 +114,57 @@
         return copy is not None and copy.stage is Stage.STORED and copy.digest == its_digest
 
     patch.setattr(Follower, "_ready", ready)
+
+
+def share_beside_the_group_ignored(patch: pytest.MonkeyPatch) -> None:
+    """What members that name no service may be taking is left out of a service's sum."""
+    right = FleetState._prepared
+
+    def prepared(self: FleetState, service: str) -> Ledger:
+        ledger = right(self, service)
+        ledger.beside = Beside(0.0, ledger.beside.rows)
+        return ledger
+
+    patch.setattr(FleetState, "_prepared", prepared)
+
+
+def grant_counted_in_another_group(patch: pytest.MonkeyPatch) -> None:
+    """What is free in a service's group is worked out from the rows of another service's."""
+    right = FleetState._prepared
+
+    def prepared(self: FleetState, service: str) -> Ledger:
+        ledger = right(self, service)
+        other = next((group for name, group in self.services.items() if name != service), None)
+        if service != NO_SERVICE and other is not None:
+            ledger.beside = Beside(other.total() - ledger.total(), ledger.beside.rows)
+        return ledger
+
+    patch.setattr(FleetState, "_prepared", prepared)
+
+
+def changes_told_from_where_the_log_begins(patch: pytest.MonkeyPatch) -> None:
+    """The service tells a process that is further behind than its change log what the log has. Harmless to
+    the right node, which sees by `since` that there is a gap, and asks for the whole list."""
+    right = Ledger.grant
+
+    def grant(self: Ledger, row: Row, acked: int, delta: bool = False) -> LeaseGrant:
+        floor = self._changes._floor
+        if not delta or acked == WHOLE_LIST or acked >= floor:
+            return right(self, row, acked, delta)
+        told = right(self, row, floor, delta)
+        return told if told.since is not UNSET else replace_fields(told, since=floor, members=())
+
+    patch.setattr(Ledger, "grant", grant)
+
+
+def changes_taken_over_a_gap(patch: pytest.MonkeyPatch) -> None:
+    """A node takes changes that begin at another revision than its own, and acknowledges the new one."""
+    changes_told_from_where_the_log_begins(patch)
+    right = Enrolment._take_members
+
+    def take_members(self: Enrolment, grant: LeaseGrant) -> None:
+        if grant.since is not UNSET:
+            self.revision = grant.since
+        right(self, grant)
+
+    patch.setattr(Enrolment, "_take_members", take_members)
--- a/tests/orders/parts.py
+++ b/tests/orders/parts.py
@@ -11,7 +11,7 @@
 from orchidledge.members.leases import LeaseClock
 from orchidledge.members.ledger import Ledger, Row, State
 from orchidledge.members.messages import LeaseGrant
-from orchidledge.registry.fleet_state import FleetState
+from orchidledge.registry.fleet_state import NO_SERVICE, FleetState
 
 TTL = 1000.0
 MOST = 1.0 + 1e-6
@@ -21,7 +21,11 @@
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """`skews`: of each node's own clock, in ms; `on_way`: calls of one node on their way at once; `kinds`:
-    the faults that there may be."""
+    the faults that there may be; `faulty`: the nodes that they befall, None for all.
+
+    `services`: of each node the services that its processes balance to, start by start, the last one for all
+    further starts; "" names none. Without it nobody names a service, and the commands are those of the first
+    release, which knew no groups."""
 
     skews: tuple[float, ...] = (0.0, 0.0, 0.0)
     step: float = TTL / 4
@@ -29,11 +33,29 @@
     kinds: frozenset[str] = frozenset(("send", "repeat", "plan", "crash", "lead", "late"))
     siblings: bool = True  # whether words are heard at all
     all_words: bool = False  # also those that can change nothing, in a right core
+    services: tuple[tuple[str, ...], ...] = ()
+    faulty: frozenset[str] | None = None
+
+    def service(self, at: int, start: int) -> str:
+        """What the process of this start, counted from 1, balances to."""
+        if not self.services:
+            return NO_SERVICE
+        named = self.services[at]
+        return named[min(start, len(named)) - 1]
 
 
 class Sent(NamedTuple):
     call: Call
     at: float  # true time
+    service: str  # that its process balances to
+
+
+class LateWord(NamedTuple):
+    """A word that its process holds, to be heard later."""
+
+    incarnation: int
+    at: float  # true time
+    service: str
 
 
 class Least(Random):
@@ -55,13 +77,15 @@
     said: dict[int, Word] = field(default_factory=dict)  # siblings' latest words, by incarnation
     calls: tuple[Sent, ...] = ()
     answers: tuple[tuple[int, LeaseGrant | None], ...] = ()  # by call; None: no such row
-    words: tuple[tuple[int, float], ...] = ()  # said that it holds, to be heard later: incarnation, true time
-    cached: tuple[float, int, Any] = (NEVER, 0, None)  # its part of a key: at this time and revision
+    words: tuple[LateWord, ...] = ()
+    service: str = NO_SERVICE  # that its process balances to
+    cached: tuple[float, Any, Any] = (NEVER, None, None)  # its part of a key: at this time, these revisions
 
     def copy(self) -> Node:
         core = None if self.core is None else twin(self.core)
         return Node(
-            self.name, self.skew, core, self.starts, self.said, self.calls, self.answers, self.words
+            self.name, self.skew, core, self.starts, self.said, self.calls, self.answers, self.words,
+            self.service,
         )  # fmt: skip
 
 
--- a/tests/orders/rounds.py
+++ b/tests/orders/rounds.py
@@ -56,9 +56,11 @@
         return new
 
     def _possible(self) -> list[str]:
-        names = [node.name for node in self.nodes]
-        alone = [f"{kind} {name}" for name in names for kind in ("cut", "mute", "oneway")]
-        return [*alone, *(f"parted {a} {b}" for a, b in combinations(names, 2)), "down"]
+        faulty = self.bounds.faulty
+        nodes = [node for node in self.nodes if faulty is None or node.name in faulty]
+        alone = [f"{kind} {node.name}" for node in nodes for kind in ("cut", "mute", "oneway")]
+        pairs = [f"parted {a.name} {b.name}" for a, b in combinations(nodes, 2) if a.service == b.service]
+        return [*alone, *pairs, *(("down",) if faulty is None else ())]
 
     def _step(self) -> None:
         self._tick()
--- a/tests/orders/shares.py
+++ b/tests/orders/shares.py
@@ -20,8 +20,13 @@
     crash    the process ends; `start` (free) begins another one at the same address; what it had sent may
              still arrive
     lead     a new leader, which grants every lease anew
+    snapshot the change logs of the member lists begin anew here, as at an instance that has read a snapshot
+             of now and answers from here on
     late     a word of now that siblings may hear later
 
+Nodes may belong to services (`Bounds.services`): they enrol by the command that knows groups, and hear the
+words of their own group's only.
+
 Left out for good reason: a sibling's word that it does not hold is heard only where it takes back one that it
 does, as any other changes nothing; the answers to calls that were given up, and renewals too late for the
 service to take, can change nothing either. Nodes are not taken as alike: the lowest rank wins a tie.
@@ -29,17 +34,17 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator
 from typing import Any
 
+from orchidledge.members.change_log import ChangeLog
 from orchidledge.members.enrolment import HOLD, Call, Enrolment, Standing, Word
 from orchidledge.members.leases import LATE, LeaseClock, _Lease
 from orchidledge.members.ledger import Row
 from orchidledge.members.messages import LeaseGrant
-from orchidledge.registry.fleet_state import Expiry, FleetState
+from orchidledge.registry.fleet_state import NO_SERVICE, Expiry, FleetState
 from tests.orders.keys import Keyed
-from tests.orders.parts import MOST, NEVER, RNG, TTL, Bounds, Node, Sent, Service, copied, waits
+from tests.orders.parts import NEVER, RNG, TTL, Bounds, LateWord, Node, Sent, Service, copied, waits
 
 
 class Shares(Keyed):
@@ -56,7 +61,7 @@
         self.plan: Expiry | None = None
         self.given: tuple[tuple[str, int], ...] = ()  # the incarnation that each start was given first
         self.broken: str | None = None
-        self.nodes = tuple(self._start(Node(f"n{at}", skew)) for at, skew in enumerate(bounds.skews))
+        self.nodes = tuple(self._start(at, Node(f"n{at}", skew)) for at, skew in enumerate(bounds.skews))
 
     # ---------------------------------------------------------------------- moves
 
@@ -74,11 +79,11 @@
         own = self.now + node.skew
         if core.due() <= own:
             yield self._move(f"renew {node.name}", 0, lambda w: w._renew(at))
-            if self._may("send") and len(node.calls) < self.bounds.on_way:
+            if self._may("send", node) and len(node.calls) < self.bounds.on_way:
                 yield self._move(f"send {node.name}", 1, lambda w: w._send(at))
         elif core._out is not None and own >= core._out[1] + core._out[0].timeout_ms:
             yield self._move(f"timeout {node.name}", 0, lambda w: w._timeout(at))
-        if self._may("crash"):
+        if self._may("crash", node):
             yield self._move(f"crash {node.name}", 1, lambda w: w._crash(at))
         if not self.bounds.siblings:
             return
@@ -91,8 +96,8 @@
             for incarnation, word in self._late_words(node, other):
                 name = f"hear {node.name} {other.name} of {own - word.at_ms:g} ms ago"
                 yield self._move(name, 0, lambda w, i=incarnation, x=word: w._hear(at, i, x))
-        if self._may("late") and core.incarnation and core.standing(own) is Standing.HOLDING:
-            word = (core.incarnation, self.now)
+        if self._may("late", node) and core.incarnation and core.standing(own) is Standing.HOLDING:
+            word = LateWord(core.incarnation, self.now, node.service)
             if word not in node.words:
                 yield self._move(f"late {node.name}", 1, lambda w: w._keep_word(at, word))
 
@@ -100,7 +105,7 @@
         for sent in node.calls:
             name = f"{node.name} {sent.call.path} {sent.call.number}"
             yield self._move(f"arrive {name}", 0, lambda w, s=sent: w._arrive(at, s, False))
-            if self._may("repeat"):
+            if self._may("repeat", node):
                 yield self._move(f"repeat {name}", 1, lambda w, s=sent: w._arrive(at, s, True))
         for answer in node.answers:
             yield self._move(f"answer {node.name} {answer[0]}", 0, lambda w, a=answer: w._answer(at, a))
@@ -116,8 +121,12 @@
             yield self._move("apply", 0, lambda w: w._apply())
         if self._may("lead"):
             yield self._move("lead", 1, lambda w: w._lead())
+        if self._may("snapshot"):
+            yield self._move("snapshot", 1, lambda w: w._snapshot())
 
-    def _may(self, kind: str) -> bool:
+    def _may(self, kind: str, node: Node | None = None) -> bool:
+        if node is not None and self.bounds.faulty is not None and node.name not in self.bounds.faulty:
+            return False
         return self.faults > 0 and kind in self.bounds.kinds
 
     def _move(self, name: str, cost: int, act: Any) -> tuple[str, Any]:
@@ -156,13 +165,16 @@
 
     # ------------------------------------------------------------------ calls
 
-    def _start(self, node: Node) -> Node:
+    def _start(self, at: int, node: Node) -> Node:
         starts = node.starts + 1
-        core = Enrolment(node.name, f"a-{node.name}", "", f"{node.name}.{starts}", RNG)
-        return Node(node.name, node.skew, core, starts, calls=node.calls, words=node.words)
+        service = self.bounds.service(at, starts)
+        core = Enrolment(node.name, f"a-{node.name}", "", f"{node.name}.{starts}", RNG, service)
+        return Node(
+            node.name, node.skew, core, starts, calls=node.calls, words=node.words, service=service
+        )  # fmt: skip
 
     def _restart(self, at: int) -> None:
-        self.nodes = (*self.nodes[:at], self._start(self.nodes[at]), *self.nodes[at + 1 :])
+        self.nodes = (*self.nodes[:at], self._start(at, self.nodes[at]), *self.nodes[at + 1 :])
 
     def _crash(self, at: int) -> None:
         node = self._own(at)
@@ -173,7 +185,7 @@
         service_ms = None if node.core._answer_at == NEVER else self._s()
         call = node.core.tick(self.now + node.skew, service_ms)
         assert call is not None
-        return Sent(call, self.now)
+        return Sent(call, self.now, node.service)
 
     def _send(self, at: int) -> None:
         node = self._own(at)
@@ -196,8 +208,7 @@
         """The list service's part: apply the call and count the lease from now."""
         state, body = self._log(), call.body
         if call.path == "enrol":
-            row = state.enrol(**body)
-            assert row is not None
+            row = self._enrol(state, body)
             self._give(row)
             self.service.clock.renewed(self.now, row.incarnation, row.seq, -1)
         else:
@@ -208,6 +219,13 @@
         self.service.clock.keep({row.incarnation for row in state.rows()})
         return None if row is None else self._grant(state, row, call)
 
+    def _enrol(self, state: FleetState, body: dict[str, Any]) -> Row:
+        if self.bounds.services:
+            return state.enrol_in(**({"service": NO_SERVICE} | body))
+        row = state.enrol(**body)
+        assert row is not None
+        return row
+
     def _grant(self, state: FleetState, row: Row, call: Call) -> LeaseGrant:
         return state.grant(row, call.body.get("acked", -1), call.body.get("delta", False))
 
@@ -251,7 +269,7 @@
     def _word(self, node: Node, other: Node) -> list[tuple[int, Word]]:
         """What the other says now, in this node's time, if it may change what this node rests on."""
         core = other.core
-        if core is None or core.incarnation is None:
+        if core is None or core.incarnation is None or other.service != node.service:
             return []
         word = Word(core.standing(self.now + other.skew), self.now + node.skew)
         known = node.said.get(core.incarnation)
@@ -263,8 +281,10 @@
 
     def _late_words(self, node: Node, other: Node) -> list[tuple[int, Word]]:
         late = []
-        for number, at in other.words:
+        for number, at, service in other.words:
             known = node.said.get(number)
+            if service != node.service:
+                continue
             if at < self.now and (known is None or known.at_ms < at + node.skew):
                 late.append((number, Word(Standing.HOLDING, at + node.skew)))
         return late
@@ -277,7 +297,7 @@
         if word.standing is not Standing.HOLDING and not self.bounds.all_words:
             del node.said[incarnation]  # from here on as if it had never been heard
 
-    def _keep_word(self, at: int, word: tuple[int, float]) -> None:
+    def _keep_word(self, at: int, word: LateWord) -> None:
         node = self._own(at)
         node.words = (*node.words, word)
 
@@ -299,6 +319,11 @@
         self.service.clock.lead(self.now, [(row.incarnation, row.seq) for row in state.rows()])
         self.plan = None  # the log refuses what the one before proposed
 
+    def _snapshot(self) -> None:
+        state = self._log()
+        for ledger in (state.ledger, *state.services.values()):
+            ledger._changes = ChangeLog(ledger.revision)
+
     def _tick(self) -> None:
         self.now += self.bounds.step
         for at in range(len(self.nodes)):
@@ -309,7 +334,7 @@
                 sent for sent in node.calls if sent.call.body.get("sent") is None or sent.at >= late
             )
             node.said = {number: word for number, word in node.said.items() if own < word.at_ms + HOLD * TTL}
-            node.words = tuple(word for word in node.words if self.now < word[1] + HOLD * TTL)
+            node.words = tuple(word for word in node.words if self.now < word.at + HOLD * TTL)
             if node.core is not None:
                 node.core.taking(own)
 
@@ -342,22 +367,3 @@
         lapsed, support = self.service.clock.due(self.now)
         if lapsed:
             self._expire(Expiry(lapsed, support, self.service.state.repeats))
-
-
-def share_check(world: Shares) -> str | None:
-    """The shares taken and those granted sum to at most 1; incarnations only rise."""
-    takes = world.takes()
-    if sum(takes) > MOST:
-        return f"shares taken sum to {sum(takes):.3f}: {[round(share, 3) for share in takes]}"
-    if world.service.state.ledger.total() > MOST:
-        return f"shares granted sum to {world.service.state.ledger.total():.3f}"
-    return world.broken
-
-
-def share_probe(world: Shares) -> str | None:
-    """Once faults end, the whole is taken again within four terms."""
-    after = world.fair(math.ceil(4 * TTL / world.bounds.step))
-    broken = share_check(after)
-    if broken is None and sum(after.takes()) < 0.99:
-        broken = f"4 terms after the last fault the shares are {after.takes()}"
-    return broken
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -19,13 +19,20 @@
 from tests.orders.rounds import Rounds
 from tests.orders.routes import Routes, Talk
 from tests.orders.routes_check import routes_check, routes_probe
-from tests.orders.shares import Shares, share_check, share_probe
+from tests.orders.shares import Shares
+from tests.orders.shares_check import quiet_check, share_check, share_probe
 
-SKEWS = (0.0, 2000.0, -2000.0)
+SKEWS = (0.0, 2000.0, -2000.0, 1000.0)
 ALL = Bounds().kinds
+ANEW = ALL | {"snapshot"}
 VOTING = frozenset(("send", "crash", "lead", "ballot", "unstored"))
 ENDING = frozenset(("send", "crash"))
 NONE = frozenset[str]()
+LASTING = frozenset(("crash", "lead", "snapshot"))
+TWO = (("pay",), ("pay",), ("find",), ("find",))
+BESIDE = (("pay",), ("pay",), ("find",), ("",))
+RESTARTED_ELSEWHERE = (("pay", "find", "pay"), ("pay",), ("pay",), ("find",))
+OF_PAY = frozenset(("n0", "n1"))
 
 
 @pytest.fixture(autouse=True)
@@ -33,9 +40,9 @@
     monkeypatch.setattr(follower, "parse", lru_cache(follower.parse))  # a pure function of its arguments
 
 
-def cold(nodes: int, faults: int, kinds: frozenset[str] = ALL) -> Shares:
+def cold(nodes: int, faults: int, kinds: frozenset[str] = ALL, **more: Any) -> Shares:
     """Nodes that have just started: none is enrolled."""
-    return Shares(Bounds(SKEWS[:nodes], kinds=kinds), faults)
+    return Shares(Bounds(SKEWS[:nodes], kinds=kinds, **more), faults)
 
 
 def warm(kind: type[Shares], nodes: int, faults: int, kinds: frozenset[str] = ALL, **more: Any) -> Shares:
@@ -74,6 +81,31 @@
     "rounds, any lasting fault": (lambda: warm(Rounds, 3, 1, NONE), 40, 300),
     "rounds, two lasting faults": (lambda: warm(Rounds, 3, 2, frozenset(("crash", "lead"))), 11, 8_000),
 }
+GROUPS: dict[str, tuple[Callable[[], Shares], int, int]] = {  # as SHARES
+    "two groups, any fault": (lambda: warm(Shares, 4, 1, ANEW, services=TWO), 6, 7_000),
+    "a member beside two groups, any fault": (lambda: warm(Shares, 4, 1, ANEW, services=BESIDE), 6, 6_000),
+    "two groups and a restart elsewhere": (
+        lambda: warm(Shares, 4, 1, ANEW, services=RESTARTED_ELSEWHERE),
+        6,
+        8_000,
+    ),
+    "enrolling beside a group, two faults": (
+        lambda: cold(2, 2, ANEW, services=(("pay",), ("",))),
+        7,
+        12_000,
+    ),
+    "two groups in rounds, a lasting fault": (lambda: warm(Rounds, 4, 1, LASTING, services=TWO), 25, 500),
+    "beside two groups in rounds, a lasting fault": (
+        lambda: warm(Rounds, 4, 1, LASTING, services=BESIDE),
+        25,
+        500,
+    ),
+    "restarts elsewhere in rounds, two lasting faults": (
+        lambda: warm(Rounds, 4, 2, LASTING, services=RESTARTED_ELSEWHERE),
+        5,
+        3_000,
+    ),
+}
 ROUTES: dict[str, tuple[Callable[[], Routes], int, int]] = {
     "proposal, no fault": (lambda: fleet(3, 0, Talk()), 8, 5_000),
     "two nodes, proposal, any fault": (lambda: fleet(2, 1, Talk()), 8, 15_000),
@@ -90,6 +122,20 @@
     told(name, explore(start(), share_check, depth, share_probe, 100), least)
 
 
+@pytest.mark.parametrize("name", GROUPS)
+def test_each_service_has_its_whole_in_every_order(name: str) -> None:
+    start, depth, least = GROUPS[name]
+    told(name, explore(start(), share_check, depth, share_probe, 100), least)
+
+
+def test_faults_of_one_group_cost_another_nothing() -> None:
+    start = warm(Rounds, 4, 2, ALL | LASTING, services=TWO, faulty=OF_PAY)
+    told("noisy beside quiet", explore(start, quiet_check(start, "find"), 8, share_probe, 100), 3_000)
+    start.faults = 8
+    check = quiet_check(start, "find")
+    told("walks, noisy beside quiet", walk(start, check, range(20), 120, share_probe), 300)
+
+
 @pytest.mark.parametrize("name", ROUTES)
 def test_followers_run_what_is_decided_in_every_order(name: str) -> None:
     start, depth, least = ROUTES[name]
@@ -101,6 +147,13 @@
     told("walks in rounds", walk(warm(Rounds, 3, 8), share_check, range(60), 120, share_probe), 1_000)
 
 
+@pytest.mark.parametrize("services", [TWO, BESIDE, RESTARTED_ELSEWHERE], ids=["two", "beside", "elsewhere"])
+def test_each_service_has_its_whole_on_long_random_runs(services: tuple[tuple[str, ...], ...]) -> None:
+    for kind in (Shares, Rounds):
+        start = warm(kind, 4, 8, ANEW, services=services)
+        told(f"walks of {kind.__name__}", walk(start, share_check, range(20), 120, share_probe), 300)
+
+
 def test_followers_run_what_is_decided_on_long_random_runs() -> None:
     start = fleet(3, 8, Talk(3, 2, 2), kinds=ALL | VOTING)
     told("walks", walk(start, routes_check, range(60), 120, routes_probe), 2_000)
@@ -121,6 +174,19 @@
         routes_check,
         9,
     ),
+    (
+        mistakes.share_beside_the_group_ignored,
+        lambda: cold(3, 0, services=(("pay",), ("find",), ("",))),
+        share_check,
+        6,
+    ),
+    (mistakes.grant_counted_in_another_group, lambda: cold(4, 0, services=TWO), share_check, 6),
+    (
+        mistakes.changes_taken_over_a_gap,
+        lambda: warm(Shares, 4, 2, services=TWO, kinds=LASTING),
+        share_check,
+        7,
+    ),
 ]
 
 
@@ -136,6 +202,12 @@
     assert explore(start(), check, len(found.trace)).broken is None, "the right core does not break there"
 
 
+def test_a_gap_in_the_changes_told_is_harmless_to_the_right_node(monkeypatch: pytest.MonkeyPatch) -> None:
+    mistakes.changes_told_from_where_the_log_begins(monkeypatch)
+    start = warm(Shares, 4, 2, LASTING, services=TWO)
+    told("told over a gap", explore(start, share_check, 6, share_probe, 100), 2_000)
+
+
 def told(name: str, found: Found, least: int) -> None:
     print(f"\n{name}: {found}")
     assert found.broken is None, str(found)
