End a row once its address renews under another service

Cause: a process restarted under another service left its earlier row to the lease. Once such rows were half of a group's electors (with the lowest rank) or all of them, no majority could give their shares away. Found by the checker of all orders, shortest: nodes that named no service restarted to name one, as an upgrade does (three nodes, two crashes): four terms later they take 0.133, 0.0 and 0.2 of pay; a group of two whose first node restarts elsewhere keeps 0.5 of its whole for nobody. An operator's word was the only end.

Ruled out: ending the row at the enrolment, which may be that of an ended process that comes late (seeded as enrolment_ends_the_row_of_another_group: shares of pay sum to 2.000 after send n0, crash n0, start n0, renew n0, arrive n0 enrol 1, renew n1). The first renewal is proof: its process had an answer made after the earlier row, so it was there after that row's process, and one process at a time listens at an address.

Change: at the first renewal of a row the earlier ones at its address leave (as by `leave`, so they remain electors for a term). Nothing changes where nobody names a service: there the enrolment has taken the earlier row's place.

Not mended: an enrolment of an ended process that comes after its successor's first renewal, into a group without another member, makes a row that only an operator's word removes.

--- a/orchidledge/registry/fleet_state.py
+++ b/orchidledge/registry/fleet_state.py
@@ -13,13 +13,15 @@
 - A group is the members in front of one service, with a ledger of its own: rows, electors, majority and
   shares of one group know nothing of another's. A member that names no service may balance to any: its
   share counts in the sum of every group, and its group's free share is what the fullest other leaves.
-- Incarnations are given once over all groups. A process that enrols under another service leaves its earlier
-  row to its lease: which of the two processes ended first can't be told from the log.
+- Incarnations are given once over all groups. Where a process enrols under another service than the one
+  before it at its address, the log can't tell at first which of the two has ended, as an enrolment may come
+  late. The first renewal tells: its process had an answer made after the earlier row, so it was there after
+  the process of that row, and one process at a time listens at an address. The earlier row has left then.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, fields
 from typing import Any
 
@@ -135,8 +137,10 @@
         return self._enrol(service, ledger, name, address, zone, start)
 
     def renew(self, incarnation: int, seq: int, acked: int, using: float) -> Row | None:
-        ledger = self._prepared(self.service_of(incarnation))
-        row = ledger.renew(incarnation, seq, acked, using)
+        renewed = self._ledger_of(self.service_of(incarnation)).by_incarnation.get(incarnation)
+        for ended in ended_before(renewed, self.rows()):
+            self.leave(ended)
+        row = self._prepared(self.service_of(incarnation)).renew(incarnation, seq, acked, using)
         if row is not None:
             self.routes.attached(incarnation)
         return row
@@ -270,12 +274,10 @@
         ledger = self._ledger_of(service)
         if service != NO_SERVICE:
             ledger.beside = Beside(self.ledger.total(), self.ledger.sharing())
-        elif self.services:
-            shares = max(other.total() for other in self.services.values())
-            rows = max(other.sharing() for other in self.services.values())
-            ledger.beside = Beside(shares, rows)
         else:
-            ledger.beside = Beside()
+            shares = max((other.total() for other in self.services.values()), default=0.0)
+            rows = max((other.sharing() for other in self.services.values()), default=0)
+            ledger.beside = Beside(shares, rows)
         return ledger
 
     def _enrol(self, service: str, ledger: Ledger, name: str, address: str, zone: str, start: str) -> Row:
@@ -314,3 +316,14 @@
     def _voters(self) -> list[int]:
         live = (State.LIVE, State.LEAVING)
         return [row.incarnation for row in self.rows() if row.state in live]
+
+
+def ended_before(renewed: Row | None, rows: Iterable[Row]) -> list[int]:
+    """The earlier rows at the address of this one, whose processes have ended as it is first renewed."""
+    if renewed is None or renewed.seq > 0:
+        return []
+    return [
+        row.incarnation
+        for row in rows
+        if row.address == renewed.address and row.incarnation < renewed.incarnation
+    ]
--- a/tests/orders/mistakes.py
+++ b/tests/orders/mistakes.py
@@ -13,7 +13,7 @@
 from orchidledge.members.enrolment import WHOLE_LIST, Enrolment, Standing, Word
 from orchidledge.members.ledger import Beside, Ledger, Row
 from orchidledge.members.messages import LeaseGrant
-from orchidledge.registry.fleet_state import NO_SERVICE, FleetState
+from orchidledge.registry.fleet_state import NO_SERVICE, FleetState, ended_before
 from orchidledge.routes.activation import PREPARING, Activations
 from orchidledge.routes.follower import Action, Follower, Stage, Store
 
@@ -142,6 +142,19 @@
     patch.setattr(FleetState, "_prepared", prepared)
 
 
+def enrolment_ends_the_row_of_another_group(patch: pytest.MonkeyPatch) -> None:
+    """An enrolment under another service ends the earlier row at its address, and not only a renewal."""
+    right = FleetState.enrol_in
+
+    def enrol_in(self: FleetState, service: str, name: str, address: str, zone: str, start: str) -> Row:
+        row = right(self, service, name, address, zone, start)
+        for ended in ended_before(row, self.rows()):
+            self.leave(ended)
+        return row
+
+    patch.setattr(FleetState, "enrol_in", enrol_in)
+
+
 def changes_told_from_where_the_log_begins(patch: pytest.MonkeyPatch) -> None:
     """The service tells a process that is further behind than its change log what the log has. Harmless to
     the right node, which sees by `since` that there is a gap, and asks for the whole list."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -32,6 +32,8 @@
 TWO = (("pay",), ("pay",), ("find",), ("find",))
 BESIDE = (("pay",), ("pay",), ("find",), ("",))
 RESTARTED_ELSEWHERE = (("pay", "find", "pay"), ("pay",), ("pay",), ("find",))
+LAST_OF_PAY = (("pay", "find"), ("pay",), ("find",))
+NAMING_ONE = (("", "pay"), ("", "pay"), ("", "pay"))
 OF_PAY = frozenset(("n0", "n1"))
 
 
@@ -100,6 +102,16 @@
         25,
         500,
     ),
+    "a restart elsewhere from a group of two, two faults": (
+        lambda: warm(Shares, 3, 2, frozenset(("send", "crash", "lead")), services=LAST_OF_PAY),
+        6,
+        3_000,
+    ),
+    "restarts that name a service, in rounds, three crashes": (
+        lambda: warm(Rounds, 3, 3, frozenset(("crash",)), services=NAMING_ONE),
+        4,
+        1_500,
+    ),
     "restarts elsewhere in rounds, two lasting faults": (
         lambda: warm(Rounds, 4, 2, LASTING, services=RESTARTED_ELSEWHERE),
         5,
@@ -180,6 +192,12 @@
         share_check,
         6,
     ),
+    (
+        mistakes.enrolment_ends_the_row_of_another_group,
+        lambda: cold(2, 2, ENDING, services=(("find", "pay"), ("pay",))),
+        share_check,
+        7,
+    ),
     (mistakes.grant_counted_in_another_group, lambda: cold(4, 0, services=TWO), share_check, 6),
     (
         mistakes.changes_taken_over_a_gap,
