Refuse calls on one group while groups are off at the leader

Cause: DELETE /fleet/services/NAME committed the command `write` whether groups were on or off. In a service that is being upgraded, an instance of the first release does not know that command: it raised KeyError(17) at each tick and applied nothing more (a trial with one such instance of three). DELETE /fleet/members/NAME?service=S with groups off ended that name in every group, as the service was not looked at.

Change: both are refused with 400 while the leader has groups off.

--- a/orchidledge/registry/fleet_leader.py
+++ b/orchidledge/registry/fleet_leader.py
@@ -16,7 +16,7 @@
 from orchidledge.members.leases import LATE, LeaseClock
 from orchidledge.registry.batch import Batch
 from orchidledge.registry.clock_file import ClockFile
-from orchidledge.registry.commands import Command, EnrolMember, RemoveMembers, encode
+from orchidledge.registry.commands import Command, EndService, EnrolMember, RemoveMembers, encode
 from orchidledge.registry.fleet import Ended, FleetCatalog, MemberGrant, Outcome, Refused, Renewal
 from orchidledge.registry.fleet_state import Begun, LimitReachedError
 from orchidledge.registry.service_clock import ServiceClock
@@ -25,6 +25,10 @@
 Commit = Callable[..., Awaitable[Any]]  # a command and its arguments; ConnectionError or TimeoutError
 
 
+class GroupsOffError(ValueError):
+    """A call on one group, where the list service has no groups."""
+
+
 class NotLeadingError(ConnectionError):
     """This instance does not lead, or not yet."""
 
@@ -121,16 +125,24 @@
         return grant  # type: ignore[no-any-return]
 
     async def remove(self, name: str, service: str | None) -> list[int]:
-        """The incarnations that an operator's word ended; as `ask`."""
+        """The incarnations that an operator's word ended; GroupsOffError for one service's, else as `ask`."""
+        if service is not None:
+            self._require_groups()
         if self._config.groups:
             outcome = await self._writes.add(RemoveMembers(name, service))
             assert isinstance(outcome, Ended)
             return outcome.incarnations
         return await self.ask(self._fleet.remove, name)  # type: ignore[no-any-return]
 
-    async def write(self, command: Command) -> Outcome:
-        """Commit a command that knows groups; as `ask`."""
-        return await self._writes.add(command)
+    async def end_service(self, service: str) -> Outcome:
+        """Remove the group of a service that has ended; GroupsOffError, else as `ask`."""
+        self._require_groups()
+        return await self._writes.add(EndService(service))
+
+    def _require_groups(self) -> None:
+        # Guard: an instance of an earlier release, which does not know the command, would apply nothing more.
+        if not self._config.groups:
+            raise GroupsOffError("groups are off at the instance that leads")
 
     async def _commit_renewals(self, renewals: list[Renewal]) -> list[MemberGrant | None]:
         return await self.ask(self._fleet.renew_many, [tuple(renewal) for renewal in renewals])  # type: ignore[no-any-return]
--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -19,7 +19,7 @@
 from orchidledge.members.messages import LeaseAnswer
 from orchidledge.net.web import Answer, Call, Client
 from orchidledge.registry import watch
-from orchidledge.registry.commands import EndService, EnrolMember
+from orchidledge.registry.commands import EnrolMember
 from orchidledge.registry.fleet import Ended, FleetCatalog, MemberGrant, Refused, Renewal
 from orchidledge.registry.fleet_leader import FleetLeader
 from orchidledge.registry.fleet_state import LimitReachedError
@@ -255,7 +255,7 @@
         service = unquote(call.path.removeprefix("/fleet/services/"))
         if not 0 < len(service) <= 100:
             raise ValueError("service: not of 1 to 100 characters")
-        outcome = await self._leader.write(EndService(service))
+        outcome = await self._leader.end_service(service)
         if isinstance(outcome, Refused):
             return error(409, outcome.why)
         assert isinstance(outcome, Ended)
--- a/tests/test_groups_upgrade.py
+++ b/tests/test_groups_upgrade.py
@@ -155,6 +155,9 @@
         member.line.on_post = as_first_release
     hollows.start(old)
     hollows.until_shared(old)
+    for path in ("services/pay", "members/h0?service=pay"):  # not as long as an instance may know no groups
+        status, said = registry.call("DELETE", path)
+        assert (status, said) == (400, {"error": "groups are off at the instance that leads"})
 
     registry.on = {0, 1}  # after this, one of them leads:
     registry.restart(0, 1)
