Let an operator name the group of members that name no service

Cause: the list service dropped query fields with an empty value, so DELETE /fleet/members/NAME?service= was taken for every group. A node that was killed before it was upgraded leaves a row among those that name no service, which holds back its part in every service; where it was the last of these, nobody's majority removes it, and an operator could end it only together with the live row of the node's name in its group. GET /fleet/members?service= listed all.

Ruled out: that a process's enrolment in a group ends its row elsewhere; a late enrolment could free a live share.

Change: empty fields are kept; a watch reads one as not given, as before. Hollow members in tests say that they leave until it is heard: a leave lost to a busy machine left a row for the next test.

--- a/orchidledge/net/web.py
+++ b/orchidledge/net/web.py
@@ -120,7 +120,8 @@
 
     def on_message_complete(self) -> None:
         url = urlsplit(self._url.decode("latin-1"))
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        fields = parse_qs(url.query, keep_blank_values=True)
+        query = {name: values[0] for name, values in fields.items()}
         method = self._parser.get_method().decode("latin-1")
         self._queue.put_nowait(Call(method, url.path, query, self._headers, bytes(self._body)))
         self._url, self._headers, self._body, self._size = b"", {}, bytearray(), 0
--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -271,8 +271,8 @@
         what it was at the call)."""
         try:
             since, wait_s = watch.query(call, self._max_wait_ms)
-            routes_since = int(call.query["routes_since"]) if "routes_since" in call.query else None
-            incarnation = int(call.query.get("incarnation", 0))
+            routes_since = watch.optional_number(call, "routes_since")
+            incarnation = watch.optional_number(call, "incarnation") or 0
         except ValueError:
             return error(400, "since, routes_since, incarnation and timeout_ms are whole numbers")
         revisions = self._fleet.read(lambda state: state.revisions(incarnation))
--- a/orchidledge/registry/watch.py
+++ b/orchidledge/registry/watch.py
@@ -14,10 +14,17 @@
 CAP_MS = 60_000  # PROTOCOL: a watch waits 60,000 ms at the most
 
 
+def optional_number(call: Call, name: str) -> int | None:
+    """None where the query has no such field, or an empty one; ValueError if it is no number."""
+    said = call.query.get(name, "")
+    return int(said) if said else None
+
+
 def query(call: Call, cap_ms: int = CAP_MS) -> tuple[int | None, float]:
-    """`since` (None for the whole list) and the wait in seconds; ValueError if either is no number."""
-    since = int(call.query["since"]) if "since" in call.query else None
-    wait_ms = int(call.query.get("timeout_ms", "0"))
+    """`since` (None for the whole list) and the wait in seconds; ValueError if either is no number. One that
+    is empty is as one that is not there."""
+    since = optional_number(call, "since")
+    wait_ms = optional_number(call, "timeout_ms") or 0
     return since, max(0, min(wait_ms, cap_ms, CAP_MS)) / 1000.0
 
 
--- a/tests/hollow.py
+++ b/tests/hollow.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from itertools import count
@@ -109,9 +110,17 @@
             self.lease = None
 
     async def leave(self) -> None:
-        if self.lease is not None:
-            await self.lease.leave()
-            self.kill()
+        """End as a process does, but say so until the list service has heard it: a test that follows finds no
+        row of it."""
+        if self.lease is None:
+            return
+        incarnation, heard = self.core.incarnation, self.line.answers["leave", 200]
+        await self.lease.leave()
+        self.kill()
+        while incarnation is not None and self.line.answers["leave", 200] == heard:
+            with contextlib.suppress(OSError, TimeoutError):
+                await self.line.post("leave", {"incarnation": incarnation}, 1_000.0)
+            await asyncio.sleep(WORDS_S)
 
     def taking(self, now: float) -> float:
         return 0.0 if self.lease is None else self.core.taking(now)
--- a/tests/test_groups_faults.py
+++ b/tests/test_groups_faults.py
@@ -182,6 +182,33 @@
     hollows.leave([*stays, *again])
 
 
+def test_the_row_that_the_last_member_without_a_service_left_behind_is_ended_by_an_operator(
+    registry: GroupRegistry, hollows: Hollows
+) -> None:
+    """It holds back its part in every service. Its name lives on in a group, whose row must stay."""
+    [upgraded], others = hollows.add("", 1), hollows.add("kept", 2)
+    hollows.start([upgraded, *others])
+    hollows.until("all sharing", lambda now: all(_takes(one, now, 1 / 3) for one in (upgraded, *others)))
+    hollows.call(upgraded.kill)
+    upgraded.service = "named"
+    hollows.start([upgraded])
+    until(lambda: registry.states("").get(upgraded.name) == "lapsed", LIMIT_S, "its earlier lease lapsed")
+    hollows.until("what is left taken", lambda now: _takes(upgraded, now, 1 / 2))
+    assert [row["share"] for row in registry.rows("")] == [pytest.approx(1 / 3)]
+    first, second = upgraded.incarnations
+    status, said = registry.call("DELETE", f"members/{upgraded.name}?service=")
+    assert (status, said) == (200, {"removed": [first]})
+    hollows.until_shared([upgraded])
+    hollows.until_shared(others)
+    assert (upgraded.gone, upgraded.incarnations) == (0, [first, second])
+    untouched(hollows, [others])
+    hollows.leave([upgraded, *others])
+
+
+def _takes(member: Hollow, now: float, share: float) -> bool:
+    return abs(member.taking(now) - share) < 1e-6
+
+
 # ------------------------------------------------------------------ changes of the list, over the wire
 
 
--- a/tests/test_registry_parts.py
+++ b/tests/test_registry_parts.py
@@ -9,6 +9,7 @@
 import pytest
 
 from orchidledge.net.web import MAX_HEAD, Answer, Call, Limits, serve
+from orchidledge.registry import watch
 from orchidledge.registry.settings import ConfigError, load_agent, load_instance
 from orchidledge.registry.store import Catalog, clean_target
 
@@ -88,3 +89,8 @@
     silent, rude, first = asyncio.run(main())
     assert (silent, first) == (b"", b"")
     assert rude.startswith(b"HTTP/1.1 400 ")
+
+
+@pytest.mark.parametrize("fields", [{}, {"since": "", "timeout_ms": ""}, {"timeout_ms": "0"}])
+def test_a_field_of_a_watch_that_is_empty_is_as_one_that_is_not_there(fields: dict[str, str]) -> None:
+    assert watch.query(Call("GET", "/discovery/hosts", fields, {}, b"")) == (None, 0.0)
