--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import inspect
 import itertools
 import logging
 import math
@@ -25,7 +24,6 @@
 from bench.scale.messages import HollowSpec, Setup
 from orchidledge import interface as api
 from orchidledge.decide import Balancer
-from orchidledge.members import Enrolment
 from orchidledge.net import web
 from orchidledge.net.clock import Clock
 from orchidledge.net.config import Config, parse_config
@@ -35,8 +33,7 @@
 from orchidledge.registry.settings import Agent as AgentSettings
 from tests.loopback import config_row
 
-SCOPED = "service" in inspect.signature(Enrolment).parameters  # whether shares are by service
-ALL = "all"  # the group where they are not
+ALL = "all"  # the group where shares are not by service
 LATE = 0.25  # of the term: a renewal that took longer counts as late
 KEPT_MOST = 128  # connections kept to siblings and from them, as a real node has
 KEPT_LARGE = 16  # in a group of over KEPT_MOST each is dialled anew anyhow before its turn comes again
@@ -142,7 +139,7 @@
 
     def __init__(self, spec: HollowSpec, setup: Setup, figures: Figures) -> None:
         self.spec, self._setup, self.figures = spec, setup, figures
-        self.group = spec.service if SCOPED else ALL
+        self.group = spec.service if setup.scoped else ALL
         self.turn = asyncio.Lock()  # held while it starts or ends
         self.part: Any = None
         self.agent: InnerAgent | None = None
@@ -293,12 +290,12 @@
 
 
 def _config(spec: HollowSpec, setup: Setup) -> Config:
-    group = len(setup.servers[spec.service]) if SCOPED else len(setup.regions)
+    group = len(setup.servers[spec.service]) if setup.scoped else len(setup.regions)
     kept = KEPT_MOST if group <= KEPT_MOST else KEPT_LARGE
     members: dict[str, Any] = {"listen": f"127.0.0.1:{spec.port}", "zone": spec.zone}
     if setup.probe_period_ms is not None:
         members["ask_every_ms"] = setup.probe_period_ms
-    if SCOPED:
+    if setup.scoped:
         members["service"] = spec.service
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 8 * kept}
     row = config_row("127.0.0.1:9", name=spec.name, members=members, limits=limits)
--- a/bench/scale/messages.py
+++ b/bench/scale/messages.py
@@ -25,6 +25,7 @@
     instances: list[int]  # HTTP ports of the list service, in the order of its instances
     regions: dict[int, str]  # by port: of each instance and each node's address
     servers: dict[str, list[str]]  # by service: uids of the servers that a node of it has facts on
+    scoped: bool  # whether the program has shares by service
     seed: int
     counts: str  # the file of this process's traffic
     probes: bool
--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -74,8 +74,9 @@
 class Instances(Registry):
     """Three instances of the list service of a program; `relayed` where links between them are to be cut."""
 
-    def __init__(self, program: Program, ttl_ms: int, relayed: bool) -> None:
-        self._program = program
+    def __init__(self, program: Program, ttl_ms: int, relayed: bool, groups: bool) -> None:
+        """`groups`: whether the program has a group for each service, and is to use it."""
+        self._program, self._groups = program, groups
         super().__init__(
             program.folder,
             ttl_ms=600_000,
@@ -83,6 +84,12 @@
             members=lambda index: {"ttl_ms": ttl_ms},
         )
 
+    def config(self, index: int) -> Path:
+        path = super().config(index)
+        if self._groups:
+            path.write_text(path.read_text().replace("[members]\n", "[members]\ngroups = true\n"))
+        return path
+
     def start(self, index: int) -> None:
         name = f"r{index}"
         arguments = ["-m", "orchidledge.registry", "serve", "--config", str(self.config(index))]
--- a/bench/scale/world.py
+++ b/bench/scale/world.py
@@ -94,7 +94,9 @@
 
     async def open(self) -> None:
         options = self.options
-        self.instances = await asyncio.to_thread(Instances, self.program, options.ttl_ms, options.relayed)
+        self.instances = await asyncio.to_thread(
+            Instances, self.program, options.ttl_ms, options.relayed, self.scoped
+        )
         await self.put_all(self.platform.nodes)
         agents = min(options.real_agents, len(self.hollow))
         for at in range(agents):
@@ -118,6 +120,7 @@
                 instances=self.instances.http,
                 regions=regions,
                 servers=servers,
+                scoped=self.scoped,
                 seed=options.seed,
                 counts=str(self.program.counts(f"hollow{at}")),
                 probes=options.probes,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -155,6 +155,12 @@
     return asyncio.run(run_control(plan))
 
 
+def _verdicts(record: Record, phase: str) -> list[float]:
+    """How many siblings the nodes hold for present, failed and so on."""
+    figures = [figure for figure in record.figures if figure.name.startswith("verdict ")]
+    return [float(figure.value or 0) for figure in figures if figure.phase == phase]
+
+
 def test_the_control_path_at_a_fiftieth_of_the_size_keeps_the_rule_and_comes_back() -> None:
     record = small_run()
     broken = [failure for failure in record.failures if "share" in failure or ": " not in failure]
@@ -164,6 +170,8 @@
     expected = ("enrolment", "steady", "list_changes", "leader_killed", "zone_lost", "parted", "joined")
     assert set(expected) <= set(phases)
     assert record.number("platform", "enrolled", "enrolment") == 26
+    siblings = sum(service.nodes * (service.nodes - 1) for service in build_platform(0.02, 1).services)
+    assert 0 < sum(_verdicts(record, "enrolment")) < siblings  # of the hollow nodes, by service
     for phase in ("settling", "zone_back", "joined"):
         assert record.number("platform", "all_settled", phase) is not None, phase
     assert record.number("platform", "changes_everywhere", "list_changes") == 10
