CAPACITY.md: runs count with the cadence of probes that the layout names

Runs of the control path with groups are made with probes each second, which the program's own default is not: the page took them for trials and showed nothing. The node with siblings of the data path's runs has that cadence too.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -101,6 +101,7 @@
     models: Sequence[str] = ("m1", "m2")  # of the servers in turn
     pool: type[ServerPool] = ServerPool
     settings: dict[str, Any] = field(default_factory=dict)
+    member_settings: dict[str, Any] = field(default_factory=dict)  # further keys of `members`
     seed: int = 1
 
 
@@ -169,7 +170,7 @@
                 "zone": f"z{self.zone(at)}",
                 "routes": str(self.folder / f"routes-{at}"),
                 "clock_offset_ms": plan.clocks_ms[at % len(plan.clocks_ms)],
-            }
+            } | plan.member_settings
         discovery = self.posts[at].port if self.posts else self.agent(at).port
         return Node(self.folder, [], discovery, **row)
 
--- a/bench/scale/datapath.py
+++ b/bench/scale/datapath.py
@@ -31,6 +31,7 @@
 
 KIND = "datapath"
 OFF, ON = "off", "on"  # the node without and with `members`
+LEASE_TERM_MS = 5_000
 IDLE_S = 5.0
 WARM_CALLS = 200
 FEWEST_SAMPLES = 100  # for a p99
@@ -75,9 +76,18 @@
 
 
 @contextmanager
-def started(folder: Path, servers: int, siblings: int, members: bool) -> Iterator[Bench]:
+def started(
+    folder: Path, servers: int, siblings: int, members: bool, probe_period_ms: float
+) -> Iterator[Bench]:
     """A node without `members`, and if `members` one among so many siblings."""
-    plan = Plan(1 + siblings if members else 1, members=members, ttl_ms=5_000, servers=servers, pool=StubPool)
+    plan = Plan(
+        nodes=1 + siblings if members else 1,
+        ttl_ms=LEASE_TERM_MS,
+        members=members,
+        servers=servers,
+        pool=StubPool,
+        member_settings={"ask_every_ms": probe_period_ms},
+    )
     with World(folder, plan) as world:
         nodes = {OFF: world.node(0, members=False)} if members else {OFF: world.nodes[0]}
         if members:
@@ -250,6 +260,7 @@
     servers: Annotated[int, typer.Option(min=1, max=32)] = 7,
     members: Annotated[bool, typer.Option(help="Measure a node with `members` beside it.")] = False,
     siblings: Annotated[int, typer.Option(min=0, max=32, help="Of that node.")] = 6,
+    probe_period_ms: Annotated[float, typer.Option(help="Of that node and its siblings.")] = 1000.0,
     seed: int = 1,
     record: Annotated[bool, typer.Option(help="Write a record.")] = True,
 ) -> None:
@@ -261,12 +272,13 @@
         "servers": servers,
         "members": members,
         "siblings": siblings if members else 0,
+        "probe_period_ms": probe_period_ms if members else None,
     }
     run = records.Run(KIND, 0.0, seed, options)
     bound_ms = read_size().bounds.added_latency_p99_ms
     with (
         tempfile.TemporaryDirectory(prefix="scale-datapath-") as folder,
-        started(Path(folder), servers, siblings, members) as bench,
+        started(Path(folder), servers, siblings, members, probe_period_ms) as bench,
     ):
         for calls_per_s in rates:
             groups = groups_at(calls_per_s, seconds)
--- a/bench/scale/layout.py
+++ b/bench/scale/layout.py
@@ -17,6 +17,7 @@
 
 LAYOUT_FILE = Path(__file__).with_name("report.toml")
 
+Scope = Literal["service", "all"]  # of the groups that nodes share in: one a service, or one of all
 Axis = Literal["nodes", "calls", "service"]
 Text = Annotated[str, Meta(min_length=1)]
 
@@ -86,6 +87,7 @@
 
 class Layout(Struct, frozen=True, forbid_unknown_fields=True):
     chains_mechanism: Text
+    probe_period_ms: dict[Scope, float]  # that runs count with; where none is given: the program's own
     phases: list[Phase]
     tables: list[Table]
     machines: list[Machine]
--- a/bench/scale/role_tables.py
+++ b/bench/scale/role_tables.py
@@ -129,8 +129,8 @@
     """Runs in which all nodes are one group beside runs with a group for each service, at the same size."""
     heads = ["role", "figure", "when", "unit", "nodes", "one group", "by service", "ratio"]
     rows: list[list[str]] = []
-    by_service = chosen(sources.records, "control", "service")
-    one_group = chosen(sources.records, "control", "all")
+    by_service = chosen(sources.layout, sources.records, "control", "service")
+    one_group = chosen(sources.layout, sources.records, "control", "all")
     if not by_service or not one_group:
         return table(heads, rows)
     bounds = sources.size.bounds
--- a/bench/scale/series.py
+++ b/bench/scale/series.py
@@ -1,23 +1,20 @@
 """Points of one figure over the size of the platform, the rate of calls, or the size of a service.
 
-Of records that tell of the same place and seed the newest counts. Runs of the control path with a changed
-cadence of probes are trials of another program, so none of their figures count here.
+Of records that tell of the same place and seed the newest counts. Runs of the control path with another
+cadence of probes than the layout names, or without probes, are trials: none of their figures count here.
 """
 
 from __future__ import annotations
 
 import re
 from collections.abc import Iterator, Sequence
-from typing import Literal
 
 from msgspec import Struct
 
 from bench.scale.fits import Fit, Point, fit
-from bench.scale.layout import Axis, Phase, Row
+from bench.scale.layout import Axis, Layout, Phase, Row, Scope
 from bench.scale.records import Record, Value
 
-Scope = Literal["service", "all"]
-
 RATE = re.compile(r"([0-9.]+)/s(.*)")
 OF_SERVICE = re.compile(r"(\S+) .*\(service of ([0-9]+)\)")
 
@@ -61,17 +58,18 @@
     return "service" if "service" in scopes else "all"
 
 
-def chosen(records: Sequence[Record], kind: str, scope: Scope) -> list[Record]:
+def chosen(layout: Layout, records: Sequence[Record], kind: str, scope: Scope) -> list[Record]:
     """The runs whose figures count, the newest first."""
-    found = [record for record in records if record.kind == kind and _is_ordinary(record)]
+    found = [record for record in records if record.kind == kind]
     if kind == "control":
-        found = [record for record in found if scope_of(record) == scope]
+        period_ms = layout.probe_period_ms.get(scope)
+        found = [one for one in found if scope_of(one) == scope and _probes_each(one, period_ms)]
     return sorted(found, key=lambda record: record.started, reverse=True)
 
 
-def _is_ordinary(record: Record) -> bool:
+def _probes_each(record: Record, period_ms: float | None) -> bool:
     options = record.options
-    return options.get("probes", True) is True and options.get("probe_period_ms") is None
+    return options.get("probes", True) is True and options.get("probe_period_ms") == period_ms
 
 
 def series(records: Sequence[Record], axis: Axis, row: Row, phase: Phase, name: str = "") -> Series:
--- a/bench/scale/verdicts.py
+++ b/bench/scale/verdicts.py
@@ -9,10 +9,10 @@
 from msgspec import Struct
 
 from bench.scale.fits import Estimate
-from bench.scale.layout import Layout, Phase, Row, Table
+from bench.scale.layout import Layout, Phase, Row, Scope, Table
 from bench.scale.platform import Bounds
 from bench.scale.records import Record
-from bench.scale.series import Sample, Scope, Series, chosen, series
+from bench.scale.series import Sample, Series, chosen, series
 
 NOISE_SHARE = 0.5  # of a bound: noise over it leaves a miss undecided
 
@@ -57,7 +57,7 @@
 def judge(
     layout: Layout, table: Table, bounds: Bounds, records: Sequence[Record], scope: Scope
 ) -> Iterator[Judged]:
-    of_kind = chosen(records, table.kind, scope)
+    of_kind = chosen(layout, records, table.kind, scope)
     for row in table.rows:
         for name in row.phases:
             phase = layout.phase(name)
--- a/tests/test_scale_report.py
+++ b/tests/test_scale_report.py
@@ -50,7 +50,8 @@
     for key, value in figures.items():
         role, _, name = key.partition("__")
         found.append(Figure(msgspec.convert(role, Role), name, value, phase=phase))
-    return record("control", found, factor=nodes / FULL)
+    period_ms = read_layout().probe_period_ms.get("service" if scoped else "all")
+    return record("control", found, factor=nodes / FULL, options={"probe_period_ms": period_ms})
 
 
 def made_from(*found: Record) -> Sources:
@@ -160,7 +161,7 @@
 
 def test_runs_with_another_cadence_of_probes_do_not_count() -> None:
     trial = msgspec.structs.replace(
-        control(FULL, node__cpu_percent_max=0.1), options={"probe_period_ms": 900.0}
+        control(FULL, node__cpu_percent_max=0.1), options={"probe_period_ms": 901.0}
     )
     assert judged(made_from(trial), "node-control", "cpu_percent_max").series.samples == []
 
