CAPACITY.md: a bound broken at a smaller size is broken at the whole one

A run at a quarter of the size that didn't get its nodes enrolled stood as not run, as factor 1 had no record: the list of what is missing left it out. Kept bounds stay open until factor 1 is run or worked out.

--- a/bench/scale/role_tables.py
+++ b/bench/scale/role_tables.py
@@ -86,7 +86,7 @@
         return f"undecided: noise {number(judged.noise or 0.0)}"
     if judged.verdict is Verdict.NOT_RUN:
         return NOT_RUN
-    return judged.verdict.value if judged.measured else f"{judged.verdict.value}, as worked out"
+    return ", ".join(part for part in (judged.verdict.value, judged.how) if part)
 
 
 def _times(found: Estimate, factor: float) -> Estimate:
--- a/bench/scale/summary_tables.py
+++ b/bench/scale/summary_tables.py
@@ -133,11 +133,12 @@
 
 def _broken(judged: Judged) -> str:
     limit = number(judged.limit or 0.0)
-    if judged.value is None:
-        told = f"not reached, bound {limit} {judged.row.unit}"
+    how = f"({judged.how or 'measured'})"
+    value = None if judged.basis is None else judged.basis.value
+    if value is None:
+        told = f"not reached {how}, bound {limit} {judged.row.unit}"
     else:
-        basis = "measured" if judged.measured else "worked out"
-        told = f"{estimate(judged.value)} {judged.row.unit} ({basis}), bound {limit}: {_over(judged)}"
+        told = f"{estimate(value)} {judged.row.unit} {how}, bound {limit}: {_over(judged)}"
     noise = NOTHING if judged.noise is None else f"; noise {number(judged.noise)}"
     return f"{judged.name}: {told}{noise}. Carried by: {judged.row.mechanism}."
 
--- a/bench/scale/verdicts.py
+++ b/bench/scale/verdicts.py
@@ -25,6 +25,13 @@
     NO_BOUND = ""
 
 
+class Basis(Struct, frozen=True):
+    """What a verdict rests on."""
+
+    value: Estimate | None  # None: not reached
+    x: float | None  # where it was measured; None: worked out
+
+
 class Judged(Struct, frozen=True):
     """One row of a table in one phase."""
 
@@ -33,8 +40,7 @@
     phase: Phase
     series: Series
     limit: float | None
-    value: Estimate | None  # at the first target
-    measured: bool  # there, not worked out
+    basis: Basis | None  # for the first target; None: not run
     noise: float | None
     verdict: Verdict
 
@@ -42,12 +48,18 @@
     def name(self) -> str:
         return f"{self.table.name}: {self.row.label}, {self.phase.when}"
 
+    @property
+    def how(self) -> str:
+        """How the basis was come by, empty where it was measured at the target itself."""
+        if self.basis is None or self.basis.x == self.table.targets[0].x:
+            return ""
+        return "worked out" if self.basis.x is None else f"at {self.basis.x:,.0f}"
+
     @property
     def ratio(self) -> float:
         """How far over its bound; infinite for any value over 0, and for what was not reached."""
-        if self.value is None or not self.limit:
-            return math.inf
-        return self.value.value / self.limit
+        value = None if self.basis is None else self.basis.value
+        return math.inf if value is None or not self.limit else value.value / self.limit
 
 
 def judge_all(layout: Layout, bounds: Bounds, records: Sequence[Record], scope: Scope) -> list[Judged]:
@@ -70,34 +82,43 @@
     table: Table, row: Row, phase: Phase, found: Series, limit: float | None, noise: Series | None
 ) -> Judged:
     x = table.targets[0].x
-    here = found.near(x)
-    value = _worst(found, x)
+    basis = _basis(found, x)
     noise_here = None if noise is None else _most(noise.near(x))
-    verdict = _verdict(bool(here), value, limit, noise_here)
-    return Judged(table, row, phase, found, limit, value, bool(here), noise_here, verdict)
+    verdict = _verdict(basis, x, limit, noise_here)
+    return Judged(table, row, phase, found, limit, basis, noise_here, verdict)
+
+
+def _basis(found: Series, x: float) -> Basis | None:
+    """What the figure is judged by: the worst measured at this place; else a run up to it that didn't get
+    there; else what the line gives; else the worst of the largest size under it. None: not run."""
+    if found.near(x):
+        return _measured(found, x)
+    smaller = found.below(x).samples
+    unreached = [sample.x for sample in smaller if sample.value is None]
+    if unreached:
+        return Basis(None, min(unreached))
+    if found.line is not None:
+        return Basis(found.line.at(x), None)
+    return _measured(found, smaller[-1].x) if smaller else None
 
 
-def _worst(found: Series, x: float) -> Estimate | None:
-    """The largest measured at this place, else what the line gives; None: neither, or not reached."""
+def _measured(found: Series, x: float) -> Basis:
     here = found.near(x)
-    if any(sample.value is None for sample in here):
-        return None
-    most = _most(here)
-    if most is not None:
-        return Estimate(most)
-    line = found.line
-    return None if line is None else line.at(x)
+    most = None if any(sample.value is None for sample in here) else _most(here)
+    return Basis(None if most is None else Estimate(most), x)
 
 
 def _most(samples: Sequence[Sample]) -> float | None:
     return max((sample.value for sample in samples if sample.value is not None), default=None)
 
 
-def _verdict(run_here: bool, value: Estimate | None, limit: float | None, noise: float | None) -> Verdict:
+def _verdict(basis: Basis | None, x: float, limit: float | None, noise: float | None) -> Verdict:
     if limit is None:
         return Verdict.NO_BOUND
-    if value is None:
-        return Verdict.MISSED if run_here else Verdict.NOT_RUN
-    if value.value <= limit:
-        return Verdict.MET
+    if basis is None:
+        return Verdict.NOT_RUN
+    if basis.value is None:
+        return Verdict.MISSED
+    if basis.value.value <= limit:
+        return Verdict.MET if basis.x in (None, x) else Verdict.NOT_RUN
     return Verdict.UNDECIDED if noise is not None and noise > NOISE_SHARE * limit else Verdict.MISSED
--- a/tests/test_scale_report.py
+++ b/tests/test_scale_report.py
@@ -137,8 +137,8 @@
     assert line.at(1400.0).error is None
     judgement = judged(found, "node-control", "cpu_percent_max")
     assert judgement.verdict is Verdict.MISSED
-    assert not judgement.measured
-    assert "no, as worked out" in row(tables.render(found, "node-control"), "CPU", "ordinary")
+    assert judgement.how == "worked out"
+    assert "no, worked out" in row(tables.render(found, "node-control"), "CPU", "ordinary")
 
 
 def test_standard_errors_are_those_of_least_squares() -> None:
@@ -186,6 +186,21 @@
     assert judged(found, "node-control", "bytes_in_max").verdict is Verdict.MET
 
 
+def test_a_bound_broken_at_a_smaller_size_is_broken_and_one_kept_there_is_open() -> None:
+    found = made_from(control(350, node__cpu_percent_max=2.0, node__bytes_in_max=2.0))
+    assert judged(found, "node-control", "bytes_in_max").verdict is Verdict.NOT_RUN
+    assert judged(found, "node-control", "cpu_percent_max").verdict is Verdict.MISSED
+    assert "no, at 350" in row(tables.render(found, "node-control"), "CPU", "ordinary")
+    assert "(at 350), bound 1: 2 times" in tables.render(found, "missing")
+
+
+def test_what_a_smaller_run_did_not_reach_is_broken_whatever_still_smaller_ones_foretell() -> None:
+    sizes = ((28, 1.0), (350, 2.0), (700, None))
+    found = made_from(*(control(nodes, phase="enrolment", platform__all_enrolled=s) for nodes, s in sizes))
+    assert judged(found, "platform", "all_enrolled", "enrolment").verdict is Verdict.MISSED
+    assert "not reached (at 700), bound 30" in tables.render(found, "missing")
+
+
 def test_more_is_allowed_in_the_first_seconds_after_a_zone_is_lost() -> None:
     lost = control(FULL, phase="zone_lost_first", node__cpu_percent_max=2.9)
     found = judged(made_from(lost), "node-control", "cpu_percent_max", "zone_lost_first")
