--- a/orchidledge/registry/fleet_web.py
+++ b/orchidledge/registry/fleet_web.py
@@ -18,7 +18,7 @@
 from orchidledge.members.messages import LeaseAnswer
 from orchidledge.net.web import Answer, Call, Client
 from orchidledge.registry import watch
-from orchidledge.registry.commands import EndService, EnrolMember
+from orchidledge.registry.commands import EnrolMember
 from orchidledge.registry.fleet import Ended, FleetCatalog, MemberGrant, Refused, Renewal
 from orchidledge.registry.fleet_leader import FleetLeader
 from orchidledge.registry.fleet_state import LimitReachedError
@@ -237,7 +237,7 @@
         service = unquote(call.path.removeprefix("/fleet/services/"))
         if not 0 < len(service) <= 100:
             raise ValueError("service: not of 1 to 100 characters")
-        outcome = await self._leader.write(EndService(service))
+        outcome = await self._leader.end_service(service)
         if isinstance(outcome, Refused):
             return error(409, outcome.why)
         assert isinstance(outcome, Ended)
@@ -253,8 +253,8 @@
         what it was at the call)."""
         try:
             since, wait_s = watch.query(call, self._max_wait_ms)
-            routes_since = int(call.query["routes_since"]) if "routes_since" in call.query else None
-            incarnation = int(call.query.get("incarnation", 0))
+            routes_since = watch.optional_number(call, "routes_since")
+            incarnation = watch.optional_number(call, "incarnation") or 0
         except ValueError:
             return error(400, "since, routes_since, incarnation and timeout_ms are whole numbers")
         revisions = self._fleet.read(lambda state: state.revisions(incarnation))
