--- /dev/null
+++ b/orchidledge/members/failure_detector.py
@@ -0,0 +1,202 @@
+"""The failure detector: a node probes the other members in turn, directly and indirectly, and gossips what it
+finds on the same calls.
+
+As published for SWIM (Das, Gupta, Motivala 2002) and Lifeguard (Dadgar, Phillips, Currey 2017), with two
+changes: a helper whose probe timed out counts as an accuser at once, since it has its own evidence; and a
+refused connection that no helper gets past leaves only a short time to refute.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+
+from .actions import Ack, Action, DetectorConfig, Sibling
+from .gossip import Gossip
+from .local_state import LocalState
+from .member_list import MemberList
+from .payload import Standing, read
+from .probing import Probing
+from .verdict import Reachability
+
+
+class FailureDetector:
+    """One node's failure detector. All times in ms on its own clock, which never goes back.
+
+    Facts go in through `set_members`, `tick`, `on_ack`, `on_failure`, `on_probe` and `on_indirect_probe`;
+    each returns the actions that follow. The caller calls `tick` no later than `due`, and ends every Probe
+    and IndirectProbe with `on_ack` or `on_failure`. Nothing that another member sends raises; `ignored` tells
+    what was ignored, by reason.
+    """
+
+    def __init__(self, incarnation: int, rng: random.Random, config: DetectorConfig | None = None) -> None:
+        self._config = config or DetectorConfig()
+        self._local = LocalState(self._config, incarnation)
+        self._members = MemberList(self._local)
+        self._gossip = Gossip(self._local, self._members, rng)
+        self._probing = Probing(self._local, self._members, self._gossip, rng)
+        self._standing = Standing.ATTACHED
+        self._probed_at: float | None = None  # None: a probe is due at once
+        self.last_ack_at: float | None = None  # when any member last acked a probe
+
+    # -------------------------------------------------------------- facts
+
+    def set_incarnation(self, incarnation: int) -> None:
+        """This process was given a new incarnation; a lower or equal one is ignored."""
+        if incarnation > self._local.incarnation:
+            self._local.incarnation, self._local.count = incarnation, 0
+            self._gossip.standings.clear_own()
+            self._members.set_members([peer.sibling for peer in self._members.peers.values()])
+
+    def set_members(self, now: float, siblings: Iterable[Sibling]) -> list[Action]:
+        """The whole list of members; this node's own row is left out, and those not in it are forgotten."""
+        self._record_wakeup(now)
+        self._probing.order.add(self._members.set_members(siblings))
+        self._gossip.standings.retain(self._members.peers)
+        return [*self._members.take_changes()]
+
+    def set_standing(self, now: float, standing: Standing, s_ms: float) -> None:
+        """What this node states of its own share, at this service time.
+
+        A node that is no longer attached has to tell the others, and to hear from them, before its lease
+        ends: its next probe is due at once, and further ones at the urgent pace.
+        """
+        self._gossip.standings.set_own(now, standing, s_ms)
+        if standing is not self._standing and standing is not Standing.ATTACHED:
+            self._probed_at = None
+        self._standing = standing
+
+    def set_view(self, view: bytes) -> None:
+        """The opaque entry that goes with every payload from now on; one over 16 KiB is not sent."""
+        self._gossip.set_view(view)
+
+    def tick(self, now: float) -> list[Action]:
+        """End suspicions that are due, and each period probe the next member."""
+        self._record_wakeup(now)
+        self._members.expire_suspicions(now)
+        actions: list[Action] = []
+        probe_due = self._next_probe(now)
+        if now >= probe_due:
+            # Periods missed are not made up for.
+            self._probed_at = probe_due if now - probe_due < self._period_ms() else now
+            self._probing.drop_abandoned(now)
+            actions.extend(self._probing.next_probe(now))
+        next_expiry = max(now + 1.0, self._members.next_expiry())
+        self._local.due = min(now + self._tick_ms(), self._next_probe(now), next_expiry)
+        return [*actions, *self._members.take_changes()]
+
+    def on_ack(self, now: float, probe_id: int, payload: bytes) -> list[Action]:
+        """The ack of a Probe or IndirectProbe. One that can't be read counts as none."""
+        self._record_wakeup(now)
+        request = self._probing.end(probe_id)
+        if request is None:
+            return []
+        message = read(payload)
+        if message is None:
+            self.ignored["malformed answer"] += 1
+            actions = self._probing.on_failure(now, request, refused=False)
+            return [*actions, *self._members.take_changes()]
+        if message.sender != request.to:
+            # Another process answers at this address, so the one that was probed has ended.
+            self.ignored["answer by another"] += 1
+            actions = self._probing.on_failure(now, request, refused=True)
+            return [*actions, *self._members.take_changes()]
+        self.last_ack_at = now
+        self._members.record_ack(now, request.to)
+        viewed = self._gossip.receive(now, message, request.sent)
+        acks = self._probing.on_ack(now, request, message.result)
+        return [*viewed, *acks, *self._members.take_changes()]
+
+    def on_failure(self, now: float, probe_id: int, refused: bool) -> list[Action]:
+        """A Probe or IndirectProbe had no ack; `refused` only if the machine refused the connection."""
+        self._record_wakeup(now)
+        request = self._probing.end(probe_id)
+        if request is None:
+            return []
+        actions = self._probing.on_failure(now, request, refused)
+        return [*actions, *self._members.take_changes()]
+
+    def on_probe(self, now: float, payload: bytes) -> tuple[bytes | None, list[Action]]:
+        """A direct probe by another member: the ack's payload, or None to refuse a malformed probe."""
+        self._record_wakeup(now)
+        message = read(payload)
+        if message is None:
+            self.ignored["malformed ask"] += 1
+            return None, []
+        viewed = self._gossip.receive(now, message)
+        return self._gossip.payload(now, message.sender), [*viewed, *self._members.take_changes()]
+
+    def on_indirect_probe(self, now: float, call: int, payload: bytes) -> list[Action]:
+        """Another member asks this node to probe a third; one Ack to `call` comes, now or when that probe
+        has ended."""
+        self._record_wakeup(now)
+        message = read(payload)
+        if message is None:
+            self.ignored["malformed ask"] += 1
+            return [Ack(call, None)]
+        viewed = self._gossip.receive(now, message)
+        return [*viewed, self._probing.relay(now, call, message), *self._members.take_changes()]
+
+    def _next_probe(self, now: float) -> float:
+        """When the next probe is due."""
+        if self._probed_at is None:
+            return now
+        return self._probed_at + self._period_ms() * self._local.timeout_factor
+
+    def _tick_ms(self) -> float:
+        """The longest wait for the next tick: short where a pause of this process could mislead it."""
+        if self._probing.under_way or self._is_urgent():
+            return self._config.tick_ms
+        return self._config.idle_tick_ms
+
+    def _is_urgent(self) -> bool:
+        """Whether statements or suspicions have to spread."""
+        return self._standing is not Standing.ATTACHED or self._members.has_suspects
+
+    def _period_ms(self) -> float:
+        """The protocol period now: urgent or steady."""
+        if self._is_urgent():
+            return min(self._config.urgent_period_ms, self._config.period_ms)
+        return self._config.period_ms
+
+    # -------------------------------------------------------------- what is known
+
+    @property
+    def due(self) -> float | None:
+        """When the next tick should come; None before the first."""
+        return self._local.due
+
+    @property
+    def incarnation(self) -> int:
+        """This process's own incarnation."""
+        return self._local.incarnation
+
+    @property
+    def health(self) -> int:
+        """Lifeguard's local health multiplier: 0 is healthy, up to `max_health`."""
+        return self._local.health
+
+    @property
+    def ignored(self) -> Counter[str]:
+        """What was ignored or odd, by reason."""
+        return self._local.ignored
+
+    def reachability(self) -> dict[int, Reachability]:
+        """What probing shows of each member, by incarnation."""
+        after = self._config.indirect_after
+        return {incarnation: peer.reachability(after) for incarnation, peer in self._members.peers.items()}
+
+    def last_ack_of(self, incarnation: int) -> float | None:
+        """When this member last acked a direct probe; None if never, or it is not known."""
+        peer = self._members.peers.get(incarnation)
+        return None if peer is None else peer.last_ack_at
+
+    def standings(self) -> dict[int, tuple[Standing, float]]:
+        """The newest known statement of each node, this one included: (standing, its service time)."""
+        return self._gossip.standings.table()
+
+    def _record_wakeup(self, now: float) -> None:
+        late = self._local.record_wakeup(now)
+        if late:
+            self._members.postpone_suspicions(now, late)
