--- a/bench/scale/events.py
+++ b/bench/scale/events.py
@@ -187,10 +187,12 @@
         world, run = self.world, self.measuring.run
         await self._until(self._settled, SETTLE_LIMIT_S, "before changes")
         changes = self.durations.changes
+        writes = []
         for number in range(changes):
             uid = f"{CHANGE}{number}-{time.monotonic_ns()}"
-            await world.put(uid)
+            writes.append(asyncio.create_task(world.put(uid)))
             await asyncio.sleep(self.durations.change_every)
+        await asyncio.gather(*writes)
         await asyncio.sleep(self.durations.event)
         measured = await self.measuring.phase("list_changes")
         agents = (await world.children.state()).lists
