--- a/bench/scale/program.py
+++ b/bench/scale/program.py
@@ -119,16 +119,18 @@
 
 
 class RealNode:
-    """A node process with the fleet's part, without callers."""
+    """A node process without callers; with the fleet's part where `members` are its settings."""
 
-    def __init__(self, program: Program, name: str, agent: RealAgent, members: dict[str, Any]) -> None:
-        port = int(str(members["listen"]).rpartition(":")[2])
+    def __init__(self, program: Program, name: str, agent: RealAgent, members: dict[str, Any] | None) -> None:
         self.name = name
         self._program = program
-        self._node = Node(
-            program.folder, [], agent.port, name=name, settings={"registryMode": "push"}, members=members
-        )
-        self._ports = {"door": self._node.door, "agent": agent.port, "members": port}
+        row: dict[str, Any] = {"name": name, "settings": {"registryMode": "push"}}
+        if members is not None:
+            row["members"] = members
+        self._node = Node(program.folder, [], agent.port, **row)
+        self._ports = {"door": self._node.door, "agent": agent.port}
+        if members is not None:
+            self._ports["members"] = int(str(members["listen"]).rpartition(":")[2])
 
     def launch(self) -> None:
         self._node.launch(self._spawn)
--- a/bench/scale/world.py
+++ b/bench/scale/world.py
@@ -92,11 +92,16 @@
         processes = 3 + options.processes + 2 * options.real_nodes + options.real_agents
         limits.check(limits.Plan(processes, len(self.hollow), len(self.platform.nodes)))
 
-    async def open(self) -> None:
+    async def open_service(self) -> None:
+        """The list service alone."""
         options = self.options
         self.instances = await asyncio.to_thread(
             Instances, self.program, options.ttl_ms, options.relayed, self.scoped
         )
+
+    async def open(self) -> None:
+        options = self.options
+        await self.open_service()
         await self.put_all(self.platform.nodes)
         agents = min(options.real_agents, len(self.hollow))
         for at in range(agents):
