--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -9,6 +9,7 @@
 
 PARTS = (
     "control",
+    "listing",
     "datapath",
     "chains",
     "report",
