--- a/tests/test_registry_parts.py
+++ b/tests/test_registry_parts.py
@@ -9,6 +9,7 @@
 import pytest
 
 from orchidledge.net.web import MAX_HEAD, Answer, Call, Limits, serve
+from orchidledge.registry import watch
 from orchidledge.registry.settings import ConfigError, load_agent, load_instance
 from orchidledge.registry.store import Catalog, clean_target
 
@@ -27,6 +28,11 @@
             GOOD + "[raft]\nelection_min_ms = 900\nelection_max_ms = 800\n",
             "election_max_ms (line 9): not above",
         ),
+        (GOOD + "[raft]\nelection_max_ms = 1501\n", "election_max_ms (line 8): 1501 is over 1500"),
+        (
+            GOOD + "[raft]\nappend_period_ms = 100\nelection_min_ms = 300\n",
+            "election_min_ms (line 9): not above 3 x append_period_ms",
+        ),
         (GOOD.replace('name = "r0"\n', ""), "instance.name: missing"),
         (
             GOOD + "[lease]\nttl_ms = 9\n[members]\nttl_ms = 9\n",
@@ -88,3 +94,8 @@
     silent, rude, first = asyncio.run(main())
     assert (silent, first) == (b"", b"")
     assert rude.startswith(b"HTTP/1.1 400 ")
+
+
+@pytest.mark.parametrize("fields", [{}, {"since": "", "timeout_ms": ""}, {"timeout_ms": "0"}])
+def test_a_field_of_a_watch_that_is_empty_is_as_one_that_is_not_there(fields: dict[str, str]) -> None:
+    assert watch.query(Call("GET", "/discovery/hosts", fields, {}, b"")) == (None, 0.0)
