Test of a long stop: wait until the watch has seen the node under its new incarnation

Cause or need: at a load of 45 to 53 the test failed with an IndexError: the wait for the shares asked the node itself, and the watch, whose answers the test then reads, had none of it yet.

Ruled out: a fault of the node; it had its share and its new incarnation, which the wait before had seen.

Change: a bounded wait for the watch's sample of the new incarnation. As strict: the incarnation has to rise as before, and no sample from before it may show a share.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -88,9 +88,13 @@
         start = time.monotonic()
         fleet.thaw(3)
         fleet.until_shared(0, 1, 2, 3, 4)
-        woken = watch.since(start, 3)
+
+        def enrolled_anew() -> list[Sample]:
+            woken = watch.since(start, 3)
+            return woken if woken and (woken[-1].status["incarnation"] or 0) > before else []
+
+        woken = until(enrolled_anew, LIMIT_S, "n3 seen under a new incarnation")
         assert {sample.share for sample in woken if sample.status["incarnation"] in (before, None)} <= {0.0}
-        assert woken[-1].status["incarnation"] > before
 
 
 HALVES = ((0, 1, 2), (3, 4))
