Tests of routes: propose once every node knows service time closely

Cause or need: a version was not switched to, and the test failed with `NoneType` for what was pending. The bound is 250 ms, and one no aborts a version.

Ruled out: a deadline of preparing that had passed; a lost vote.

Change: Fleet.propose waits until service time is known to half of that bound at every node. As strict: the wait is bounded and for an observed event, the bound in the program and all checks are unchanged; a node that never learns service time still fails the test.

Left: the program votes no for good though the next renewal would tell it service time; a leader replaced between the wait and the votes still aborts the version.

--- a/tests/members.py
+++ b/tests/members.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 import time
 from collections.abc import Iterator, Sequence
@@ -182,6 +183,8 @@
         return f"{groups}# {next(self._texts)}\n".encode()
 
     def propose(self, weights: Sequence[float] = (1.0, 1.0)) -> int:
+        """Once every node may vote yes: after a change of leaders each has to learn service time anew."""
+        self.until_all("service time known closely", _knows_service_time)
         status, told = self.service("PUT", "routes", self.table(weights))
         assert status == 200, told
         return int(told["number"])
@@ -275,6 +278,11 @@
     }
 
 
+def _knows_service_time(status: Status) -> bool:
+    low, high = status["service_ms"] or (0.0, math.inf)
+    return bool(high - low <= BOUND_MS)
+
+
 def _brief(status: Status) -> dict[str, Any]:
     kept = {
         key: status[key] for key in ("name", "incarnation", "stand", "standing", "share", "rows", "routes")
