--- a/bench/scale/role_tables.py
+++ b/bench/scale/role_tables.py
@@ -86,7 +86,7 @@
         return f"undecided: noise {number(judged.noise or 0.0)}"
     if judged.verdict is Verdict.NOT_RUN:
         return NOT_RUN
-    return judged.verdict.value if judged.measured else f"{judged.verdict.value}, as worked out"
+    return ", ".join(part for part in (judged.verdict.value, judged.how) if part)
 
 
 def _times(found: Estimate, factor: float) -> Estimate:
@@ -129,8 +129,8 @@
     """Runs in which all nodes are one group beside runs with a group for each service, at the same size."""
     heads = ["role", "figure", "when", "unit", "nodes", "one group", "by service", "ratio"]
     rows: list[list[str]] = []
-    by_service = chosen(sources.records, "control", "service")
-    one_group = chosen(sources.records, "control", "all")
+    by_service = chosen(sources.layout, sources.records, "control", "service")
+    one_group = chosen(sources.layout, sources.records, "control", "all")
     if not by_service or not one_group:
         return table(heads, rows)
     bounds = sources.size.bounds
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,7 +14,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -97,10 +97,10 @@
         count: int = 3,
         ttl_ms: int = 10_000,
         relayed: bool = False,
-        members: Callable[[int], dict[str, int]] = lambda index: {},
+        members: Callable[[int], dict[str, int | str]] = lambda index: {},
         raft: dict[str, int] | None = None,
     ) -> None:
-        """`members`, `raft`: the keys of an instance's tables of these names."""
+        """`members`, `raft`: the keys of an instance's tables of these names, in TOML's words (`true`)."""
         self.folder = folder
         self.members = members
         self.raft_keys = raft or {}
@@ -124,7 +124,7 @@
     def config(self, index: int) -> Path:
         path = self.folder / f"r{index}.toml"
         peers = ", ".join(f'"{self.peer(index, other)}"' for other in range(len(self.raft)) if other != index)
-        tables = {"raft": self.raft_keys, "members": self.members(index)}
+        tables: dict[str, Mapping[str, int | str]] = {"raft": self.raft_keys, "members": self.members(index)}
         path.write_text(
             f'[instance]\nname = "r{index}"\nlisten = "127.0.0.1:{self.http[index]}"\n'
             f'raft = "{self.hosts[index]}:{self.raft[index]}"\npeers = [{peers}]\ndata = "data-r{index}"\n'
@@ -219,7 +219,7 @@
             link.close()
 
 
-def _toml_table(name: str, keys: dict[str, int]) -> str:
+def _toml_table(name: str, keys: Mapping[str, int | str]) -> str:
     return f"[{name}]\n" + "".join(f"{key} = {value}\n" for key, value in keys.items())
 
 
