--- a/bench/scale/layout.py
+++ b/bench/scale/layout.py
@@ -42,6 +42,7 @@
     bound: float | str | None = None
     bound_in: list[str] = []  # none: in all its phases
     event_times: float = 1.0  # so much more is allowed in an event
+    counted: bool = False  # whether the number of observations is shown
     noise: str = ""  # the figure that tells how much of this one is noise of machine and method
 
     def limit(self, phase: Phase, bounds: Bounds) -> float | None:
--- a/bench/scale/role_tables.py
+++ b/bench/scale/role_tables.py
@@ -37,7 +37,7 @@
         judged.row.label,
         judged.phase.when,
         judged.row.unit,
-        measured(judged.series),
+        measured(judged.series, judged.row.counted),
         estimate(slope) if line else _no_slope(judged.series),
         estimate(line.intercept) if line else NOTHING,
         *(figure_at(judged.series, target.x) for target in of.targets),
@@ -47,16 +47,19 @@
     ]
 
 
-def measured(found: Series) -> str:
-    """The mean at each size."""
+def measured(found: Series, counted: bool = False) -> str:
+    """The mean at each size, if `counted` with the number of observations."""
     at: dict[float, list[float | None]] = defaultdict(list)
+    counts: dict[float, int] = defaultdict(int)
     for sample in found.samples:
         at[sample.x].append(sample.value)
+        counts[sample.x] += sample.count
     if not at:
         return NOT_RUN
     if len(at) > MOST_SHOWN:
         return f"{len(found.samples)} values from {number(min(at))} to {number(max(at))}"
-    return "; ".join(f"{number(x)}: {_mean(values)}" for x, values in at.items())
+    shown = {x: f"{_mean(values)} (of {counts[x]})" if counted else _mean(values) for x, values in at.items()}
+    return "; ".join(f"{number(x)}: {text}" for x, text in shown.items())
 
 
 def _mean(values: Sequence[float | None]) -> str:
--- a/bench/scale/series.py
+++ b/bench/scale/series.py
@@ -24,6 +24,7 @@
 
     x: float
     value: float | None
+    count: int = 0  # of observations behind it
 
 
 class Series(Struct, frozen=True):
@@ -86,7 +87,7 @@
     if axis == "nodes":
         nodes, figure = record.number("platform", "nodes"), record.find(row.role, name, phase.name)
         if nodes is not None and figure is not None:
-            yield "", Sample(nodes, _number(figure.value))
+            yield "", Sample(nodes, _number(figure.value), figure.samples)
         return
     for figure in record.figures:
         if figure.role != row.role:
@@ -94,11 +95,14 @@
         if axis == "calls" and figure.name == name:
             found = RATE.fullmatch(figure.phase)
             if found is not None and found[2] == phase.name:
-                yield "", Sample(float(found[1]), _number(figure.value))
+                yield "", Sample(float(found[1]), _number(figure.value), figure.samples)
         elif axis == "service" and figure.phase == phase.name:
             found = OF_SERVICE.fullmatch(figure.name)
             if found is not None and found[1] == name:
-                yield f"{record.factor} {figure.name}", Sample(float(found[2]), _number(figure.value))
+                yield (
+                    f"{record.factor} {figure.name}",
+                    Sample(float(found[2]), _number(figure.value), figure.samples),
+                )
 
 
 def _number(value: Value) -> float | None:
--- a/bench/scale/summary_tables.py
+++ b/bench/scale/summary_tables.py
@@ -133,7 +133,7 @@
 
 def _broken(judged: Judged) -> str:
     limit = number(judged.limit or 0.0)
-    how = f"({judged.how or 'measured'})"
+    how = f"({judged.how or 'measured'}{_counted(judged)})"
     value = None if judged.basis is None else judged.basis.value
     if value is None:
         told = f"not reached {how}, bound {limit} {judged.row.unit}"
@@ -143,6 +143,12 @@
     return f"{judged.name}: {told}{noise}. Carried by: {judged.row.mechanism}."
 
 
+def _counted(judged: Judged) -> str:
+    if not judged.row.counted or judged.basis is None or judged.basis.x is None:
+        return NOTHING
+    return f", of {sum(sample.count for sample in judged.series.near(judged.basis.x))}"
+
+
 def _over(judged: Judged) -> str:
     return f"{number(judged.ratio)} times" if judged.limit else "over a bound of 0"
 
--- a/tests/test_scale_report.py
+++ b/tests/test_scale_report.py
@@ -254,6 +254,13 @@
         assert (verdict is Verdict.UNDECIDED) == ("undecided" in tables.render(found, "missing"))
 
 
+def test_the_number_of_observations_stands_beside_a_figure_of_few() -> None:
+    figure = Figure("call", "added_undisturbed_p99_ms", 1.69, "ms", "93/s", 106)
+    found = made_from(record("datapath", [figure]))
+    assert "93: 1.69 (of 106)" in tables.render(found, "node-calls")
+    assert "(measured, of 106), bound 1.1" in tables.render(found, "missing")
+
+
 # -------------------------------------------------------------------------- other tables
 
 
