--- a/tests/members.py
+++ b/tests/members.py
@@ -227,6 +227,8 @@
         return f"{groups}# {next(self._texts)}\n".encode()
 
     def propose(self, weights: Sequence[float] = (1.0, 1.0)) -> int:
+        """Once every node may vote yes: after a change of leaders each has to learn service time anew."""
+        self.until_all("service time known closely", _knows_service_time)
         status, told = self.service("PUT", "routes", self.table(weights))
         assert status == 200, told
         return int(told["number"])
@@ -318,6 +320,11 @@
         self.pool.close()
 
 
+def _knows_service_time(status: Status) -> bool:
+    low, high = status["service_ms"] or (0.0, math.inf)
+    return bool(high - low <= BOUND_MS)
+
+
 def _brief(status: Status) -> dict[str, Any]:
     kept = {
         key: status[key] for key in ("name", "incarnation", "stand", "standing", "share", "rows", "routes")
