Break off a long answer whose server hangs, soon after its caller's time

Cause: once a long answer had begun, only 10 s of its server's silence ended it. Ruled out: short answers (held whole, timed out at 0.985 s); a plain limit on the time of a long answer, tried first: it cut off slow readers, who are owed the whole (the test of the real program failed). Change: from 0.25 s past the caller's time on, 0.25 s in which its server sends nothing, though the caller would take it, end the answer and give up the server. A stream has no such time. Left: a server that drips on for ever within its answer is still followed for as long as its caller stays.

--- a/orchidledge/net/call.py
+++ b/orchidledge/net/call.py
@@ -48,6 +48,11 @@
             self.answered = True
             self.connection.begin(self, length, rest, on_end)
 
+    def cut_off(self, silent_s: float) -> bool:
+        """End a long answer of which nothing has come for so long, though its caller would take it; whether
+        that was so."""
+        return self.connection.cut_off(self, silent_s)
+
 
 class LongAnswer:
     """A long answer on its way to a caller."""
@@ -71,6 +76,7 @@
         self._close = close or self.to_the_end
         self._on_end = on_end
         self._over = False
+        self.heard_at = 0.0  # the loop's time of the last piece, or since when its caller takes more
 
     def head(self) -> bytes:
         if self.to_the_end:
--- a/orchidledge/net/connection.py
+++ b/orchidledge/net/connection.py
@@ -73,6 +73,7 @@
     def resume_writing(self) -> None:
         self._writing.full = False
         if self._answer is not None:
+            self._answer.heard_at = self._server.loop.time()
             self._answer.rest.release()
         else:
             self._requests.restart_clock(self._server.loop.time())
@@ -147,8 +148,21 @@
         rest.attach(self._answer)
 
     def write(self, data: bytes) -> None:
+        if self._answer is not None:
+            self._answer.heard_at = self._server.loop.time()
         self._transport.write(data)
 
+    def cut_off(self, call: Call, silent_s: float) -> bool:
+        """End a long answer of which nothing has come for so long, though its caller would take it; whether
+        that was so. Its server is given up with the connection."""
+        answer = self._answer
+        if answer is None or answer.call is not call or answer.rest.held:
+            return False
+        silent = self._server.loop.time() - answer.heard_at >= silent_s
+        if silent:
+            self._abort()
+        return silent
+
     def finish(self, close: bool) -> None:
         """The long answer has been written."""
         self._answer = None
--- a/orchidledge/net/jobs.py
+++ b/orchidledge/net/jobs.py
@@ -18,6 +18,7 @@
 from orchidledge.net.upstream import Attempt
 
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
+CUT_OFF_S = 0.25  # past its caller's time a long answer is given up at a silence of its server of so long
 BODIES_SHARE = 0.25  # of the memory: requests still coming in,
 BODY_COST = 256 * 1024  # each of which may have so much on its way
 
@@ -188,13 +189,23 @@
         self._counts["answered 200"] += 1
         self._end(job)
         self.passing_on += 1
+        over = False
 
         def on_end(whole: bool) -> None:
+            nonlocal over
+            over = True
             self.passing_on -= 1
             if not whole:
                 self._counts["broken off"] += 1
             self._figures.reply(job.service, 200 if whole else 502)
 
+        def cut_off() -> None:
+            # Guard: a server that hung held its caller for 10 s, past the time by which it is owed an end.
+            if not over and not job.call.cut_off(CUT_OFF_S):
+                self._loop.call_later(CUT_OFF_S, cut_off)
+
+        if not job.call.coming and not self._classes[job.service].stream:
+            self._loop.call_at(job.give_up_at + CUT_OFF_S, cut_off)
         job.call.begin(length, rest, on_end)
 
     def _end(self, job: Job) -> None:
