--- a/orchidledge/net/call.py
+++ b/orchidledge/net/call.py
@@ -24,6 +24,11 @@
         """Whether the caller has gone; what it asked for is then over."""
         ...
 
+    def cut_off(self, call: Call, silent_s: float) -> bool:
+        """End the long answer if nothing of it has come for so long, though the caller would take it; whether
+        that was so."""
+        ...
+
     def write(self, data: bytes) -> None:
         """Write a part of the long answer."""
 
