--- a/orchidledge/net/call.py
+++ b/orchidledge/net/call.py
@@ -24,6 +24,11 @@
         """Whether the caller has gone; what it asked for is then over."""
         ...
 
+    def cut_off(self, call: Call, silent_s: float) -> bool:
+        """End the long answer if nothing of it has come for so long, though the caller would take it; whether
+        that was so."""
+        ...
+
     def write(self, data: bytes) -> None:
         """Write a part of the long answer."""
 
@@ -68,6 +73,11 @@
             self.answered = True
             self.connection.begin(self, length, rest, on_end)
 
+    def cut_off(self, silent_s: float) -> bool:
+        """End a long answer of which nothing has come for so long, though its caller would take it; whether
+        that was so."""
+        return self.connection.cut_off(self, silent_s)
+
 
 class LongAnswer:
     """A long answer on its way to a caller."""
@@ -91,6 +101,7 @@
         self._close = close or self.to_the_end
         self._on_end = on_end
         self._over = False
+        self.heard_at = 0.0  # the loop's time of the last piece, or since when its caller takes more
 
     def head(self) -> bytes:
         if self.to_the_end:
