Keep the limit of members that name no service when groups are switched on

Cause: with groups on they fell under a group's limit of 500, where the earlier command takes 1,000: a fleet of more than 500 unnamed nodes refused processes at new addresses until enough had moved. Ruled out: rows already held; they were kept. Result: the new test fails without the change and passes with it; tests/test_groups.py passes.

--- a/orchidledge/registry/fleet_state.py
+++ b/orchidledge/registry/fleet_state.py
@@ -32,7 +32,7 @@
 from orchidledge.routes.activation import Activations, Ruling
 
 # Guards: enrolments that never end must not grow the log's state without bound.
-MAX_ROWS = 1_000  # of members enrolled by a command that knows no groups
+MAX_ROWS = 1_000  # of members that name no service
 MAX_GROUP_ROWS = 500
 MAX_ALL_ROWS = 4_000
 
@@ -297,7 +297,8 @@
 
     def _check_limits(self, service: str, ledger: Ledger) -> None:
         rows = len(ledger.by_incarnation)
-        if rows >= MAX_GROUP_ROWS:
+        # Guard: members that name no service had so many before groups were switched on.
+        if rows >= (MAX_ROWS if service == NO_SERVICE else MAX_GROUP_ROWS):
             raise LimitReachedError(f"service {service!r} has {rows} members, the most that a group may have")
         rows = sum(len(other.by_incarnation) for other in self._ledgers())
         if rows >= MAX_ALL_ROWS:
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -189,6 +189,18 @@
     assert [row.name for row in state.rows()] == ["n1", "n2", "n4"]
 
 
+def test_members_that_name_no_service_keep_their_limit_when_groups_are_switched_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard: theirs fell to a group's, and a large fleet's new processes were refused half-way through."""
+    monkeypatch.setattr(fleet_state, "MAX_ROWS", 3)
+    monkeypatch.setattr(fleet_state, "MAX_GROUP_ROWS", 2)
+    state = state_with_leader()
+    enrol(state, NO_SERVICE, "n1", "n2", "n3")
+    with pytest.raises(LimitReachedError, match="has 3 members"):
+        enrol(state, NO_SERVICE, "n4")
+
+
 def test_a_state_without_services_is_written_as_earlier_releases_do() -> None:
     state = state_with_leader()
     enrol(state, NO_SERVICE, "n1")
