Share the benches' quantiles and process readers, from numpy and psutil

Cause: four quantile functions and three readers of /proc stood in bench/ in near copies. Ruled out: psutil for the CPU of a node's control work: its ticks of 10 ms are too coarse there, so cpu_ms stays. Change: bench/figures.py; quantiles are the higher of two neighbours, as before at the ranks used.

--- a/bench/failure_detector.py
+++ b/bench/failure_detector.py
@@ -29,17 +29,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from bench.figures import quantile
 from orchidledge.members import Reachability, Standing
 from tests.detector_sim import Gone, Node, World
 
 FAST, SLOW = (0.3, 1.0), (20.0, 200.0)
 
 
-def quantile(values: list[float], share: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 def say(**figures: object) -> None:
     print(orjson.dumps(figures).decode(), flush=True)
 
--- a/bench/fleet_detection.py
+++ b/bench/fleet_detection.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 
 from bench.failure_detector import false_verdicts
-from bench.fleet_world import LIMIT_S, Figures, Plan, Samples, Tail, World, cpu_ms, quantile, rss_mb, spread
+from bench.figures import quantile, rss_mb
+from bench.fleet_world import LIMIT_S, Figures, Plan, Samples, Tail, World, cpu_ms, spread
 from bench.renewals import renewals
 from orchidledge.members import Reachability
 from tests.fleet import until
--- a/bench/fleet_routes.py
+++ b/bench/fleet_routes.py
@@ -12,7 +12,8 @@
 from contextlib import suppress
 from pathlib import Path
 
-from bench.fleet_world import LIMIT_S, Figures, Plan, Samples, Tail, World, quantile, spread
+from bench.figures import quantile
+from bench.fleet_world import LIMIT_S, Figures, Plan, Samples, Tail, World, spread
 from tests.fleet import until
 from tests.load import Load, Outcome
 from tests.watch import Sample, apart, overtaken
--- a/bench/fleet_traffic.py
+++ b/bench/fleet_traffic.py
@@ -16,7 +16,8 @@
 
 import orjson
 
-from bench.fleet_world import LIMIT_S, Figures, Plan, World, cpu_ms, quantile, spread
+from bench.figures import quantile
+from bench.fleet_world import LIMIT_S, Figures, Plan, World, cpu_ms, spread
 from orchidledge.interface import Mark
 from orchidledge.net.web import call
 from tests.faults import LoopThread
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -16,6 +16,7 @@
 
 import orjson
 
+from bench.figures import quantile
 from orchidledge.net.web import call
 from tests.faults import LoopThread, Net, Post
 from tests.fleet import Registry, ask, until
@@ -31,11 +32,6 @@
 Figures = dict[str, Any]
 
 
-def quantile(values: Sequence[float], share: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 def spread(values: Sequence[float], digits: int = 1) -> Figures:
     """p50, p99 and max of what was measured, and how many there were."""
     if not values:
@@ -45,7 +41,8 @@
 
 
 def cpu_ms(pid: int) -> float:
-    """What the process's threads have run on a core so far, by the scheduler's count."""
+    """What the process's threads have run on a core so far, by the scheduler's count: finer than the kernel's
+    tick of 10 ms, in which a node's control work of seconds would be a few steps."""
     total = 0.0
     for task in Path(f"/proc/{pid}/task").iterdir():
         with suppress(FileNotFoundError, ProcessLookupError):
@@ -53,13 +50,6 @@
     return total / 1e6
 
 
-def rss_mb(pid: int) -> float:
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
 class Tail:
     """A node's log, read on from where it was last read."""
 
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -27,23 +27,12 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from bench.figures import quantile, rss_mb
 from orchidledge.net.web import call
 from tests.fleet import Registry, until
 from tests.nodes import Node
 
 
-def quantile(values: list[float], share: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
-def rss_mb(pid: int) -> float:
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
 async def follow(port: int, seen: dict[str, float], stop: asyncio.Event) -> None:
     """Watch an agent as a node does, noting when each uid first shows."""
     since: int | None = None
--- a/bench/renewals.py
+++ b/bench/renewals.py
@@ -24,22 +24,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from bench.figures import cpu_s, quantile
 from orchidledge.net.web import call
 from tests.fleet import Registry
 
 SEED = 7
 
 
-def quantile(values: list[float], share: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
-def cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 async def percent(pids: list[int], seconds: float) -> list[float]:
     before, began = [cpu_s(pid) for pid in pids], time.monotonic()
     await asyncio.sleep(seconds)
