--- a/bench/scale/limits.py
+++ b/bench/scale/limits.py
@@ -9,9 +9,9 @@
 
 MEMORY_SHARE = 0.5  # of the machine's memory, for this run and all that runs beside it
 PROCESSES = 300
-NODE_MB = 2.0  # a hollow node, its own copy of the list apart: 1.6 at factor 0.02
+NODE_MB = 1.2  # a hollow node, its own copy of the list apart: 0.5 to 1.2 at factors 0.25 and 0.5
 PROCESS_MB = 55.0  # a process with the program loaded: 40 to 50
-LIST_ENTRY_KB = 1.2  # of the list, in the agent of each node
+LIST_ENTRY_KB = 0.8  # of the list, in the agent of each node
 
 
 class TooLargeError(RuntimeError):
