Tests of routes: take the reads before the servers that they reached

Cause: the servers were asked for first, so a read that was answered in between was not among them (KeyError in 1 of 24 tests at load 20 to 30). Ruled out: a fault of the program; all five nodes followed the version, and the read had its 200. Change: the order. The check is the same: every one of these reads went to that server alone.

--- a/tests/test_fleet_routes.py
+++ b/tests/test_fleet_routes.py
@@ -60,8 +60,9 @@
             return [name for name, one in outcomes.copy().items() if one.sent_s > start and one.status == 200]
 
         until(lambda: len(sent()) >= 20, LIMIT_S, "20 reads")
-        servers = fleet.pool.reached
-        return {uid for name in sent() for uid in servers[name]} == {server}
+        reads = sent()
+        servers = fleet.pool.reached  # asked for last: a read may come in between
+        return {uid for name in reads for uid in servers[name]} == {server}
 
     until(reached, LIMIT_S, f"reads at {server} alone")
 
