Bound the doublings of the pause after refused enrolments

Cause: the pause was worked out as a float power of the refusals in a row; after 1,024 of them (some three hours at a full group) it overflowed, the call's task ended by it and the node never enrolled again. Ruled out: other growing pauses; the agent's come from tenacity, bounded. Change: the count stops at ten doublings, past the longest pause, which stays as it was.

--- a/orchidledge/members/enrolment.py
+++ b/orchidledge/members/enrolment.py
@@ -43,6 +43,7 @@
 DRIFT = 0.001  # clocks' rates differ by less: the node's term is shorter by this share of it
 HOLD = 0.9  # of the term: how long a sibling's word that it holds is rested on
 BACKOFF_MOST = 2.0  # of the term: the longest pause after enrolments that were refused again and again
+MOST_DOUBLINGS = 10  # of that pause: past BACKOFF_MOST
 WHOLE_LIST = -1  # acknowledged where the list has to be told whole
 FIRST_TTL_MS = 5_000.0  # until the service has told its term
 LEAST = 1e-9  # shares nearer than this are the same
@@ -190,7 +191,7 @@
             return
         self._out = None
         pause_ms = self.ttl_ms * min(BACKOFF_MOST, RETRY * 2.0**self._refusals)
-        self._refusals += 1
+        self._refusals = min(self._refusals + 1, MOST_DOUBLINGS)  # Guard: for days on end no float overflows
         self._due = now + pause_ms * self._rng.uniform(0.5, 1.0)
 
     def failed(self, now: float, number: int, unknown: bool = False) -> None:
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pickle
 from random import Random
 
@@ -303,6 +304,17 @@
     assert core.revision == known
 
 
+def test_an_enrolment_may_be_refused_for_days() -> None:
+    """Guard: after 1,024 refusals the pause overflowed, and the node never enrolled again."""
+    core, now = Enrolment("n1", "a", "z", "s", Random(3)), 0.0
+    for _ in range(1_100):
+        call = core.tick(now, None)
+        assert call is not None
+        core.refused(now, call.number)
+        now = core.due()
+    assert now < math.inf
+
+
 def test_a_refused_enrolment_is_said_again_with_a_jittered_pause_that_grows_to_a_bound() -> None:
     core, now, pauses = Enrolment("n1", "a", "z", "s", Random(3)), 0.0, []
     for _ in range(12):
