A node whose renewal is rejected drops its idea of service time and enrols again

What callers saw: a node that was once wrong about service time by over a quarter of the lease term was answered 409 to every renewal, had a quota of 0 from the end of its term on and rejected calls until it was restarted. Where no instance knew service time any more (all machines restarted), every node was.

Cause: the renewal states service time by the node's estimate, a 409 carries no times, and nothing dropped the samples.

Why the fix works: the enrolment of the same start needs no service time, keeps the row, renews the lease, and its answer begins the estimate anew. A renewal without a time is not sent, as it would count however late it came. The pause doubles with each rejection in a row, up to 0.4 terms.

A rejection is logged once a series with the stated time, the estimate and its age, and counted. The estimate has a class of its own.

--- a/loadbalancer/membership/member_lease.py
+++ b/loadbalancer/membership/member_lease.py
@@ -14,6 +14,9 @@
 - The member list is that of the node's group. Changes are merged only into the revision at which they begin;
   at any other the node requests the complete list, and goes on acknowledging the revision that it has.
 - An enrolment that is rejected (the group is full) is retried with exponential backoff and jitter.
+- A renewal that is rejected (late, by the service time that it states) shows that the node is wrong about
+  service time. The node enrols again, which states no time, keeps its record and learns service time.
+  It never renews without a time, as such a renewal would count however late it came.
 
 A node reports `HOLDING` from the moment at which it may no longer count as attached at the list service
 (membership/lease_clock.py). That is before its lease ends, so siblings that are cut off together receive each
@@ -41,6 +44,7 @@
 CATCH_UP_TERM_FRACTION = 0.05  # to the next renewal while the quota differs from its target
 HOLD_TERM_FRACTION = 0.9  # for so long a sibling's report that it holds its quota counts
 MAX_BACKOFF_TERMS = 2.0  # the longest backoff after enrolments that were rejected in a row
+MAX_RENEWAL_BACKOFF_TERMS = 0.4  # after renewals that were rejected: the lease outlasts it
 
 MIN_JITTER_FACTOR, MAX_JITTER_FACTOR = 0.5, 1.0  # of a pause
 MAX_BACKOFF_DOUBLINGS = 10  # reaches MAX_BACKOFF_TERMS, and keeps the exponent small
@@ -68,7 +72,8 @@
         self.revision = 0  # of `members`
         self._by_incarnation: dict[int, Member] = {}
         self._needs_full_list = False
-        self._rejections = 0  # of enrolments, in a row
+        self._rejections = 0  # of enrolments and renewals, in a row
+        self._enrols_again = False  # the record is there; the call is made for service time
         self.elector = False
         self.lease_end_ms = -math.inf
         self._quota = 0.0
@@ -124,7 +129,7 @@
         """The path of the next call, and its JSON body."""
         if self._departure_path is not None:
             return self._departure_path, {"incarnation": self.incarnation}
-        if self.incarnation is None:
+        if self.incarnation is None or self._enrols_again:
             return "enrol", dict(self._identity)
         return "renew", {
             "incarnation": self.incarnation,
@@ -154,30 +159,34 @@
         if now - sent > self.ttl_ms * MAX_DELAY_TERM_FRACTION:
             self._retry(now)
             return False
-        if grant.incarnation != self.incarnation:
+        is_new_record = grant.incarnation != self.incarnation
+        if is_new_record:
             self._last_answered = 0  # an enrolment is its incarnation's call number 0
         if call.path == "renew":
             self._last_answered = number
-        self._rejections = 0
+        if call.path == "renew" or is_new_record:
+            self._rejections = 0
+        self._enrols_again = False
         self._apply_grant(now, sent, grant)
         return True
 
     def on_enrolment_rejected(self, now: float, number: int) -> None:
         """The service accepts no further member in this group; the enrolment is retried with backoff."""
-        if self._in_flight is None or self._in_flight[0].number != number:
-            return
-        self._in_flight = None
-        pause_ms = self.ttl_ms * min(MAX_BACKOFF_TERMS, RETRY_TERM_FRACTION * 2.0**self._rejections)
-        self._rejections = min(self._rejections + 1, MAX_BACKOFF_DOUBLINGS)
-        self._next_call_ms = now + pause_ms * self._rng.uniform(MIN_JITTER_FACTOR, MAX_JITTER_FACTOR)
+        if self._end_call(number):
+            self._back_off(now, MAX_BACKOFF_TERMS)
+
+    def on_renewal_rejected(self, now: float, number: int) -> None:
+        """The service rejects the service time that the renewal states; the next call enrols again."""
+        if self._end_call(number):
+            self._enrols_again = True
+            self._back_off(now, MAX_RENEWAL_BACKOFF_TERMS)
 
     def on_failure(self, now: float, number: int, unknown: bool = False) -> None:
         """A call has failed; `unknown`: the service has no such member, and the process enrols again."""
-        if self._in_flight is None or self._in_flight[0].number != number:
+        if not self._end_call(number):
             return
-        self._in_flight = None
         if unknown and self._departure_path is None:
-            self.incarnation, self.elector = None, False
+            self.incarnation, self.elector, self._enrols_again = None, False, False
             self._quota, self._quota_end_ms, self.lease_end_ms = 0.0, now, -math.inf
             self._next_call_ms = now
         else:
@@ -233,6 +242,13 @@
 
     # Steps.
 
+    def _end_call(self, number: int) -> bool:
+        """Whether the call of this number was in flight; it is no longer."""
+        if self._in_flight is None or self._in_flight[0].number != number:
+            return False
+        self._in_flight = None
+        return True
+
     def _apply_grant(self, now: float, sent: float, grant: LeaseGrant) -> None:
         used = self.quota_in_force(now)
         self.incarnation, self.elector = grant.incarnation, grant.elector
@@ -273,6 +289,12 @@
             return grant.target_quota
         return 1.0 / max(1, sum(member.state != "left" for member in self.members))
 
+    def _back_off(self, now: float, max_terms: float) -> None:
+        """The pause after a rejection: it doubles with each in a row, up to so many terms."""
+        pause_ms = self.ttl_ms * min(max_terms, RETRY_TERM_FRACTION * 2.0**self._rejections)
+        self._rejections = min(self._rejections + 1, MAX_BACKOFF_DOUBLINGS)
+        self._next_call_ms = now + pause_ms * self._rng.uniform(MIN_JITTER_FACTOR, MAX_JITTER_FACTOR)
+
     def _retry(self, now: float) -> None:
         self._next_call_ms = now + RETRY_TERM_FRACTION * self.ttl_ms * self._rng.uniform(
             MIN_JITTER_FACTOR, MAX_JITTER_FACTOR
--- a/loadbalancer/node/control/control_plane.py
+++ b/loadbalancer/node/control/control_plane.py
@@ -31,12 +31,13 @@
 from loadbalancer.node.control.clock import MembershipClock
 from loadbalancer.node.control.freshness_tracker import FreshnessTracker
 from loadbalancer.node.control.group_view import GroupView
-from loadbalancer.node.control.lease_client import REGISTRY_PEER, LeaseClient
+from loadbalancer.node.control.lease_client import LeaseClient
 from loadbalancer.node.control.operator_requests import forward_request
 from loadbalancer.node.control.probe_transport import ProbeTransport
 from loadbalancer.node.control.registry_client import RegistryClient
 from loadbalancer.node.control.route_activation import RouteActivator
 from loadbalancer.node.control.route_store import RouteStore
+from loadbalancer.node.control.service_time import REGISTRY_PEER, ServiceTimeEstimate
 from loadbalancer.node.control.status_bodies import MembersStatus, RoutesStatus
 from loadbalancer.node.control.status_reporter import StatusReporter
 from loadbalancer.node.discovery.watcher import EndpointListWatcher
@@ -97,7 +98,7 @@
     def _make_lease_client(self, rng: Random) -> LeaseClient:
         settings, nonce = self.settings, secrets.token_hex(NONCE_BYTES)
         lease = MemberLease(self._name, settings.listen, settings.zone, nonce, rng, settings.service)
-        client = LeaseClient(lease, self._client, self.clock, self.clock_offsets)
+        client = LeaseClient(lease, self._client, self.clock, ServiceTimeEstimate(self.clock_offsets))
         client.on_answer = self._on_answer
         client.on_lease_lost = self._on_lease_lost
         client.on_quota_change = self._on_quota_change
--- a/loadbalancer/node/control/lease_client.py
+++ b/loadbalancer/node/control/lease_client.py
@@ -15,10 +15,10 @@
 from loadbalancer.node.control.clock import MembershipClock
 from loadbalancer.node.control.registry_client import RegistryClient, decode_lease_answer
 from loadbalancer.node.control.registry_watch import RegistryWatch, Revisions
+from loadbalancer.node.control.service_time import ServiceTimeEstimate
 from loadbalancer.node.control.timers import RestartableTimer
 from loadbalancer.node.failure_log import one_line
 from loadbalancer.node.http import service_http as web
-from loadbalancer.staleness import ClockOffsets
 from loadbalancer.staleness.clock_offsets import Interval
 
 log = logging.getLogger("loadbalancer")
@@ -27,7 +27,6 @@
 ENROLMENT: Final = "enrol"
 RENEWAL: Final = "renew"
 DEPARTURE: Final = "leave"
-REGISTRY_PEER: Final = "service"  # the list service among the peers of the clock offsets
 LEAVE_TIMEOUT_S: Final = 0.5  # how long a process that ends waits for its leave to be acknowledged
 MAX_LOGGED_CHARS: Final = 200  # of an error's text or an answer's body
 
@@ -44,21 +43,21 @@
         member_lease: MemberLease,
         client: RegistryClient,
         clock: MembershipClock,
-        clock_offsets: ClockOffsets,
+        service_time: ServiceTimeEstimate,
     ) -> None:
-        """`clock_offsets`: into which the calls' times are sampled, under REGISTRY_PEER."""
+        """`service_time`: takes the times of the calls."""
         self.member_lease = member_lease
         self.on_answer: Callable[[float, LeaseAnswer], None] = lambda now, answer: None
         self.on_lease_lost: Callable[[float], None] = lambda now: None
         self.on_quota_change: Callable[[], None] = lambda: None
         self.failures = 0
+        self.rejected_renewals = 0  # of those that reached the service too late by the time they stated
         self._failing = False
-        self._client, self._clock, self._clock_offsets = client, clock, clock_offsets
+        self._client, self._clock, self._service_time = client, clock, service_time
         self._timer = RestartableTimer(self._tick)
         self._tasks = BackgroundTasks()
         self._watch = RegistryWatch(client, lambda: member_lease.incarnation, self._on_registry_change)
         self._leave_acknowledged = asyncio.Event()
-        self._term = 0  # of the leader that answered last
 
     def start(self) -> None:
         """Enrol, and watch the list service for changes."""
@@ -72,7 +71,7 @@
 
     def service_ms(self, now: float) -> Interval | None:
         """The current service time in ms, as an interval; None until the service has answered."""
-        return self._clock_offsets.to_peer(REGISTRY_PEER, now, now)
+        return self._service_time.interval_ms(now)
 
     def set_revisions(self, members: int, routes: int) -> None:
         """The revisions that the last answer stated; the watch waits for later ones."""
@@ -102,8 +101,7 @@
 
     def _tick(self) -> None:
         now = self._clock.now_ms()
-        service = self.service_ms(now)
-        call = self.member_lease.tick(now, None if service is None else sum(service) / 2)
+        call = self.member_lease.tick(now, self._service_time.best_ms(now))
         if call is not None:
             self._tasks.spawn(self._send(call))
         due = self.member_lease.next_call_at()
@@ -130,7 +128,9 @@
         if reply.status == HTTPStatus.NOT_FOUND and call.path == RENEWAL:
             self._on_unknown(now, call)
         elif reply.status == HTTPStatus.CONFLICT and call.path == ENROLMENT:
-            self._on_rejection(now, call, reply.body)
+            self._on_enrolment_rejected(now, call, reply.body)
+        elif reply.status == HTTPStatus.CONFLICT and call.path == RENEWAL:
+            self._on_renewal_rejected(now, call, reply.body)
         elif reply.status != HTTPStatus.OK:
             self._on_failure(now, call, f"answered {reply.status}")
         elif call.path in (ENROLMENT, RENEWAL):
@@ -141,13 +141,13 @@
                 self._leave_acknowledged.set()
 
     def _use(self, sent_at: float, now: float, call: RegistryCall, answer: LeaseAnswer) -> None:
-        if answer.term != self._term:  # service time is by the new leader's clock from here on
-            self._clock_offsets.forget(REGISTRY_PEER)
-            self._term = answer.term
-        self._clock_offsets.add_sample(REGISTRY_PEER, sent_at, answer.received_ms, answer.answered_ms, now)
+        self._service_time.add_answer(sent_at, now, answer)
+        incarnation = self.member_lease.incarnation
         if not self.member_lease.on_grant(now, call.number, answer, answer.ttl_ms):
             self.failures += 1
             return
+        if incarnation not in (None, answer.incarnation):  # enrolled again, and the earlier record was gone
+            self.on_lease_lost(now)
         if self._failing:
             log.info("lease: the list service answers again, incarnation %d", answer.incarnation)
         self._failing = False
@@ -167,7 +167,18 @@
         self.member_lease.on_failure(now, call.number)
         self.on_quota_change()
 
-    def _on_rejection(self, now: float, call: RegistryCall, body: bytes) -> None:
+    def _on_renewal_rejected(self, now: float, call: RegistryCall, body: bytes) -> None:
+        """The service takes the renewal to be late or from the future: the estimate behind it is suspect."""
+        self.rejected_renewals += 1
+        self._count_failure(
+            f"renewal rejected, {self.rejected_renewals} so far, this process enrols again: stated "
+            f"{call.body['sent']}, {self._service_time.describe(now)}: {body[:MAX_LOGGED_CHARS]!r}"
+        )
+        self._service_time.discard()
+        self.member_lease.on_renewal_rejected(now, call.number)
+        self.on_quota_change()
+
+    def _on_enrolment_rejected(self, now: float, call: RegistryCall, body: bytes) -> None:
         self._count_failure(f"enrolment rejected, the group is full: {body[:MAX_LOGGED_CHARS]!r}")
         self.member_lease.on_enrolment_rejected(now, call.number)
 
--- a/tests/membership/test_orders.py
+++ b/tests/membership/test_orders.py
@@ -25,6 +25,7 @@
 SKEWS = (0.0, 2000.0, -2000.0, 1000.0)
 ALL = Bounds().kinds
 ANEW = ALL | {"snapshot"}
+REJECTED = ALL | {"reject"}
 VOTING = frozenset(("send", "crash", "lead", "ballot", "unstored"))
 ENDING = frozenset(("send", "crash"))
 NONE = frozenset[str]()
@@ -76,6 +77,8 @@
     "attached, no fault": (lambda: warm(Shares, 3, 0), 9, 20_000),
     "attached, any fault": (lambda: warm(Shares, 3, 1), 7, 15_000),
     "attached, any two faults": (lambda: warm(Shares, 3, 2), 6, 10_000),
+    "attached, any two faults, renewals rejected": (lambda: warm(Shares, 3, 2, REJECTED), 6, 15_000),
+    "rounds, renewals rejected": (lambda: warm(Rounds, 3, 2, frozenset(("reject",))), 10, 5_000),
     "two enrolling, two faults": (
         lambda: cold(2, 2, frozenset(("send", "repeat", "crash", "lead"))),
         8,
@@ -159,6 +162,8 @@
 def test_shares_keep_their_bound_on_long_random_runs() -> None:
     told("walks", walk(warm(Shares, 3, 8), share_check, range(60), 120, share_probe), 2_000)
     told("walks in rounds", walk(warm(Rounds, 3, 8), share_check, range(60), 120, share_probe), 1_000)
+    rejected = warm(Shares, 3, 8, REJECTED)
+    told("walks, renewals rejected", walk(rejected, share_check, range(60), 120, share_probe), 2_000)
 
 
 @pytest.mark.parametrize("services", [TWO, BESIDE, RESTARTED_ELSEWHERE], ids=["two", "beside", "elsewhere"])
@@ -182,6 +187,12 @@
     (mistakes.hold_rests_on_any_word, lambda: warm(Rounds, 3, 1, NONE, all_words=True), share_check, 9),
     (mistakes.row_given_away_without_a_majority, lambda: warm(Rounds, 3, 2, NONE), share_check, 9),
     (mistakes.late_enrolment_frees_a_share, lambda: cold(2, 2, ENDING), share_check, 8),
+    (
+        mistakes.enrolling_again_does_not_renew_the_lease,
+        lambda: warm(Rounds, 3, 2, frozenset(("reject",))),
+        share_check,
+        9,
+    ),
     (
         mistakes.late_follower_knows_the_time_loosely,
         lambda: fleet(2, 2, Talk(0), DECIDED, kinds=ENDING),
--- a/tests/support/hollow_members.py
+++ b/tests/support/hollow_members.py
@@ -23,6 +23,7 @@
 from loadbalancer.node.control.clock import MembershipClock
 from loadbalancer.node.control.lease_client import LeaseClient
 from loadbalancer.node.control.registry_client import RegistryClient
+from loadbalancer.node.control.service_time import ServiceTimeEstimate
 from loadbalancer.node.http.service_http import ReceivedResponse
 from loadbalancer.staleness import ClockOffsets
 from tests.support.faults import LoopThread
@@ -98,7 +99,7 @@
         start = f"{self.name}-{next(self._starts)}"
         core = MemberLease(self.name, self.address, self.zone, start, Random(start), self.service)
         self.words = {}
-        self.lease = LeaseClient(core, self.line, self._clock, ClockOffsets())
+        self.lease = LeaseClient(core, self.line, self._clock, ServiceTimeEstimate(ClockOffsets()))
         self.lease.on_answer, self.lease.on_lease_lost = self._on_answer, self._on_gone
         if watches:
             self.lease.start()
--- a/tests/support/orders/keys.py
+++ b/tests/support/orders/keys.py
@@ -17,6 +17,8 @@
 from loadbalancer.registry.fleet_state import NO_SERVICE
 from tests.support.orders.parts import TTL, Bounds, Node, Service, members_key, past
 
+MOST_REJECTIONS = 3  # of more the pause is the same
+
 
 class Keyed:
     """A world's part that tells its state."""
@@ -138,6 +140,8 @@
             None if out is None else (out[0].path, base - out[0].number, own - out[1]),
             max(0.0, core._next_call_ms - own),
             core._needs_full_list,
+            core._enrols_again,
+            min(core._rejections, MOST_REJECTIONS),
             members_key(core.members),
         )
 
--- a/tests/support/orders/mistakes.py
+++ b/tests/support/orders/mistakes.py
@@ -11,6 +11,7 @@
 from msgspec.structs import replace as replace_fields
 
 from loadbalancer.membership.lease_calls import SiblingReport
+from loadbalancer.membership.lease_clock import LeaseClock
 from loadbalancer.membership.member_lease import FULL_LIST_REVISION, MemberLease
 from loadbalancer.membership.member_record import MemberRecord
 from loadbalancer.membership.messages import LeaseGrant
@@ -165,6 +166,18 @@
     patch.setattr(FleetState, "enrol_in", enrol_in)
 
 
+def enrolling_again_does_not_renew_the_lease(patch: pytest.MonkeyPatch) -> None:
+    """The leader counts a lease from renewals and the first enrolment alone. A node whose renewal was
+    rejected enrols again, and counts its lease from that."""
+    right = LeaseClock.record_renewal
+
+    def record_renewal(self: LeaseClock, now: float, incarnation: int, seq: int, answered: int) -> None:
+        if answered >= 0 or incarnation not in self._leases:
+            right(self, now, incarnation, seq, answered)
+
+    patch.setattr(LeaseClock, "record_renewal", record_renewal)
+
+
 def changes_told_from_where_the_log_begins(patch: pytest.MonkeyPatch) -> None:
     """The service tells a process that is further behind than its change log what the log has. Harmless to
     the right node, which sees by `since` that there is a gap, and asks for the whole list."""
--- a/tests/support/orders/rounds.py
+++ b/tests/support/orders/rounds.py
@@ -8,7 +8,8 @@
 
     cut n0      no call of n0 arrives            parted n0 n1   neither hears the other
     mute n0     its calls arrive, no answer does  down          no call of anyone arrives
-    oneway n0   siblings hear n0, it hears none
+    oneway n0   siblings hear n0, it hears none  wrong n0       its renewals are rejected (where `kinds` has
+                                                               "reject"): its idea of service time is wrong
 """
 
 from __future__ import annotations
@@ -58,7 +59,8 @@
     def _possible(self) -> list[str]:
         faulty = self.bounds.faulty
         nodes = [node for node in self.nodes if faulty is None or node.name in faulty]
-        alone = [f"{kind} {node.name}" for node in nodes for kind in ("cut", "mute", "oneway")]
+        kinds = ("cut", "mute", "oneway", *(("wrong",) if "reject" in self.bounds.kinds else ()))
+        alone = [f"{kind} {node.name}" for node in nodes for kind in kinds]
         pairs = [f"parted {a.name} {b.name}" for a, b in combinations(nodes, 2) if a.service == b.service]
         return [*alone, *pairs, *(("down",) if faulty is None else ())]
 
@@ -85,6 +87,8 @@
             elif f"mute {node.name}" in self.cuts:
                 mute = self._own(at)
                 self._serve(mute, self._call(mute).call)
+            elif f"wrong {node.name}" in self.cuts and core.incarnation and not core._enrols_again:
+                self._reject(at)
             else:
                 self._renew(at)
 
--- a/tests/support/orders/shares.py
+++ b/tests/support/orders/shares.py
@@ -19,6 +19,7 @@
     plan     an `expire` worked out now and applied later (or refused, after a new leader)
     crash    the process ends; `start` (free) begins another one at the same address; what it had sent may
              still arrive
+    reject   a due renewal is rejected for the time that it states: the node is wrong about service time
     lead     a new leader, which grants every lease anew
     snapshot the change logs of the member lists begin anew here, as at an instance that has read a snapshot
              of now and answers from here on
@@ -84,6 +85,8 @@
             yield self._move(f"renew {node.name}", 0, lambda w: w._renew(at))
             if self._may("send", node) and len(node.calls) < self.bounds.on_way:
                 yield self._move(f"send {node.name}", 1, lambda w: w._send(at))
+            if self._may("reject", node) and core.incarnation is not None and not core._enrols_again:
+                yield self._move(f"reject {node.name}", 1, lambda w: w._reject(at))
         elif core._in_flight is not None and own >= core._in_flight[1] + core._in_flight[0].timeout_ms:
             yield self._move(f"timeout {node.name}", 0, lambda w: w._timeout(at))
         if self._may("crash", node):
@@ -205,6 +208,12 @@
         sent = self._call(node)
         self._take(node, sent.call.number, self._serve(node, sent.call))
 
+    def _reject(self, at: int) -> None:
+        node = self._own(at)
+        sent = self._call(node)
+        assert node.core is not None
+        node.core.on_renewal_rejected(self.now + node.skew, sent.call.number)
+
     def _arrive(self, at: int, sent: Sent, again: bool) -> None:
         node = self._own(at)
         if not again:
