An answer to an enrolment or a renewal counts only for the call that it names

What callers saw: where an earlier answer reached a node in place of a newer one, the node took the quota of then, and its group admitted up to 1.67 times the whole; the old times threw its estimate of service time over, and it was answered 409.

Cause: the shell passed whatever came to a call's connection on under that call's own number, and sampled its times before the core looked at it. Nothing in an answer named a call.

Change: both calls state their number, instances repeat it, another number is a failed call. Answers of instances that don't repeat it are older where they contradict the order in time of those used before. Without the number the test of a call that was given up fails too.

--- a/loadbalancer/node/control/lease_client.py
+++ b/loadbalancer/node/control/lease_client.py
@@ -9,6 +9,8 @@
 from http import HTTPStatus
 from typing import Final
 
+from msgspec import UNSET
+
 from loadbalancer.membership import MemberLease, RegistryCall
 from loadbalancer.membership.messages import LeaseAnswer
 from loadbalancer.node.control.background_tasks import BackgroundTasks
@@ -51,6 +53,7 @@
         self.on_lease_lost: Callable[[float], None] = lambda now: None
         self.on_quota_change: Callable[[], None] = lambda: None
         self.failures = 0
+        self.mismatched_answers = 0  # answers to other calls than the one they came to
         self.rejected_renewals = 0  # of those that reached the service too late by the time they stated
         self._failing = False
         self._client, self._clock, self._service_time = client, clock, service_time
@@ -116,7 +119,7 @@
     async def _send(self, call: RegistryCall) -> None:
         sent_at = self._clock.now_ms()
         try:
-            reply = await self._client.post(call.path, call.body, call.timeout_ms)
+            reply = await self._client.post(call.path, _numbered(call), call.timeout_ms)
             self._on_reply(sent_at, call, reply)
         except (OSError, TimeoutError, ValueError) as error:
             self._on_failure(self._clock.now_ms(), call, f"{type(error).__name__}: {one_line(error)}")
@@ -141,6 +144,10 @@
                 self._leave_acknowledged.set()
 
     def _use(self, sent_at: float, now: float, call: RegistryCall, answer: LeaseAnswer) -> None:
+        if not self._answers(call, answer):
+            self.mismatched_answers += 1
+            self._on_failure(now, call, f"answered as an earlier call, {self.mismatched_answers} so far")
+            return
         self._service_time.add_answer(sent_at, now, answer)
         incarnation = self.member_lease.incarnation
         if not self.member_lease.on_grant(now, call.number, answer, answer.ttl_ms):
@@ -154,8 +161,15 @@
         self.on_answer(now, answer)
         self.on_quota_change()
 
+    def _answers(self, call: RegistryCall, answer: LeaseAnswer) -> bool:
+        """Whether this is the answer to this call: an instance or a link may give an earlier one again."""
+        if answer.call is UNSET:  # of an instance that does not repeat the number
+            return not self._service_time.is_older(answer)
+        return answer.call == call.number
+
     def _on_unknown(self, now: float, call: RegistryCall) -> None:
         log.warning("lease: this process is not known to the list service; it enrols again")
+        self._service_time.discard()  # the service may have been rebuilt, with a clock and terms of its own
         self.member_lease.on_failure(now, call.number, unknown=True)
         self.on_lease_lost(now)
         self.on_quota_change()
@@ -188,3 +202,8 @@
         if not self._failing:
             log.warning("lease: %s", message)
         self._failing = True
+
+
+def _numbered(call: RegistryCall) -> dict[str, object]:
+    """The call's body, with the number that the answer to an enrolment or a renewal repeats."""
+    return call.body if call.path not in (ENROLMENT, RENEWAL) else {**call.body, "call": call.number}
--- a/loadbalancer/node/control/service_time.py
+++ b/loadbalancer/node/control/service_time.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 from loadbalancer.membership.messages import LeaseAnswer
@@ -22,6 +23,7 @@
         """`clock_offsets`: where the samples are held, under REGISTRY_PEER."""
         self._clock_offsets = clock_offsets
         self._term = 0  # of the leader that the samples are of
+        self._answered_ms = -math.inf  # service time of the last answer
         self._sampled_at = 0.0
 
     def interval_ms(self, now: float) -> Interval | None:
@@ -33,17 +35,24 @@
         interval = self.interval_ms(now)
         return None if interval is None else sum(interval) / 2
 
+    def is_older(self, answer: LeaseAnswer) -> bool:
+        """Whether this answer was given before the last one, and so to an earlier call."""
+        if answer.term != self._term:
+            return answer.term < self._term
+        return answer.received_ms < self._answered_ms
+
     def add_answer(self, sent_at: float, now: float, answer: LeaseAnswer) -> None:
         """Use the times of a call that was sent at `sent_at` and whose answer has arrived now."""
         if answer.term != self._term:
             self.discard()
-            self._term = answer.term
+        self._term, self._answered_ms = answer.term, answer.answered_ms
         self._clock_offsets.add_sample(REGISTRY_PEER, sent_at, answer.received_ms, answer.answered_ms, now)
         self._sampled_at = now
 
     def discard(self) -> None:
         """Drop the estimate: the list service contradicts it, or another leader's clock counts."""
         self._clock_offsets.forget(REGISTRY_PEER)
+        self._term, self._answered_ms = 0, -math.inf
 
     def describe(self, now: float) -> str:
         """The estimate in words, for a log line."""
--- a/loadbalancer/registry/fleet_api.py
+++ b/loadbalancer/registry/fleet_api.py
@@ -14,6 +14,7 @@
 
 import msgspec
 import structlog
+from msgspec import UnsetType
 
 from loadbalancer.membership.messages import LeaseAnswer
 from loadbalancer.node.http.service_http import HttpClient, HttpRequest, HttpResponse
@@ -189,7 +190,7 @@
             address=body.address,
             incarnation=grant.lease.incarnation,
         )
-        return self._lease(grant, received_ms)
+        return self._lease(grant, received_ms, body.call)
 
     def _reject_enrolment(self, member: EnrolMember, failure: MemberLimitError) -> HttpResponse:
         self.rejected_enrolments += 1
@@ -220,10 +221,10 @@
         return (
             _error(HTTPStatus.NOT_FOUND, "no such row: enrol anew")
             if grant is None
-            else self._lease(grant, received_ms)
+            else self._lease(grant, received_ms, body.call)
         )
 
-    def _lease(self, grant: MemberGrant, received_ms: float) -> HttpResponse:
+    def _lease(self, grant: MemberGrant, received_ms: float, call: int | UnsetType) -> HttpResponse:
         leader = self._leader
         answer = LeaseAnswer(
             **msgspec.structs.asdict(grant.lease),
@@ -232,6 +233,7 @@
             term=leader.term or 0,
             received_ms=received_ms,
             answered_ms=leader.service_ms(),
+            call=call,
         )
         return HttpResponse(HTTPStatus.OK, msgspec.json.encode(answer))
 
--- a/loadbalancer/registry/messages.py
+++ b/loadbalancer/registry/messages.py
@@ -8,7 +8,7 @@
 from typing import Annotated, TypeVar
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 from loadbalancer.registry.errors import InvalidBodyError
 
@@ -33,6 +33,7 @@
     start: Name  # a random text of the process's start
     zone: NameOrEmpty = ""
     service: NameOrEmpty = ""  # the service that the process balances to
+    call: Counter | UnsetType = UNSET  # the number of this call, which the answer repeats
 
 
 class RenewRequest(Struct, frozen=True):
@@ -45,6 +46,7 @@
     sent: Annotated[float, Meta(ge=-MAX_SERVICE_TIME_MS, le=MAX_SERVICE_TIME_MS)] | None = None  # service ms
     answered: CounterOrNone = -1  # the last renewal whose answer was used
     delta: bool = False  # it takes the changes of the member list in place of the complete list
+    call: Counter | UnsetType = UNSET  # the number of this call, which the answer repeats
 
 
 class MemberRequest(Struct, frozen=True):
--- a/tests/node/control/test_lease_recovery.py
+++ b/tests/node/control/test_lease_recovery.py
@@ -11,7 +11,7 @@
 from loadbalancer.node.http.service_http import ReceivedResponse
 from loadbalancer.registry.service_clock import ServiceClock
 from tests.support.lease_world import TTL_MS, Deliver, LeaseWorld, pause, run
-from tests.support.lease_world_faults import OlderAnswer, StoppedInCall, believe_wrongly
+from tests.support.lease_world_faults import OlderAnswer, ReplayedAnswer, StoppedInCall, believe_wrongly
 
 LIMIT_MS = 2.4 * TTL_MS  # two terms and a backoff
 AGES = (0.2, 0.24, 0.26, 0.5, 1.0, 3.0, 10.0)  # in terms
@@ -148,3 +148,76 @@
         world.close()
 
     run(main())
+
+
+@pytest.mark.parametrize("repeats_number", [True, False], ids=["numbered", "of an earlier release"])
+@pytest.mark.parametrize("path", ["renew", "enrol"])
+def test_an_answer_to_an_earlier_call_grants_nothing(tmp_path: Path, path: str, repeats_number: bool) -> None:
+    """It grants the whole, of which others have their parts by now; neither has its time any use."""
+
+    async def main() -> None:
+        world = LeaseWorld(tmp_path, members=1)
+        member = world.members[0]
+        fault = ReplayedAnswer(member, path, repeats_number)
+        await world.until_settled()
+        world.add(2)
+        await world.until_settled()
+        fault.injects = True
+        await fault.injected.wait()
+        known = member.client.service_ms(member.clock.now_ms())
+        assert known is not None
+        assert known[0] <= world.service.service_ms() <= known[1]
+        assert max(await world.times_to_lease_ms([member], 12 * TTL_MS)) < LIMIT_MS
+        assert member.quota() == pytest.approx(1 / 3)
+        assert (member.client.mismatched_answers, world.service.rejections) == (1, 0)
+        world.close()
+
+    run(main())
+
+
+def test_an_answer_of_a_leader_that_was_replaced_grants_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        world = LeaseWorld(tmp_path, members=1)
+        member = world.members[0]
+        fault = ReplayedAnswer(member, "renew", repeats_number=False)
+        await world.until_settled()
+        world.add(2)
+        await world.until_settled()
+        world.service.lead(world.service.service_clock)
+        await pause(2 * TTL_MS)
+        fault.injects = True
+        await fault.injected.wait()
+        assert max(await world.times_to_lease_ms([member], 12 * TTL_MS)) < LIMIT_MS
+        assert member.client.mismatched_answers == 1
+        world.close()
+
+    run(main())
+
+
+def test_the_answer_to_a_call_that_was_given_up_is_not_taken_for_one_to_the_next(tmp_path: Path) -> None:
+    """The next call never came: a lease that runs from it would outlast the service's."""
+
+    async def main() -> None:
+        world = LeaseWorld(tmp_path, members=3)
+        await world.until_settled()
+        member = world.members[0]
+        kept: list[ReceivedResponse] = []
+
+        async def late(path: str, body: Mapping[str, object], deliver: Deliver) -> ReceivedResponse:
+            if kept:
+                member.network.fault = None
+                return kept[0]
+            kept.append(await deliver())
+            await pause(TTL_MS)
+            return kept[0]
+
+        member.network.fault = late
+        lease_end_ms = member.core.lease_end_ms
+        while member.client.mismatched_answers == 0:
+            assert member.core.lease_end_ms == lease_end_ms
+            await pause(1.0)
+        assert member.core.lease_end_ms == lease_end_ms
+        assert max(await world.times_to_lease_ms([member], 12 * TTL_MS)) < LIMIT_MS
+        world.close()
+
+    run(main())
--- a/tests/support/lease_world_faults.py
+++ b/tests/support/lease_world_faults.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Mapping
 
+import orjson
+
 from loadbalancer.node.control.service_time import REGISTRY_PEER
 from loadbalancer.node.http.service_http import ReceivedResponse
 from loadbalancer.staleness.clock_offsets import MAX_SAMPLES
@@ -33,6 +35,35 @@
         return older[-1]
 
 
+class ReplayedAnswer:
+    """The first answer with a quota to a call of this path, given again in place of one much later.
+
+    `repeats_number`: whether the instance repeats the numbers of calls, as releases after 69ecf49 do.
+    """
+
+    def __init__(self, member: LeasedMember, path: str, repeats_number: bool) -> None:
+        self._path, self._repeats_number = path, repeats_number
+        self._kept: ReceivedResponse | None = None
+        self.injects = False
+        self.injected = asyncio.Event()
+        member.network.fault = self._post
+
+    async def _post(self, path: str, body: Mapping[str, object], deliver: Deliver) -> ReceivedResponse:
+        answer = await deliver()
+        if not self._repeats_number:
+            told = orjson.loads(answer.body)
+            told.pop("call", None)
+            answer = ReceivedResponse(answer.status, answer.headers, orjson.dumps(told))
+        if answer.status != 200 or path not in ("enrol", "renew"):
+            return answer
+        if self._kept is None and path == self._path and orjson.loads(answer.body)["share"] == 1.0:
+            self._kept = answer
+        if self.injects and self._kept is not None and not self.injected.is_set():
+            self.injected.set()
+            return self._kept
+        return answer
+
+
 class StoppedInCall:
     """The process does not run for so long after an answer has come, and then finds it before its timer."""
 
--- a/tests/support/orders/keys.py
+++ b/tests/support/orders/keys.py
@@ -141,6 +141,7 @@
             max(0.0, core._next_call_ms - own),
             core._needs_full_list,
             core._enrols_again,
+            None if node.largest is None else round(node.largest[1].quota, 6),
             min(core._rejections, MOST_REJECTIONS),
             members_key(core.members),
         )
--- a/tests/support/orders/mistakes.py
+++ b/tests/support/orders/mistakes.py
@@ -178,6 +178,17 @@
     patch.setattr(LeaseClock, "record_renewal", record_renewal)
 
 
+def answer_is_taken_for_one_to_the_latest_call(patch: pytest.MonkeyPatch) -> None:
+    """As the shell did: whatever answer came to a call was used as the answer to it."""
+    right = MemberLease.on_grant
+
+    def on_grant(self: MemberLease, now: float, number: int, grant: LeaseGrant, ttl_ms: float) -> bool:
+        latest = number if self._in_flight is None else self._in_flight[0].number
+        return right(self, now, latest, grant, ttl_ms)
+
+    patch.setattr(MemberLease, "on_grant", on_grant)
+
+
 def changes_told_from_where_the_log_begins(patch: pytest.MonkeyPatch) -> None:
     """The service tells a process that is further behind than its change log what the log has. Harmless to
     the right node, which sees by `since` that there is a gap, and asks for the whole list."""
