One clock sample that contradicts the others no longer displaces them

What callers saw: an answer that came for another call threw the estimate of a peer's clock over at once.

Cause: ClockOffsets took any contradicting sample for the first after a clock was set, however many there were against it. Change: the next sample decides, and until then the interval spans both. Ten new cases of test_staleness failed before and pass; the test of a clock that jumps is unchanged.

--- a/loadbalancer/staleness/clock_offsets.py
+++ b/loadbalancer/staleness/clock_offsets.py
@@ -5,16 +5,21 @@
 no message arrives before it is sent. The newest samples are intersected, each widened by the drift since it
 was taken. All times are in ms.
 
-Sources: Mills, "Network Time Protocol Version 4", RFC 5905; Marzullo and Owicki, "Maintaining the Time in a
-Distributed System", 1983, for the intersection.
+A sample that contradicts the others is an answer to another call, or the first after a clock was set. The
+next one decides: if it agrees with the outlier, the clock was set, and the earlier samples are dropped; else
+the outlier is. Until then the interval spans both.
+
+Sources: Mills, "Network Time Protocol Version 4", RFC 5905, with its popcorn spike suppressor; Marzullo and
+Owicki, "Maintaining the Time in a Distributed System", 1983, for the intersection.
 """
 
 from __future__ import annotations
 
 import math
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Final
 
 # Between two clocks: each is off its rate by up to 500 ppm, the most that a kernel's clock discipline steers
@@ -35,33 +40,58 @@
     """Samples that were rejected, or made earlier ones invalid, since the start."""
 
     invalid: int = 0  # no pair of clocks can give these four times
-    clock_jumps: int = 0  # contradicted the earlier samples, which were dropped
+    outliers: int = 0  # contradicted the samples before and after them, and were dropped
+    clock_jumps: int = 0  # two in a row contradicted the earlier samples, which were dropped
+
+
+class SampleVerdict(Enum):
+    """What a sample shows beside the earlier ones."""
+
+    CONSISTENT = auto()
+    OUTLIER = auto()  # it contradicts them
+    CLOCK_SET = auto()  # it contradicts them, and agrees with the outlier before it
 
 
 class _PeerClock:
     """One peer's samples. Bounds are as of local time 0, so that one drift correction fits all."""
 
-    __slots__ = ("high", "low", "newest", "samples")
+    __slots__ = ("high", "low", "newest", "outlier", "samples")
 
     def __init__(self) -> None:
         self.samples: deque[Interval] = deque(maxlen=MAX_SAMPLES)
+        self.outlier: Interval | None = None  # the last sample, where it contradicts the others
         self.low = self.high = self.newest = 0.0
 
-    def add(self, low: float, high: float, taken_at: float, drift: float) -> bool:
-        """Add a sample taken at local time `taken_at`, when `drift` is to be added to every bound.
-
-        Returns False where it contradicts the others; those are dropped.
-        """
-        consistent = not self.samples or (
-            low - drift <= self.high + drift and high + drift >= self.low - drift
-        )
-        if not consistent:
-            self.samples.clear()
-        self.samples.append((low, high))
-        self.low = max(sample[0] for sample in self.samples)
-        self.high = min(sample[1] for sample in self.samples)
+    def add(self, sample: Interval, taken_at: float, drift: float) -> SampleVerdict:
+        """Add a sample taken at local time `taken_at`, when `drift` is to be added to every bound."""
+        verdict = self._place(sample, drift)
+        self.low, self.high = _intersection(self.samples)
+        if self.outlier is not None:
+            self.low, self.high = min(self.low, self.outlier[0]), max(self.high, self.outlier[1])
         self.newest = max(self.newest, taken_at)
-        return consistent
+        return verdict
+
+    def _place(self, sample: Interval, drift: float) -> SampleVerdict:
+        if not self.samples or _overlap(sample, _intersection(self.samples), drift):
+            self.samples.append(sample)
+            self.outlier = None
+            return SampleVerdict.CONSISTENT
+        if self.outlier is None or not _overlap(sample, self.outlier, drift):
+            self.outlier = sample
+            return SampleVerdict.OUTLIER
+        self.samples.clear()
+        self.samples.extend((self.outlier, sample))
+        self.outlier = None
+        return SampleVerdict.CLOCK_SET
+
+
+def _intersection(samples: Iterable[Interval]) -> Interval:
+    return max(sample[0] for sample in samples), min(sample[1] for sample in samples)
+
+
+def _overlap(one: Interval, other: Interval, drift: float) -> bool:
+    """Whether two samples' bounds, each widened by the drift, have a value in common."""
+    return one[0] - drift <= other[1] + drift and one[1] + drift >= other[0] - drift
 
 
 class OffsetReading:
@@ -102,9 +132,9 @@
     def add_sample(self, peer: Hashable, t1: float, t2: float, t3: float, t4: float) -> bool:
         """Add the four times of a call. Returns False for an invalid sample, which is counted and dropped.
 
-        A sample that contradicts the earlier ones means that the peer's clock was set: the earlier ones are
-        dropped. A jump of less than the round trip can pass undetected until `MAX_SAMPLES` newer samples have
-        come; a caller that knows of a jump calls `forget`.
+        Two samples in a row that contradict the earlier ones and agree mean that the peer's clock was set:
+        the earlier ones are dropped. A jump of less than the round trip can pass undetected until
+        `MAX_SAMPLES` newer samples have come; a caller that knows of a jump calls `forget`.
         """
         if not _is_plausible(t1, t2, t3, t4):
             self.rejections.invalid += 1
@@ -117,7 +147,10 @@
         if low - drift > high + drift:  # the peer states a longer processing time than the whole call took
             self.rejections.invalid += 1
             return False
-        if not self._move_to_end(peer).add(low, high, t4, drift):
+        verdict = self._move_to_end(peer).add((low, high), t4, drift)
+        self.rejections.outliers += verdict is SampleVerdict.OUTLIER
+        if verdict is SampleVerdict.CLOCK_SET:
+            self.rejections.outliers -= 1  # the one before was none
             self.rejections.clock_jumps += 1
         return True
 
--- a/tests/staleness/test_staleness.py
+++ b/tests/staleness/test_staleness.py
@@ -88,6 +88,48 @@
     assert high - low < 86.0
 
 
+@pytest.mark.parametrize("samples", [2, MAX_SAMPLES])
+@pytest.mark.parametrize("off", [-5000.0, -100.0, 100.0, 5000.0])
+def test_one_sample_that_contradicts_the_others_displaces_none_of_them(samples, off):
+    offsets, peer = ClockOffsets(), Peer(0.0, 0.0, 0.0)
+    for _ in range(samples):
+        peer.call(offsets, 100.0, 5.0, 1.0, 5.0)
+    offsets.add_sample("peer", peer.now, peer.now + off + 4.0, peer.now + off + 5.0, peer.now + 10.0)
+    peer.now += 10.0
+    low, high = offsets.offset("peer", peer.now)
+    assert low <= 0.0 <= high  # it may be the one that is right, so both are in the interval
+    assert low <= off <= high
+    peer.call(offsets, 100.0, 5.0, 1.0, 5.0)
+    low, high = offsets.offset("peer", peer.now)
+    assert low <= 0.0 <= high
+    assert high - low < 11.0
+    assert (offsets.rejections.outliers, offsets.rejections.clock_jumps) == (1, 0)
+
+
+def test_samples_that_contradict_all_others_and_each_other_displace_none():
+    offsets, peer = ClockOffsets(), Peer(0.0, 0.0, 0.0)
+    for _ in range(MAX_SAMPLES):
+        peer.call(offsets, 100.0, 5.0, 1.0, 5.0)
+    for off in (-5000.0, 3000.0, -700.0):
+        offsets.add_sample("peer", peer.now, peer.now + off + 4.0, peer.now + off + 5.0, peer.now + 10.0)
+        peer.now += 10.0
+        low, high = offsets.offset("peer", peer.now)
+        assert low <= 0.0 <= high
+    assert (offsets.rejections.outliers, offsets.rejections.clock_jumps) == (3, 0)
+
+
+def test_a_sibling_that_is_answered_for_by_an_older_ack_is_not_taken_for_fresher():
+    """Its facts would be dated later than they are by as much as the ack is older."""
+    table, there = table_of("s"), table_of("s")
+    for at in (100.0, 200.0):
+        table.clock_offsets.add_sample(7, at, at, at, at + 1.0)
+    there.record_outcome(100.0, "s", AttemptResult.OK)
+    table.clock_offsets.add_sample(7, 900.0, 210.0, 210.0, 901.0)
+    table.receive_report(901.0, 7, there.make_report(200.0))
+    least, most = server_edge(table, 901.0, "s").age
+    assert least <= 801.0 <= most
+
+
 @pytest.mark.parametrize(
     "times",
     [
