A node that is told to end leaves new connections open for their first request

What callers saw: who had just connected to a node that was told to end got a reset and no answer to the first request, which nobody sends again.

Cause: from 0.5 s after SIGTERM on every idle connection was closed each 10 ms; only standby spared those younger than 0.5 s.

Change: every drain has the grace, but the last phase before SIGKILL; the timer that repeats a look belongs to the drain alone and goes by its grace.

--- a/loadbalancer/node/listener/listener.py
+++ b/loadbalancer/node/listener/listener.py
@@ -20,6 +20,7 @@
 ACCEPT_PAUSE_S = 0.002  # at capacity: a connection that is closed is gone a turn of the loop later
 DRAIN_OPEN_S = 0.5  # clients still open connections for up to 0.4 s after the start of a drain
 DRAIN_INTERVAL_S = 0.01
+NEW_CONNECTION_GRACE_S = 0.5  # for the first request of a connection, which its client would not send again
 SWEEP_INTERVAL_S = 0.1  # a client without a request is owed an error or a close within 3 s
 # The limit of connections that take requests has 7 parts. One of them may be accepted in a turn of the loop;
 # three more are for connections that are being closed.
@@ -209,14 +210,14 @@
 
     # ---------------------------------------------------------------- drain and close
 
-    def drain(self, young_s: float = 0.0, open_s: float = DRAIN_OPEN_S) -> None:
+    def drain(self, young_s: float = NEW_CONNECTION_GRACE_S, open_s: float = DRAIN_OPEN_S) -> None:
         """Close each connection with its next response, and from `open_s` on when it is idle.
 
         One younger than `young_s` stays open, as its first request may be on its way.
         """
         if not self.draining:
             self.draining = True
-            self._drain_timer = self.loop.call_later(open_s, self._close_idle, young_s)
+            self._drain_timer = self.loop.call_later(open_s, self._drain_idle, young_s)
 
     def resume(self) -> None:
         """End the drain."""
@@ -225,12 +226,15 @@
             self._drain_timer.cancel()
             self._drain_timer = None
 
+    def _drain_idle(self, young_s: float) -> None:
+        self._close_idle(young_s)
+        self._drain_timer = self.loop.call_later(DRAIN_INTERVAL_S, self._drain_idle, young_s)
+
     def _close_idle(self, young_s: float) -> None:
         opened_by = self.loop.time() - young_s
         for connection in list(self.connections):
             if connection.opened_at <= opened_by:
                 connection.close_if_idle()
-        self._drain_timer = self.loop.call_later(DRAIN_INTERVAL_S, self._close_idle, young_s)
 
     def stop_accepting(self) -> None:
         """Stop listening, once what the kernel holds has been accepted.
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -44,7 +44,6 @@
 INBOUND_FRACTION = 0.45
 UPSTREAM_FRACTION = 0.35
 POLL_WAIT_FRACTION = 0.5  # of the time within which discovery has to be polled; the rest is for its transfer
-STANDBY_GRACE_S = 0.5  # in standby, a connection so new is left open for its first request
 
 
 class Node:
@@ -220,7 +219,7 @@
     def standby(self) -> bool:
         """Drain for an operator: requests in flight are finished, callers go elsewhere, the node runs on."""
         if not self.stopping:
-            self.listener.drain(STANDBY_GRACE_S)
+            self.listener.drain()
             if self.state_writer is not None:
                 self.state_writer.write_soon()
         return True
--- a/loadbalancer/node/shutdown.py
+++ b/loadbalancer/node/shutdown.py
@@ -78,7 +78,7 @@
         """
         self._listener.on_request = _reject
         self._listener.resume()
-        self._listener.drain(open_s=0.0)
+        self._listener.drain(young_s=0.0, open_s=0.0)
         self._listener.reject_partial_requests()
         self._request_registry.fail_all()
         deadline = self._loop.time() + REJECTION_TIMEOUT_S
