A renewal's answer counts only for the incarnation that was renewed

What callers saw: nothing yet known. A node whose renewal was answered with another member's grant took over its incarnation, so that two processes renewed one row and used one quota twice.

Cause: the answers of a batch that a follower passes on are matched by their places, and the numbers of two members' calls may be the same. Found by going through the places that take an answer without tying it to its call. The new test failed before (the node went on under the other's incarnation) and passes.

--- a/loadbalancer/node/control/lease_client.py
+++ b/loadbalancer/node/control/lease_client.py
@@ -146,7 +146,7 @@
     def _use(self, sent_at: float, now: float, call: RegistryCall, answer: LeaseAnswer) -> None:
         if not self._answers(call, answer):
             self.mismatched_answers += 1
-            self._on_failure(now, call, f"answered as an earlier call, {self.mismatched_answers} so far")
+            self._on_failure(now, call, f"answered as another call, {self.mismatched_answers} so far")
             return
         self._service_time.add_answer(sent_at, now, answer)
         incarnation = self.member_lease.incarnation
@@ -162,7 +162,9 @@
         self.on_quota_change()
 
     def _answers(self, call: RegistryCall, answer: LeaseAnswer) -> bool:
-        """Whether this is the answer to this call: an instance or a link may give an earlier one again."""
+        """Whether this is the answer to this call, and not to an earlier one or another member's."""
+        if call.path == RENEWAL and answer.incarnation != call.body["incarnation"]:
+            return False
         if answer.call is UNSET:  # of an instance that does not repeat the number
             return not self._service_time.is_older(answer)
         return answer.call == call.number
--- a/tests/node/control/test_lease_recovery.py
+++ b/tests/node/control/test_lease_recovery.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -221,3 +222,30 @@
         world.close()
 
     run(main())
+
+
+def test_an_answer_to_another_members_renewal_grants_nothing(tmp_path: Path) -> None:
+    """As from a batch whose answers have changed places: the numbers of their calls may be the same."""
+
+    async def main() -> None:
+        world = LeaseWorld(tmp_path, members=3)
+        await world.until_settled()
+        member, other = world.members[:2]
+        swapped = asyncio.Event()
+
+        async def swap(path: str, body: Mapping[str, object], deliver: Deliver) -> ReceivedResponse:
+            member.network.fault = None
+            answer = await world.service.post(path, {**body, "incarnation": other.core.incarnation})
+            swapped.set()
+            return answer
+
+        await world.until_no_call_is_in_flight()
+        incarnation = member.core.incarnation
+        member.network.fault = swap
+        await swapped.wait()
+        assert max(await world.times_to_lease_ms([member], 12 * TTL_MS)) < LIMIT_MS
+        assert member.core.incarnation == incarnation != other.core.incarnation
+        assert member.client.mismatched_answers == 1
+        world.close()
+
+    run(main())
