--- a/loadbalancer/registry/snapshot_file.py
+++ b/loadbalancer/registry/snapshot_file.py
@@ -38,3 +38,10 @@
         for consumer, part in zip(self._consumers, parts[1:], strict=False):
             consumer._deserialize(part)
         return tuple(raft)
+
+
+def snapshot_term(path: Path) -> int:
+    """Raft's term of the last entry that a snapshot file covers; any error of a file that can't be read."""
+    with gzip.open(path, "rb") as file:
+        _, (_, _, term), *_ = STORED_FORM.load(file)
+    return int(term)
