--- a/loadbalancer/registry/catalog.py
+++ b/loadbalancer/registry/catalog.py
@@ -139,9 +139,12 @@
         }
 
     def _deserialize(self, data: dict[str, Any]) -> None:
-        self._list.revision = data["revision"]
-        self._list.horizon = data["horizon"]
-        self._list.targets = data["live"]
-        self._list.change_revisions = data["changed"]
-        self._list.tombstones = data["gone"]
-        self._renewed_at_ms = data["renewed"]
+        with self._lock:
+            self._list.revision = data["revision"]
+            self._list.horizon = data["horizon"]
+            self._list.targets = data["live"]
+            self._list.change_revisions = data["changed"]
+            self._list.tombstones = data["gone"]
+            self._renewed_at_ms = data["renewed"]
+            revision = self._list.revision
+        self._on_change(revision)
