state show names the rule where fields of a state file are of another kind

What operators saw: a traceback on a file with a right digest and a field of another kind, or with a value that JSON can't hold.

Cause: the summary read fields without the checks of the start.

--- a/loadbalancer/node/state/inspection.py
+++ b/loadbalancer/node/state/inspection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from pathlib import Path
 from typing import NamedTuple
@@ -11,6 +12,9 @@
 from loadbalancer.node.state.errors import StateRejectedError
 from loadbalancer.node.state.frame import FrameBody, decode_frame
 from loadbalancer.node.state.rules import Rule
+from loadbalancer.node.state.snapshot import decode_body
+
+MS_PER_S = 1000.0
 
 
 class StateDescription(NamedTuple):
@@ -23,29 +27,30 @@
 def describe_state(path: Path, node: str | None = None) -> StateDescription:
     """Describe a state file; where `node` is given, a file of another node is rejected."""
     try:
-        body = _accepted_body(path.read_bytes(), node)
+        body = decode_frame(path.read_bytes())
+        if node is not None and body.get("node") != node:
+            return _rejected(Rule.ANOTHER_NODE, "rule", Rule.ANOTHER_NODE.explanation)
+        return StateDescription(_describe(body), accepted=True)
     except OSError as error:
         return _rejected(Rule.UNREADABLE, "error", str(error))
     except StateRejectedError as error:
         return _rejected(error.rule, "rule", error.rule.explanation)
-    except ValueError:  # of the path itself, which may hold a null character
+    except (TypeError, ValueError):  # a key that JSON can't hold; a path with a null character
         return _rejected(Rule.MALFORMED, "rule", Rule.MALFORMED.explanation)
-    text = orjson.dumps({**_summary(body), **body}, option=orjson.OPT_INDENT_2).decode()
-    return StateDescription(text, accepted=True)
-
-
-def _accepted_body(data: bytes, node: str | None) -> FrameBody:
-    body = decode_frame(data)
-    if node is not None and body.get("node") != node:
-        raise StateRejectedError(Rule.ANOTHER_NODE)
-    return body
 
 
 def _rejected(rule: Rule, key: str, reason: str) -> StateDescription:
     return StateDescription(orjson.dumps({"verdict": rule.label, key: reason}).decode(), accepted=False)
 
 
-def _summary(body: FrameBody) -> dict[str, object]:
-    age_ms = time.time() * 1000.0 - float(body.get("written_ms", 0.0))
-    listed = body.get("list", {})
-    return {"verdict": "whole", "age_ms": round(age_ms), "listed": len(listed.get("targets", []))}
+def _describe(body: FrameBody) -> str:
+    """The summary and the whole body; StateRejectedError where a start would find it malformed."""
+    written_ms, found = decode_body(body)
+    age_ms = time.time() * MS_PER_S - written_ms
+    summary = {
+        "verdict": "whole",
+        "age_ms": round(age_ms) if math.isfinite(age_ms) else None,
+        "listed": 0 if found.endpoint_list is None else len(found.endpoint_list.endpoints),
+    }
+    options = orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS
+    return orjson.dumps({**summary, **body}, default=repr, option=options).decode()
--- a/loadbalancer/node/state/snapshot.py
+++ b/loadbalancer/node/state/snapshot.py
@@ -1,6 +1,7 @@
 """The contents of a node's state file: what it has learned, operators' ejections and its last endpoint list.
 
-`encode_state` makes the file's bytes, `verify_state` applies the rules of `rules.py` to them.
+`encode_state` makes the file's bytes, `decode_body` reads what they hold, `verify_state` applies the rules of
+`rules.py` to them.
 """
 
 from __future__ import annotations
@@ -63,7 +64,7 @@
     body = decode_frame(data)
     if body.get("node") != node:
         raise StateRejectedError(Rule.ANOTHER_NODE)
-    written_ms, found = _decode_body(body)
+    written_ms, found = decode_body(body)
     if not math.isfinite(written_ms) or written_ms > now_ms + MAX_CLOCK_SKEW_MS:
         return RestoredState(ejected_since_ms=found.ejected_since_ms, violated_rules=[Rule.FUTURE])
     found.age_ms = now_ms - written_ms
@@ -74,8 +75,8 @@
     return found
 
 
-def _decode_body(body: FrameBody) -> tuple[float, RestoredState]:
-    """When the file was written (Unix ms), and all that it holds."""
+def decode_body(body: FrameBody) -> tuple[float, RestoredState]:
+    """When the file was written (Unix ms), and all that it holds; StateRejectedError for a malformed body."""
     try:
         written_ms = float(body["written_ms"])
         return written_ms, RestoredState(
