An agent passes on no empty list of an instance that may not have its log yet

What callers saw: where an agent and an instance started together, the agent told its node of an empty list; the node dropped the list of its state file and rejected every call until the real one came, without a quorum for good.

Cause: the agent refused answers marked stale only while it had a list. Now it takes no empty one that is marked. Two of four new cases failed before and pass.

--- a/loadbalancer/registry/agent.py
+++ b/loadbalancer/registry/agent.py
@@ -164,8 +164,12 @@
         return await send_request(self.address, "GET", target, timeout_s=wait_ms / MS_PER_S + ANSWER_MARGIN_S)
 
     def _reject_stale(self, received: SourceList) -> None:
-        """Raise StaleAnswerError for a list that may be older than the cache's."""
-        if received.stale and self.cache.filled:
+        """Raise StaleAnswerError for a list that may be older than the cache's.
+
+        Nor is an empty one taken from an instance that may not have applied its log yet: the node may have a
+        list of its own, which it would drop for it.
+        """
+        if received.stale and (self.cache.filled or not received.targets):
             message = f"stale at rev {received.revision}"
             raise StaleAnswerError(message)
         if self.source_revision is not None and received.revision < self.source_revision:
