bench/fleet_detection.py gives the renewals bench its group size

What its user saw: "service" ended in a TypeError, as renewals() had got a group size that this caller did not pass.

--- a/bench/fleet_detection.py
+++ b/bench/fleet_detection.py
@@ -185,7 +185,7 @@
 
 def service(folder: Path, members: int, seconds: float, ttl_ms: int) -> Iterator[Figures]:
     """The list service with so many members renewing (bench/renewals.py)."""
-    found = asyncio.run(renewals(folder, members, seconds, ttl_ms))
+    found = asyncio.run(renewals(folder, members, seconds, ttl_ms, group_size=0))
     del found["bench"]
     yield {"figure": "service"} | found | {"goal": "no renewal late", "met": not found["late"]}
 
