Siblings' statements from before service time went back are dropped

What callers saw: nothing known. After all instances had lost service time, a node kept each sibling's last statement from before the outage and took none made since until service time had caught up; one of a held quota could let a node that is cut off hold its own beside the others, who give it away.

Cause: the newest statement by stated service time wins, and nothing told that this clock had gone back. Where the node's own service time goes back it drops what lies over max_ahead_ms ahead, which it would refuse if it came now.

--- a/loadbalancer/membership/quota_reports.py
+++ b/loadbalancer/membership/quota_reports.py
@@ -32,7 +32,16 @@
             self._local.ignored["own service time absurd"] += 1
             return
         self._local_report = QuotaReport(self._local.incarnation, status, service_ms)
-        self._service_offset_ms = service_ms - now
+        before_ms, self._service_offset_ms = self._service_offset_ms, service_ms - now
+        if before_ms is not None and before_ms > self._service_offset_ms:
+            self._drop_later_than(service_ms + self._local.config.max_ahead_ms)
+
+    def _drop_later_than(self, service_ms: float) -> None:
+        """Drop what was reported before service time went back.
+
+        Such reports would count as new for as long as it lags, and keep those made since from being accepted.
+        """
+        self._known = {key: report for key, report in self._known.items() if report.service_ms <= service_ms}
 
     def clear_local(self) -> None:
         """This process has a new incarnation, and has made no report under it yet."""
