--- a/tests/node/listener/test_new_connections_in_drain.py
+++ b/tests/node/listener/test_new_connections_in_drain.py
@@ -44,6 +44,16 @@
         return b""
 
 
+async def served_after(silent_s: float, caller: socket.socket, ending: asyncio.Task[object] | None) -> None:
+    """The first request comes after so much silence and is answered; the process ends, where it is to."""
+    await asyncio.sleep(silent_s)
+    caller.sendall(request(name="q1"))
+    assert await answered(caller) == b"HTTP/1.1 200 OK"
+    if ending is not None:
+        await ending
+    caller.close()
+
+
 @pytest.mark.parametrize("silent_s", [0.0, STEP_S, 0.11, 0.3, NEW_CONNECTION_GRACE_S - STEP_S])
 @pytest.mark.parametrize("opened_s", [0.1, 0.3, 0.399])  # after the drain's start: callers do up to 0.4 s
 @pytest.mark.parametrize("drain", DRAINS)
@@ -56,12 +66,7 @@
             await asyncio.sleep(opened_s)
             caller = connect(node)
             await until(lambda: node.listener.connections)
-            await asyncio.sleep(silent_s)
-            caller.sendall(request(name="q1"))
-            assert await answered(caller) == b"HTTP/1.1 200 OK"
-            if ending is not None:
-                await ending
-            caller.close()
+            await served_after(silent_s, caller, ending)
 
     clocks.run(main())
 
@@ -83,12 +88,7 @@
             await asyncio.sleep(0.55)
             node.loop.add_reader(listening, node.listener._accept)
             await until(lambda: node.listener.connections)
-            await asyncio.sleep(silent_s)
-            caller.sendall(request(name="q1"))
-            assert await answered(caller) == b"HTTP/1.1 200 OK"
-            if ending is not None:
-                await ending
-            caller.close()
+            await served_after(silent_s, caller, ending)
 
     clocks.run(main())
 
--- a/tests/registry/test_fleet_leader.py
+++ b/tests/registry/test_fleet_leader.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from pathlib import Path
-from typing import Any
 
 import pytest
 import structlog
@@ -15,32 +14,16 @@
 from loadbalancer.registry.fleet_leader import FleetLeader
 from loadbalancer.registry.service_clock import ServiceClock
 from loadbalancer.registry.settings import MemberSettings
+from tests.support.raft_double import Raft, commit
 
 TTL_MS = 60_000
 
 
-class Raft:
-    """As much of pysyncobj as the fleet's state asks."""
-
-    raftCurrentTerm = 1  # noqa: N815
-    leader: str | None = None
-    hasQuorum = True  # noqa: N815
-
-    def isReady(self) -> bool:  # noqa: N802
-        return True
-
-    def _getLeader(self) -> str | None:  # noqa: N802
-        return self.leader
-
-
 def parts(folder: Path) -> tuple[Raft, FleetCatalog, FleetLeader]:
     clocks, clock, raft = ProcessClocks(0.0), ServiceClock(), Raft()
     fleet = FleetCatalog(clock, clocks.monotonic_ms, lambda groups: None)
     fleet._syncObj = raft
 
-    async def commit(command: Any, *args: Any) -> Any:
-        return command(*args, _doApply=True)
-
     file = ClockFile(folder, clocks)
     settings = MemberSettings(ttl_ms=TTL_MS)
     log = structlog.stdlib.get_logger()
--- a/tests/support/clocks.py
+++ b/tests/support/clocks.py
@@ -11,18 +11,20 @@
 
 
 class _Selector(selectors.DefaultSelector):
-    now = 0.0
+    def __init__(self, quiet_s: float) -> None:
+        super().__init__()
+        self.now, self._quiet_s = 0.0, quiet_s
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        ready = super().select(0 if timeout is not None and timeout <= 0 else QUIET_S)
+        ready = super().select(0 if timeout is not None and timeout <= 0 else self._quiet_s)
         if not ready and timeout is not None and timeout > 0:
             self.now += timeout
         return ready
 
 
-def run(main: Coroutine[Any, Any, None]) -> None:
+def run(main: Coroutine[Any, Any, None], quiet_s: float = QUIET_S) -> None:
     """As asyncio.run, on a clock that starts at 0 and jumps to the next thing due once the sockets rest."""
-    selector = _Selector()
+    selector = _Selector(quiet_s)
     loop = asyncio.SelectorEventLoop(selector)
     loop.time = lambda: selector.now  # type: ignore[method-assign]
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
--- a/tests/support/lease_world.py
+++ b/tests/support/lease_world.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from pathlib import Path
 from random import Random
@@ -33,6 +32,8 @@
 from loadbalancer.registry.service_clock import ServiceClock
 from loadbalancer.registry.settings import MemberSettings
 from loadbalancer.staleness import ClockOffsets
+from tests.support import clocks
+from tests.support.raft_double import Raft, commit
 
 TTL_MS = 400.0
 DELAY_MS = 2.0  # of a message, one way
@@ -44,25 +45,9 @@
 Deliver = Callable[[], Awaitable[ReceivedResponse]]
 
 
-class _Idle(selectors.DefaultSelector):
-    """No socket: time passes only from one timer to the next."""
-
-    now = 0.0
-
-    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        ready = super().select(0)
-        if not ready and timeout is not None and timeout > 0:
-            self.now += timeout
-        return ready
-
-
 def run(main: Coroutine[Any, Any, None]) -> None:
-    """As asyncio.run, on a clock that starts at 0 and on which waiting takes no time."""
-    selector = _Idle()
-    loop = asyncio.SelectorEventLoop(selector)
-    loop.time = lambda: selector.now  # type: ignore[method-assign]
-    with asyncio.Runner(loop_factory=lambda: loop) as runner:
-        runner.run(main)
+    """As asyncio.run, on a clock that starts at 0 and on which waiting takes no time, without sockets."""
+    clocks.run(main, quiet_s=0.0)
 
 
 async def pause(ms: float) -> None:
@@ -89,19 +74,6 @@
         self._offset_ms += ms
 
 
-class Raft:
-    """As much of pysyncobj as the fleet's state asks."""
-
-    raftCurrentTerm = 1  # noqa: N815
-    hasQuorum = True  # noqa: N815
-
-    def isReady(self) -> bool:  # noqa: N802
-        return True
-
-    def _getLeader(self) -> str | None:  # noqa: N802
-        return None
-
-
 class ListService:
     """The instance that leads. `calls` has the true times of all calls that reached it."""
 
@@ -125,7 +97,7 @@
         log = structlog.stdlib.get_logger()
         file = ClockFile(self._folder, self.clocks)
         self._leader = leader = FleetLeader(
-            settings, "here:1", self.catalog, service_clock, file, self._commit, log
+            settings, "here:1", self.catalog, service_clock, file, commit, log
         )
         leader.request_leadership()
         self._api = FleetApi(self.catalog, leader, self._next_change, 1_000, log)
@@ -155,9 +127,6 @@
         self.rejections += answer.status == 409
         return ReceivedResponse(answer.status, answer.headers, answer.body)
 
-    async def _commit(self, command: Any, *args: Any) -> Any:
-        return command(*args, _doApply=True)
-
     def _next_change(self, group: str) -> asyncio.Future[None]:
         return asyncio.get_running_loop().create_future()
 
