--- a/tests/support/faults/post.py
+++ b/tests/support/faults/post.py
@@ -6,11 +6,18 @@
 import asyncio
 import threading
 from collections.abc import Callable
+from http import HTTPStatus
 from urllib.parse import urlencode
 
 import orjson
 
-from loadbalancer.node.http.service_http import HttpRequest, HttpResponse, send_request, serve
+from loadbalancer.node.http.service_http import (
+    HttpRequest,
+    HttpResponse,
+    ReceivedResponse,
+    send_request,
+    serve,
+)
 from tests.support.faults.link import Address
 from tests.support.faults.loops import LoopThread
 
@@ -39,6 +46,10 @@
         self._agent, self._shown, self._loops = agent, shown, loops
         self._holds: list[Hold] = []
         self._delay_s = (0.0, 0.0)
+        self._older = self._repeated = 0  # renewals still to be answered so
+        self._first_renewed: bytes | None = (
+            None  # the first answer to a renewal since the last one given again
+        )
         self._server = loops.run(serve(("127.0.0.1", 0), self._handle))
         self.port: int = self._server.sockets[0].getsockname()[1]
 
@@ -59,8 +70,16 @@
     def delay(self, there_ms: float, back_ms: float) -> None:
         self._delay_s = (there_ms / 1000.0, back_ms / 1000.0)
 
+    def give_older(self, count: int) -> None:
+        """Answer so many renewals by an older answer in place of their own."""
+        self._older = count
+
+    def repeat(self, count: int) -> None:
+        """Pass so many renewals on twice; the second answer is given."""
+        self._repeated = count
+
     def heal(self) -> None:
-        self._delay_s = (0.0, 0.0)
+        self._delay_s, self._older, self._repeated = (0.0, 0.0), 0, 0
         for held in self._loops.call(lambda: [self._holds.pop() for _ in list(self._holds)]):
             held.release()
 
@@ -69,6 +88,8 @@
         try:
             target = request.path + (f"?{urlencode(request.query)}" if request.query else "")
             reply = await send_request(self._agent, request.method, target, request.body, PATIENCE_S)
+            if request.path == "/fleet/renew" and reply.status == HTTPStatus.OK:
+                reply = await self._disturbed(request, reply)
         except (OSError, TimeoutError):
             return HttpResponse(503)
         body = self._renamed(reply.body) if request.path in ("/fleet/enrol", "/fleet/renew") else reply.body
@@ -76,6 +97,16 @@
         kept = {name: value for name, value in reply.headers.items() if name != "content-length"}
         return HttpResponse(reply.status, body, kept)
 
+    async def _disturbed(self, request: HttpRequest, reply: ReceivedResponse) -> ReceivedResponse:
+        if self._repeated:
+            self._repeated -= 1
+            reply = await send_request(self._agent, request.method, request.path, request.body, PATIENCE_S)
+        older, self._first_renewed = self._first_renewed, self._first_renewed or reply.body
+        if not self._older or older is None:
+            return reply
+        self._older, self._first_renewed = self._older - 1, None
+        return ReceivedResponse(HTTPStatus.OK, reply.headers, older)
+
     async def _pass(self, path: str, answers: bool) -> None:
         await asyncio.sleep(self._delay_s[answers])
         for held in [one for one in self._holds if one.answers is answers and path.endswith(one.path)]:
--- a/tests/support/node_fleet.py
+++ b/tests/support/node_fleet.py
@@ -55,9 +55,11 @@
 class Fleet:
     """Nodes n0 to n4 and three instances of the list service, with clocks 2 s apart."""
 
-    def __init__(self, folder: Path, size: int = 5, services: Sequence[str] = ()) -> None:
-        """`services`: the one that each node names; none: all are one group."""
-        self.size, self._texts = size, count(1)
+    def __init__(
+        self, folder: Path, size: int = 5, services: Sequence[str] = (), load: type[Load] = Load
+    ) -> None:
+        """`services`: the one that each node names; none: all are one group. `load`: its callers."""
+        self.size, self._texts, self._load = size, count(1), load
         self.services = list(services) or [""] * size
         self.registry = Registry(folder, ttl_ms=600_000, members=self._instance, raft=ELECTION_MS)
         self.agent = self.registry.agent()
@@ -248,7 +250,9 @@
         self.wait_until_stable()
         prefix = f"w{time.monotonic_ns()}-"
         loads = [
-            Load([node.port for node in self.nodes], f"{prefix}{kind}", workers, kind, 0.04, timeout_s=30.0)
+            self._load(
+                [node.port for node in self.nodes], f"{prefix}{kind}", workers, kind, 0.04, timeout_s=30.0
+            )
             for kind, workers in (("read", 4), ("post", 2))
         ]
         self.loads = loads
