--- a/loadbalancer/membership/messages.py
+++ b/loadbalancer/membership/messages.py
@@ -55,6 +55,4 @@
     received_ms: ServiceTimeMs = field(name="t2")  # when the service received the call
     answered_ms: ServiceTimeMs = field(name="t3")  # when it sent this answer
     term: int = 0  # of the leader whose clock t2 and t3 are by
-    call: int | UnsetType = (
-        UNSET  # the number that the answered call states; instances up to 69ecf49 leave it out
-    )
+    call: int | UnsetType = UNSET  # the number that the call stated; earlier releases leave it out
