Test of a call that was given up: it begins while no call is in flight

6 of some 36 runs of test_lease_recovery failed: the lease ended 104 ms later than noted, by an answer to a renewal that was in flight as the test noted the end. Whether one is in flight there hangs on the rounding of the clock's anchor, so it failed at times.

--- a/tests/node/control/test_lease_recovery.py
+++ b/tests/node/control/test_lease_recovery.py
@@ -212,6 +212,7 @@
             await pause(TTL_MS)
             return kept[0]
 
+        await world.until_no_call_is_in_flight()  # its answer would extend the lease
         member.network.fault = late
         lease_end_ms = member.core.lease_end_ms
         while member.client.mismatched_answers == 0:
