Review: an error in a case's preparation or end is no verdict either

Measured by forcing it: without a .venv, without structlog, with a node that never gets ready or ends, and with a record that can't be written, the cases exit with 2; SIGTERM in the middle of cases 2 and 3 gives 2 and leaves no process.

--- a/review/support/case.py
+++ b/review/support/case.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import threading
+import traceback
 from collections.abc import Callable
 from contextlib import ExitStack
 from pathlib import Path
@@ -34,6 +35,14 @@
     watchdog = threading.Timer(LIMIT_S, os.kill, (os.getpid(), signal.SIGTERM))
     watchdog.daemon = True
     watchdog.start()
+    try:
+        return _play_recorded(case_file, play)
+    except Exception:  # also of the preparation and of the end: it says nothing about the rule
+        traceback.print_exc()
+        return NOT_RUN
+
+
+def _play_recorded(case_file: str, play: Callable[[Case], bool]) -> int:
     record = Record(Path(case_file).parent / "record.txt")
     with ExitStack() as ends:
         ends.callback(record.close)
@@ -46,4 +55,4 @@
             record.write(f"not run: {type(error).__name__}: {error}")
             return NOT_RUN
         record.write("the rule was BROKEN" if broken else "the rule held")
-        return BROKEN if broken else HELD
+    return BROKEN if broken else HELD
