Statistics line: count malformed requests, which no log line or metric showed

The listener now counts the connections that it ends because the received data was invalid; the statistics line shows them as `malformed requests`, apart from complete requests rejected as `bad requests N`.

--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -115,6 +115,7 @@
             self.state = ConnectionState.SEND_RESPONSE
         first = self._first
         if error_status and first in (None, partial):
+            self._listener.on_malformed_request()
             self._fail(error_status)
             return
         # Most clients send one request at a time; further pipelined requests stay in the kernel's buffer.
--- a/loadbalancer/node/listener/connection_states.py
+++ b/loadbalancer/node/listener/connection_states.py
@@ -44,6 +44,9 @@
         """Callback that processes a dispatched request."""
         ...
 
+    def on_malformed_request(self) -> None:
+        """Count a connection that ends because the received data was invalid."""
+
     def opened(self, connection: ClosableConnection) -> None:
         """Add a new connection, which accepts requests from now on."""
 
--- a/loadbalancer/node/listener/listener.py
+++ b/loadbalancer/node/listener/listener.py
@@ -69,6 +69,7 @@
         self.shares_socket = False  # another process may also accept from the listening socket
         self.draining = False  # each response closes its connection
         self.expired = 0  # number of connections ended because a request was overdue
+        self.malformed_requests = 0  # number of connections ended because the received data was invalid
         self.connections: dict[ClosableConnection, None] = {}  # in the order in which they were opened
         self._socket: socket.socket | None = None
         self._accepting: set[asyncio.Task[object]] = set()  # accepted, but not yet in `connections`
@@ -172,6 +173,10 @@
 
     # ---------------------------------------------------------------- connections
 
+    def on_malformed_request(self) -> None:
+        """Count a connection that ends because the received data was invalid."""
+        self.malformed_requests += 1
+
     def opened(self, connection: ClosableConnection) -> None:
         """Add a connection, and close others if the limit is exceeded."""
         self.connections[connection] = None
--- a/loadbalancer/node/periodic_tasks.py
+++ b/loadbalancer/node/periodic_tasks.py
@@ -85,6 +85,9 @@
         if self._listener.expired:
             self._event_counts["request timeouts"] += self._listener.expired
             self._listener.expired = 0
+        if self._listener.malformed_requests:
+            self._event_counts["malformed requests"] += self._listener.malformed_requests
+            self._listener.malformed_requests = 0
         if self._pool.malformed_responses:
             self._event_counts["malformed responses"] += self._pool.malformed_responses
             self._pool.malformed_responses = 0
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -312,6 +312,19 @@
     asyncio.run(main())
 
 
+def test_statistics_count_malformed_requests_apart_from_invalid_ones(caplog):
+    caplog.set_level("INFO", logger="loadbalancer")
+
+    async def main():
+        async with loopback_node(StubServer()) as node:
+            assert (await exchange(node, request(Req_Deadline_Ms="soon"))).status == 400
+            assert (await exchange(node, b"nonsense\r\n\r\n")).status == 400
+            node.periodic_tasks._log_statistics()
+            assert "bad requests 400 1, malformed requests 1, requests 1;" in caplog.text
+
+    asyncio.run(main())
+
+
 def test_plain_64_kib_body_and_chunked_body_are_forwarded():
     async def main():
         server = StubServer()
