Requests that offer an upgrade reach their server with their body

Callers saw: an order whose client offers `Upgrade: h2c` (or websocket) was run by its server with an empty body and confirmed with 200; a second response, 400, followed on the connection. Operators' requests and writes to the list service lost their bodies too, and the list service sent no response. Cause: httptools calls on_message_complete at the end of such a head, before the body, and then raises HttpParserUpgrade for a program that switches protocols. The node took the call for the last byte and the exception for invalid data. Evidence: `malformed requests` counts one for each offer, and the request is dispatched before its body is sent; the same request without `Upgrade`, or with other names in its Connection header, counts none and keeps its body, which rules out forwarding. Fix: UpgradeIgnoringParser holds back the early end and lets a new httptools parser read the framing headers again, without the offer; it then reads the body and all later requests, so every check of the framing applies. It serves the listener, the admin server and the list service, which had the same cause. CONNECT gets one 400 and is not forwarded. The list service's clients close a connection whose server switches, instead of leaving the exception to the event loop.

--- a/loadbalancer/node/admin/connection.py
+++ b/loadbalancer/node/admin/connection.py
@@ -10,6 +10,7 @@
 import httptools
 
 from loadbalancer.node.admin.messages import AdminResponse
+from loadbalancer.node.http.request_parsing import FRAMING_HEADERS, RequestCallbacks, UpgradeIgnoringParser
 
 MAX_REQUEST_BYTES = 16 * 1024  # limit for head and body together
 REQUEST_TIMEOUT_S = 5.0  # time within which the complete request must arrive
@@ -32,13 +33,14 @@
         ...
 
 
-class AdminConnection(asyncio.Protocol):
+class AdminConnection(RequestCallbacks, asyncio.Protocol):
     """Parses a request, sends the owner's response and closes the connection."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self._owner = owner
         self._transport: asyncio.Transport
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = UpgradeIgnoringParser(self)
+        self._framing: dict[bytes, bytes] = {}  # the framing headers of the request
         self._target = bytearray()
         self._body = bytearray()
         self._received_bytes = 0
@@ -111,7 +113,11 @@
         else:
             self._timer = self._owner.loop.call_later(LINGER_S, self._transport.abort)
 
-    # --------------------------------------------------------- httptools callbacks
+    # --------------------------------------------------------- RequestCallbacks
+
+    def framing_header(self, name: bytes) -> bytes | None:
+        """Return the value of this framing header of the request, or None."""
+        return self._framing.get(name)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -119,7 +125,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Respond to `Expect: 100-continue`, as the client waits for that before it sends the body."""
-        if name.lower() == b"expect" and value.lower() == b"100-continue":
+        lower_name = name.lower()
+        if lower_name in FRAMING_HEADERS:
+            self._framing[lower_name] = value
+        if lower_name == b"expect" and value.lower() == b"100-continue":
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
--- a/loadbalancer/node/http/service_http.py
+++ b/loadbalancer/node/http/service_http.py
@@ -16,6 +16,7 @@
 import httptools
 
 from loadbalancer.node.address import Address
+from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
 
 MAX_REQUEST_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024
@@ -107,7 +108,7 @@
     connections: int = 10_000  # with more, the oldest is closed
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(RequestCallbacks, asyncio.Protocol):
     """A connection to the server. Its parsed requests are queued and handled one at a time."""
 
     def __init__(
@@ -117,7 +118,7 @@
         self._limits = limits
         self._open_connections = open_connections  # all connections of the server, oldest first
         self._size = 0  # bytes received since the last complete request
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = UpgradeIgnoringParser(self)
         self._transport: asyncio.Transport | None = None
         self._queue: asyncio.Queue[HttpRequest | None] = asyncio.Queue()
         self._url = b""
@@ -148,7 +149,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, ValueError):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
             self._queue.put_nowait(None)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -157,22 +158,27 @@
         if self._task is not None:
             self._task.cancel()
 
+    def framing_header(self, name: bytes) -> bytes | None:
+        """Return the value of this header of the request in progress, or None."""
+        value = self._headers.get(name.decode("latin-1"))
+        return None if value is None else value.encode("latin-1")
+
     def on_url(self, url: bytes) -> None:
-        """Append a part of the request target (called by httptools)."""
+        """Append a part of the request target."""
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header under its name in lower case (called by httptools)."""
+        """Store a header under its name in lower case."""
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body (called by httptools); raise RequestTooLongError over the limit."""
+        """Append a part of the body; raise RequestTooLongError over the limit."""
         self._body += body
         if len(self._body) > self._limits.body:
             raise RequestTooLongError(self._limits.body)
 
     def on_message_complete(self) -> None:
-        """Queue the complete request (called by httptools); pause reading if the queue is full."""
+        """Queue the complete request; pause reading if the queue is full."""
         url = urlsplit(self._url.decode("latin-1"))
         fields = parse_qs(url.query, keep_blank_values=True)
         query = {name: values[0] for name, values in fields.items()}
@@ -249,7 +255,7 @@
         """Parse the bytes; fail the exchange if they are no HTTP response."""
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, ValueError) as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
             self._fail(MalformedResponseError(error))
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -11,6 +11,7 @@
 
 from loadbalancer.node.http.body import MAX_BODY_BYTES
 from loadbalancer.node.http.client_connection import MAX_BUFFERED_BYTES, MAX_HEAD_BYTES
+from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
 from loadbalancer.node.listener.inbound_request import InboundRequest
 
 # A slow but legitimate client sends a head within 2 s and a body at 64 kB/s.
@@ -30,11 +31,8 @@
     ERROR = "the received data was invalid; nothing more is parsed"
 
 
-class RequestParser:
-    """Parses received bytes; calls `on_head` after a request's head and `on_received` after its last byte.
-
-    Methods in the section "httptools callbacks" are called by httptools.
-    """
+class RequestParser(RequestCallbacks):
+    """Parses received bytes; calls `on_head` after a request's head and `on_received` after its last byte."""
 
     def __init__(
         self,
@@ -48,7 +46,7 @@
         self._on_received = on_received
         self._now = now
         self._arrival = now
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = UpgradeIgnoringParser(self)
         self.state = ReceiveState.IDLE
         self.error_status = 0  # status of the response to invalid data; 0 if there was none
         self.request: InboundRequest | None = None  # the request that is being received
@@ -103,7 +101,11 @@
         self.state = ReceiveState.ERROR
         self.error_status = self.error_status or status
 
-    # ---------------------------------------------------------------- httptools callbacks
+    # ---------------------------------------------------------------- RequestCallbacks
+
+    def framing_header(self, name: bytes) -> bytes | None:
+        """Return the value of this header of the request that is being received, or None."""
+        return None if self.request is None else self.request.headers.get(name)
 
     def on_message_begin(self) -> None:
         """Start a request."""
--- a/tests/node/admin/test_admin_server.py
+++ b/tests/node/admin/test_admin_server.py
@@ -86,6 +86,29 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "framed_body",
+    [b"Content-Length: 2\r\n\r\ns0", b"Transfer-Encoding: chunked\r\n\r\n2\r\ns0\r\n0\r\n\r\n"],
+)
+@pytest.mark.parametrize("pieces", [1, 2])
+def test_operator_request_that_offers_an_upgrade_is_handled_with_its_body(framed_body, pieces):
+    """Regression: the operator's request was handled without its body, so no endpoint was ejected."""
+
+    async def main():
+        async with loopback_node(StubServer(), **ADMIN_SETTINGS) as node:
+            head = b"PUT /maintenance/enter HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+            reader, writer = await asyncio.open_connection(*node.admin_server.address)
+            data = head + framed_body
+            for start in range(0, len(data), size := len(data) // pieces + 1):
+                writer.write(data[start : start + size])
+                await asyncio.sleep(0.05)
+            assert (await read_message(reader)).status == 200
+            assert node.driver.balancer.ejected_count == 1
+            writer.close()
+
+    asyncio.run(main())
+
+
 def test_handler_exception_returns_500_and_server_stays_open(caplog):
     async def main():
         def broken(_: bytes) -> AdminResponse:
--- a/tests/node/http/test_service_http.py
+++ b/tests/node/http/test_service_http.py
@@ -1,4 +1,4 @@
-"""`HttpClient` of service_http.py: which connections it reuses and which it closes."""
+"""service_http.py: connections that `HttpClient` reuses or closes, and offers to switch protocols."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 import pytest
 
-from loadbalancer.node.http.service_http import HttpClient
-from tests.support.loopback import Message, StubServer, http_response, wait_until
+from loadbalancer.node.http.service_http import HttpClient, HttpRequest, HttpResponse, send_request, serve
+from tests.support.loopback import Client, Message, StubServer, http_response, wait_until
 
 
 async def _echo(message: Message) -> bytes:
@@ -78,3 +78,62 @@
         server.stop()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE"])
+def test_server_responds_once_to_a_request_that_offers_an_upgrade(method: str) -> None:
+    """Regression: the request was handled without its body, and its connection closed without a response."""
+
+    async def run() -> None:
+        handled: list[HttpRequest] = []
+
+        async def handle(request: HttpRequest) -> HttpResponse:
+            handled.append(request)
+            return HttpResponse(200, b"done")
+
+        server = await serve(("127.0.0.1", 0), handle)
+        client = Client(*await asyncio.open_connection(*server.sockets[0].getsockname()))
+        head = f"{method} /registry/targets/s-1 HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n".encode()
+        sized = head + b"Content-Length: 2\r\n\r\n{}"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+        client.writer.write(sized + chunked + sized[:-1])
+        assert [(await client.read_response()).status for _ in range(2)] == [200, 200]
+        assert len(handled) == 2
+        assert (await client.exchange(b"}")).status == 200
+        assert [(request.method, request.body) for request in handled] == [(method, b"{}")] * 3
+        client.writer.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_server_rejects_connect() -> None:
+    async def run() -> None:
+        async def handle(request: HttpRequest) -> HttpResponse:
+            raise AssertionError(request)
+
+        server = await serve(("127.0.0.1", 0), handle)
+        client = Client(*await asyncio.open_connection(*server.sockets[0].getsockname()))
+        assert (await client.exchange(b"CONNECT s:1 HTTP/1.1\r\n\r\n")).status == 400
+        assert await client.reader.read() == b""
+        client.writer.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_client_closes_connection_of_a_server_that_switches_protocols(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Regression: the parser's exception ended in the event loop's log."""
+
+    async def run() -> None:
+        async def switch(_message: Message) -> bytes:
+            return b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\nPRI"
+
+        server = await StubServer(switch).start()
+        assert (await send_request(("127.0.0.1", server.port), "GET", "/")).status == 101
+        server.stop()
+
+    asyncio.run(run())
+    assert "protocol.data_received() call failed" not in caplog.text
