Statistics line: count streams that end because their server is silent

`aborted streams` counts every stream that doesn't reach its client completely, whoever ends it, so nothing told whether the node's limit after the deadline, its idle limit, the server or the client ended them. The first of these now has a count of its own, `streams of hanging servers`.

A server that closes in the middle counts as aborted only. The new test passes, and fails without the count.

--- a/loadbalancer/node/request_registry.py
+++ b/loadbalancer/node/request_registry.py
@@ -221,7 +221,11 @@
             )
 
         def abort_if_silent() -> None:
-            if not ended and not active.inbound.abort_if_silent(STREAM_OVERRUN_S):
+            if ended:
+                return
+            if active.inbound.abort_if_silent(STREAM_OVERRUN_S):
+                self._counts["streams of hanging servers"] += 1
+            else:
                 self._loop.call_later(STREAM_OVERRUN_S, abort_if_silent)
 
         # The client must see the response end soon after its deadline, even if the endpoint hangs. Classes
--- a/tests/node/test_long_responses.py
+++ b/tests/node/test_long_responses.py
@@ -107,3 +107,17 @@
             assert duration_s == pytest.approx(STREAM_IDLE_TIMEOUT_S, abs=0.1)
 
     run(main())
+
+
+def test_streams_of_hanging_servers_are_counted_apart_from_other_aborted_streams():
+    async def main():
+        async with HangingServer(HEADS["content length"]).running_node() as node:
+            await read_until_close(node)
+            client = connect(node)
+            client.sendall(request(name="q2", Req_Deadline_Ms="1000"))
+            await wait_until(lambda: node.request_registry.streaming)
+            client.close()
+            await wait_until(lambda: node.event_counts["aborted streams"] == 2)
+            assert node.event_counts["streams of hanging servers"] == 1
+
+    run(main())
