Service HTTP: server and client are two modules

Change: node/http/service_server.py and service_client.py; moved unchanged, importers name what they use. The tests of both move along.

--- a/bench/fleet_traffic.py
+++ b/bench/fleet_traffic.py
@@ -19,7 +19,7 @@
 from bench.figures import quantile
 from bench.fleet_world import LIMIT_S, Plan, Result, World, cpu_ms, spread
 from loadbalancer.endpoints import Confidence
-from loadbalancer.node.http.service_http import send_request
+from loadbalancer.node.http.service_client import send_request
 from tests.support.faults import LoopThread
 from tests.support.load import Load
 from tests.support.loopback import Message
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -17,7 +17,7 @@
 import orjson
 
 from bench.figures import quantile
-from loadbalancer.node.http.service_http import send_request
+from loadbalancer.node.http.service_client import send_request
 from tests.support.faults import AgentProxy, LoopThread, RelayNetwork
 from tests.support.invariant_sampler import Sample
 from tests.support.node_processes import Node
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -36,7 +36,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from bench.figures import quantile, rss_mb
-from loadbalancer.node.http.service_http import send_request
+from loadbalancer.node.http.service_client import send_request
 from tests.support.node_processes import Node
 from tests.support.registry_processes import Registry, until
 
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -28,7 +28,8 @@
 from loadbalancer.node.config import NodeConfig, parse_config
 from loadbalancer.node.control import control_plane as control_plane_module
 from loadbalancer.node.control.registry_client import RegistryClient
-from loadbalancer.node.http import service_http as web
+from loadbalancer.node.http.service_client import ReceivedResponse
+from loadbalancer.node.http.service_server import HttpRequest
 from loadbalancer.registry.agent import RegistryFollower, SourceList
 from loadbalancer.registry.settings import AgentSettings
 from tests.support.loopback import config_document
@@ -80,12 +81,12 @@
             if was_filled and uid.startswith(CHANGE):
                 self.measurements.count_change(uid)
 
-    async def call(self, method: str, target: str, body: bytes, timeout_ms: float) -> web.ReceivedResponse:
+    async def call(self, method: str, target: str, body: bytes, timeout_ms: float) -> ReceivedResponse:
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         async with asyncio.timeout(timeout_ms / 1000.0):
-            response = await self.handle(web.HttpRequest(method, url.path, query, {}, body))
-        return web.ReceivedResponse(response.status, response.headers, response.body)
+            response = await self.handle(HttpRequest(method, url.path, query, {}, body))
+        return ReceivedResponse(response.status, response.headers, response.body)
 
 
 class TimedAgentClient(RegistryClient):
@@ -95,7 +96,7 @@
         super().__init__(address)
         self._node = node
 
-    async def post(self, path: str, body: Any, timeout_ms: float) -> web.ReceivedResponse:
+    async def post(self, path: str, body: Any, timeout_ms: float) -> ReceivedResponse:
         sent = time.monotonic()
         try:
             response = await self._post(path, body, timeout_ms)
@@ -108,13 +109,13 @@
             self._count_success((time.monotonic() - sent) * 1000.0)
         return response
 
-    async def _post(self, path: str, body: Any, timeout_ms: float) -> web.ReceivedResponse:
+    async def _post(self, path: str, body: Any, timeout_ms: float) -> ReceivedResponse:
         agent = self._address()
         if not isinstance(agent, InProcessAgent):
             return await super().post(path, body, timeout_ms)
         return await agent.call("POST", f"/fleet/{path}", orjson.dumps(body), timeout_ms)
 
-    async def get(self, target: str, timeout_ms: float) -> web.ReceivedResponse:
+    async def get(self, target: str, timeout_ms: float) -> ReceivedResponse:
         agent = self._address()
         if not isinstance(agent, InProcessAgent):
             return await super().get(target, timeout_ms)
--- a/bench/scale/world.py
+++ b/bench/scale/world.py
@@ -21,7 +21,7 @@
 from bench.scale.platform import NodePlace, Platform
 from bench.scale.program import Instances, Program, RealAgent, RealNode
 from bench.scale.quotas import RealNodeQuota
-from loadbalancer.node.http.service_http import send_request
+from loadbalancer.node.http.service_client import send_request
 from tests.support.ports import free_port
 
 RAFT_LEADER = 2  # pysyncobj's number of the state
--- a/loadbalancer/node/control/lease_client.py
+++ b/loadbalancer/node/control/lease_client.py
@@ -20,7 +20,7 @@
 from loadbalancer.node.control.service_time import ServiceTimeEstimate
 from loadbalancer.node.control.timers import RestartableTimer
 from loadbalancer.node.failure_log import one_line
-from loadbalancer.node.http import service_http as web
+from loadbalancer.node.http.service_client import ReceivedResponse
 from loadbalancer.staleness.clock_offsets import Interval
 
 log = logging.getLogger("loadbalancer")
@@ -125,9 +125,7 @@
             self._on_failure(self._clock.now_ms(), call, f"{type(error).__name__}: {one_line(error)}")
         self._tick()
 
-    def _process_response(
-        self, sent_at: float, call: RegistryCall, http_response: web.ReceivedResponse
-    ) -> None:
+    def _process_response(self, sent_at: float, call: RegistryCall, http_response: ReceivedResponse) -> None:
         """Process a response by its status; raise ValueError for a malformed body."""
         now = self._clock.now_ms()
         if http_response.status == HTTPStatus.NOT_FOUND and call.path == RENEWAL:
--- a/loadbalancer/node/control/probe_transport.py
+++ b/loadbalancer/node/control/probe_transport.py
@@ -25,7 +25,8 @@
 from loadbalancer.node.control.clock import MembershipClock
 from loadbalancer.node.control.rejection_log import RejectionLog
 from loadbalancer.node.control.timers import RestartableTimer
-from loadbalancer.node.http import service_http as web
+from loadbalancer.node.http.service_client import HttpClient
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, ServerLimits, serve
 
 log = logging.getLogger("loadbalancer")
 
@@ -66,8 +67,8 @@
         self._call_numbers = count(1)
         self._pending_indirect: dict[int, asyncio.Future[bytes | None]] = {}  # acks awaited, by call number
         self._rejections = RejectionLog("members: call rejected (%d so far): %s")
-        self._client = web.HttpClient(max_connections)
-        self._limits = web.ServerLimits(body=MAX_BODY_BYTES, connections=max_connections)
+        self._client = HttpClient(max_connections)
+        self._limits = ServerLimits(body=MAX_BODY_BYTES, connections=max_connections)
 
     @property
     def rejected_calls(self) -> int:
@@ -136,7 +137,7 @@
         )
         async for attempt in retrying:
             with attempt:
-                self._server = await web.serve(address, self._handle, self._limits)
+                self._server = await serve(address, self._handle, self._limits)
         self._tick()
         on_listening()
 
@@ -146,7 +147,7 @@
                 "members: not enrolled until the listen address is free: %s", state.outcome.exception()
             )
 
-    async def _handle(self, call: web.HttpRequest) -> web.HttpResponse:
+    async def _handle(self, call: HttpRequest) -> HttpResponse:
         """Respond to another member's call within INDIRECT_TIMEOUT_S; malformed input raises no exception."""
         self.probes_received += 1
         if call.method != "POST" or call.path not in (PROBE_PATH, INDIRECT_PROBE_PATH):
@@ -163,7 +164,7 @@
             return self._reject(HTTPStatus.SERVICE_UNAVAILABLE, "too many indirect probes")
         return await self._handle_indirect_probe(now, call.body)
 
-    async def _handle_indirect_probe(self, now: float, body: bytes) -> web.HttpResponse:
+    async def _handle_indirect_probe(self, now: float, body: bytes) -> HttpResponse:
         number = next(self._call_numbers)
         ack = self._pending_indirect[number] = asyncio.get_running_loop().create_future()
         try:
@@ -176,12 +177,12 @@
             self._pending_indirect.pop(number, None)
         return self._respond(payload)
 
-    def _respond(self, payload: bytes | None) -> web.HttpResponse:
+    def _respond(self, payload: bytes | None) -> HttpResponse:
         """Return the ack, or a rejection if `payload` is None as the detector could not decode the probe."""
         if payload is None:
             return self._reject(HTTPStatus.BAD_REQUEST, "malformed probe")
-        return web.HttpResponse(HTTPStatus.OK, payload)
+        return HttpResponse(HTTPStatus.OK, payload)
 
-    def _reject(self, status: HTTPStatus, reason: str) -> web.HttpResponse:
+    def _reject(self, status: HTTPStatus, reason: str) -> HttpResponse:
         self._rejections.add(reason)
-        return web.HttpResponse(status, b"")
+        return HttpResponse(status, b"")
--- a/loadbalancer/node/control/registry_client.py
+++ b/loadbalancer/node/control/registry_client.py
@@ -11,7 +11,7 @@
 from loadbalancer.membership.messages import LeaseResponse
 from loadbalancer.node.address import Address
 from loadbalancer.node.control.errors import LeaseResponseError
-from loadbalancer.node.http import service_http as web
+from loadbalancer.node.http.service_client import HttpClient, ReceivedResponse
 
 MAX_IDLE_CONNECTIONS: Final = 2  # while a watch poll is open, it occupies one more connection
 _MS_PER_S: Final = 1000.0
@@ -37,13 +37,13 @@
     def __init__(self, address: Callable[[], Address]) -> None:
         """`address`: returns the agent's address; called for each call, as a reload may change it."""
         self._address = address
-        self._client = web.HttpClient(MAX_IDLE_CONNECTIONS)
+        self._client = HttpClient(MAX_IDLE_CONNECTIONS)
 
-    async def post(self, path: str, body: Mapping[str, object], timeout_ms: float) -> web.ReceivedResponse:
+    async def post(self, path: str, body: Mapping[str, object], timeout_ms: float) -> ReceivedResponse:
         """POST a JSON object to /fleet/`path`."""
         return await self._call("POST", path, orjson.dumps(body), timeout_ms)
 
-    async def get(self, target: str, timeout_ms: float) -> web.ReceivedResponse:
+    async def get(self, target: str, timeout_ms: float) -> ReceivedResponse:
         """GET /fleet/`target`, a path with its query."""
         return await self._call("GET", target, b"", timeout_ms)
 
@@ -51,7 +51,7 @@
         """Close the idle connections; a later call opens a new one."""
         self._client.close()
 
-    async def _call(self, method: str, target: str, body: bytes, timeout_ms: float) -> web.ReceivedResponse:
+    async def _call(self, method: str, target: str, body: bytes, timeout_ms: float) -> ReceivedResponse:
         return await self._client.send(
             self._address(), method, f"/fleet/{target}", body, timeout_ms / _MS_PER_S
         )
--- a/loadbalancer/node/control/registry_watch.py
+++ b/loadbalancer/node/control/registry_watch.py
@@ -12,7 +12,7 @@
 
 from loadbalancer.node.control.errors import WatchResponseError
 from loadbalancer.node.control.registry_client import RegistryClient
-from loadbalancer.node.http import service_http as web
+from loadbalancer.node.http.service_client import ReceivedResponse
 
 # A poll that a partition leaves open until this timeout does little harm: the responses to renewals contain
 # the same changes.
@@ -62,7 +62,7 @@
                 self._on_change()
                 await self._wait_for_renewal()
 
-    async def _poll(self) -> web.ReceivedResponse:
+    async def _poll(self) -> ReceivedResponse:
         known = self.revisions
         target = (
             f"watch?since={known.members}&routes_since={known.routes}"
@@ -79,7 +79,7 @@
                 return
 
 
-def _decode(response: web.ReceivedResponse) -> WatchResponse:
+def _decode(response: ReceivedResponse) -> WatchResponse:
     """Decode a watch response; raise ValueError unless it is a JSON object with status 200."""
     body = orjson.loads(response.body)
     if response.status != HTTPStatus.OK or not isinstance(body, dict):
--- a/loadbalancer/node/http/request_parsing.py
+++ b/loadbalancer/node/http/request_parsing.py
@@ -114,24 +114,30 @@
         self._skips = True
 
     def on_message_begin(self) -> None:
+        """Pass on the start of a request."""
         if not self._skips:
             self._parser.on_message_begin()
 
     def on_url(self, url: bytes) -> None:
+        """Pass on a part of the target."""
         if not self._skips:
             self._parser.on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Pass on a header or trailer."""
         if not self._skips:
             self._parser.on_header(name, value)
 
     def on_headers_complete(self) -> None:
+        """Pass on the end of a head, and everything from the end of the first one on."""
         if not self._skips:
             self._parser.on_headers_complete()
         self._skips = False
 
     def on_body(self, body: bytes) -> None:
+        """Pass on a part of the body."""
         self._parser.on_body(body)
 
     def on_message_complete(self) -> None:
+        """Pass on the end of a request."""
         self._parser.on_message_complete()
--- a/loadbalancer/registry/__main__.py
+++ b/loadbalancer/registry/__main__.py
@@ -21,7 +21,7 @@
 import orjson
 import structlog
 
-from loadbalancer.node.http.service_http import send_request
+from loadbalancer.node.http.service_client import send_request
 from loadbalancer.registry import agent, local, service
 from loadbalancer.registry.addresses import parse_address
 from loadbalancer.registry.errors import ConfigError
--- a/loadbalancer/registry/agent.py
+++ b/loadbalancer/registry/agent.py
@@ -34,13 +34,8 @@
 import tenacity
 
 from loadbalancer.node.address import Address
-from loadbalancer.node.http.service_http import (
-    HttpRequest,
-    HttpResponse,
-    ReceivedResponse,
-    send_request,
-    serve,
-)
+from loadbalancer.node.http.service_client import ReceivedResponse, send_request
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, serve
 from loadbalancer.registry import watch
 from loadbalancer.registry.addresses import format_address
 from loadbalancer.registry.answers import error_response, json_response
--- a/loadbalancer/registry/answers.py
+++ b/loadbalancer/registry/answers.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from loadbalancer.node.http.service_http import HttpResponse
+from loadbalancer.node.http.service_server import HttpResponse
 
 
 def json_response(status: int, body: object) -> HttpResponse:
--- a/loadbalancer/registry/fleet_api.py
+++ b/loadbalancer/registry/fleet_api.py
@@ -17,7 +17,8 @@
 from msgspec import UnsetType
 
 from loadbalancer.membership.messages import LeaseResponse
-from loadbalancer.node.http.service_http import HttpClient, HttpRequest, HttpResponse
+from loadbalancer.node.http.service_client import HttpClient
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse
 from loadbalancer.registry import watch
 from loadbalancer.registry.addresses import parse_address
 from loadbalancer.registry.answers import error_response, json_response
--- a/loadbalancer/registry/forwarding.py
+++ b/loadbalancer/registry/forwarding.py
@@ -13,7 +13,8 @@
 import structlog
 
 from loadbalancer.node.address import Address
-from loadbalancer.node.http.service_http import HttpClient, HttpRequest, HttpResponse
+from loadbalancer.node.http.service_client import HttpClient
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse
 from loadbalancer.registry.errors import InvalidFieldError
 from loadbalancer.registry.watch import parse_query
 
--- a/loadbalancer/registry/local.py
+++ b/loadbalancer/registry/local.py
@@ -23,13 +23,8 @@
 import orjson
 import structlog
 
-from loadbalancer.node.http.service_http import (
-    HttpRequest,
-    HttpResponse,
-    ReceivedResponse,
-    send_request,
-    serve,
-)
+from loadbalancer.node.http.service_client import ReceivedResponse, send_request
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, serve
 from loadbalancer.registry.signals import wait_for_stop
 
 LOOPBACK = "127.0.0.1"
--- a/loadbalancer/registry/renewal_relay.py
+++ b/loadbalancer/registry/renewal_relay.py
@@ -14,7 +14,8 @@
 import structlog
 from msgspec import Raw, Struct
 
-from loadbalancer.node.http.service_http import HttpClient, HttpResponse
+from loadbalancer.node.http.service_client import HttpClient
+from loadbalancer.node.http.service_server import HttpResponse
 from loadbalancer.registry.addresses import parse_address
 from loadbalancer.registry.batch import MAX_BATCH_COUNT, Batcher
 from loadbalancer.registry.errors import (
--- a/loadbalancer/registry/service.py
+++ b/loadbalancer/registry/service.py
@@ -16,7 +16,7 @@
 import orjson
 import structlog
 
-from loadbalancer.node.http.service_http import HttpRequest, HttpResponse, serve
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, serve
 from loadbalancer.registry import watch
 from loadbalancer.registry.addresses import format_address
 from loadbalancer.registry.answers import error_response, json_response
--- a/loadbalancer/registry/watch.py
+++ b/loadbalancer/registry/watch.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from loadbalancer.node.http.service_http import HttpRequest, HttpResponse
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse
 from loadbalancer.registry.errors import InvalidFieldError
 from loadbalancer.registry.target_list import ListPage
 
--- a/tests/node/control/test_lease_recovery.py
+++ b/tests/node/control/test_lease_recovery.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from loadbalancer.node.http.service_http import ReceivedResponse
+from loadbalancer.node.http.service_client import ReceivedResponse
 from loadbalancer.registry.service_clock import ServiceClock
 from tests.support.lease_faults import OlderResponse, PausedDuringCall, ReplayedResponse, set_wrong_estimate
 from tests.support.lease_simulation import TTL_MS, Deliver, LeaseSimulation, run, sleep_ms
--- a/tests/node/http/test_service_http.py
+++ b/tests/node/http/test_service_client_and_server.py
@@ -1,4 +1,4 @@
-"""service_http.py: connections that `HttpClient` reuses or closes, and offers to switch protocols."""
+"""service_client.py and service_server.py: reused and closed connections, offers to switch protocols."""
 
 from __future__ import annotations
 
@@ -6,7 +6,8 @@
 
 import pytest
 
-from loadbalancer.node.http.service_http import HttpClient, HttpRequest, HttpResponse, send_request, serve
+from loadbalancer.node.http.service_client import HttpClient, send_request
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, serve
 from tests.support.loopback import Client, Message, StubServer, http_response, wait_until
 
 
--- a/tests/registry/test_agent_empty_list.py
+++ b/tests/registry/test_agent_empty_list.py
@@ -9,7 +9,8 @@
 import orjson
 import structlog
 
-from loadbalancer.node.http.service_http import HttpRequest, HttpResponse, send_request, serve
+from loadbalancer.node.http.service_client import send_request
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, serve
 from loadbalancer.registry.agent import RegistryFollower
 from loadbalancer.registry.settings import AgentSettings
 
--- a/tests/registry/test_groups_crowd.py
+++ b/tests/registry/test_groups_crowd.py
@@ -13,7 +13,7 @@
 import orjson
 import pytest
 
-from loadbalancer.node.http.service_http import HttpClient
+from loadbalancer.node.http.service_client import HttpClient
 from loadbalancer.registry.fleet_state import MAX_GROUP_MEMBERS
 from tests.support.group_registry import LIMIT_S, GroupRegistry
 from tests.support.hollow_members import HollowMembers
--- a/tests/registry/test_groups_faults.py
+++ b/tests/registry/test_groups_faults.py
@@ -15,7 +15,7 @@
 import orjson
 import pytest
 
-from loadbalancer.node.http.service_http import ReceivedResponse
+from loadbalancer.node.http.service_client import ReceivedResponse
 from tests.support.group_registry import LIMIT_S, GroupRegistry
 from tests.support.hollow_members import HollowMember, HollowMembers, Send
 from tests.support.registry_processes import until
--- a/tests/registry/test_groups_upgrade.py
+++ b/tests/registry/test_groups_upgrade.py
@@ -17,7 +17,7 @@
 
 from loadbalancer.membership import MemberLease
 from loadbalancer.node.control.registry_client import decode_lease_response
-from loadbalancer.node.http.service_http import ReceivedResponse
+from loadbalancer.node.http.service_client import ReceivedResponse
 from tests.registry.test_registry_fleet import Member
 from tests.support.group_registry import LIMIT_S, GroupRegistry, GroupSampler
 from tests.support.hollow_members import HollowMember, HollowMembers, Send
--- a/tests/registry/test_registry_parts.py
+++ b/tests/registry/test_registry_parts.py
@@ -8,7 +8,13 @@
 
 import pytest
 
-from loadbalancer.node.http.service_http import MAX_HEAD_BYTES, HttpRequest, HttpResponse, ServerLimits, serve
+from loadbalancer.node.http.service_server import (
+    MAX_HEAD_BYTES,
+    HttpRequest,
+    HttpResponse,
+    ServerLimits,
+    serve,
+)
 from loadbalancer.registry import watch
 from loadbalancer.registry.catalog import TargetCatalog
 from loadbalancer.registry.errors import ConfigError
--- a/tests/registry/test_renewal_relay.py
+++ b/tests/registry/test_renewal_relay.py
@@ -10,7 +10,8 @@
 import pytest
 import structlog
 
-from loadbalancer.node.http.service_http import HttpClient, HttpRequest, HttpResponse, serve
+from loadbalancer.node.http.service_client import HttpClient
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, serve
 from loadbalancer.registry.batch import MAX_BATCH_COUNT
 from loadbalancer.registry.errors import NotCommittedError
 from loadbalancer.registry.messages import RenewRequest
--- a/tests/support/faults/agent_proxy.py
+++ b/tests/support/faults/agent_proxy.py
@@ -13,13 +13,8 @@
 
 import orjson
 
-from loadbalancer.node.http.service_http import (
-    HttpRequest,
-    HttpResponse,
-    ReceivedResponse,
-    send_request,
-    serve,
-)
+from loadbalancer.node.http.service_client import ReceivedResponse, send_request
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, serve
 from tests.support.faults.link import Address
 from tests.support.faults.loops import LoopThread
 
--- a/tests/support/hollow_members.py
+++ b/tests/support/hollow_members.py
@@ -24,7 +24,7 @@
 from loadbalancer.node.control.lease_client import LeaseClient
 from loadbalancer.node.control.registry_client import RegistryClient
 from loadbalancer.node.control.service_time import ServiceTimeEstimate
-from loadbalancer.node.http.service_http import ReceivedResponse
+from loadbalancer.node.http.service_client import ReceivedResponse
 from loadbalancer.staleness import ClockOffsets
 from tests.support.faults import LoopThread
 from tests.support.group_registry import LIMIT_S, MAX_QUOTA_SUM
--- a/tests/support/lease_faults.py
+++ b/tests/support/lease_faults.py
@@ -8,7 +8,7 @@
 import orjson
 
 from loadbalancer.node.control.service_time import REGISTRY_PEER
-from loadbalancer.node.http.service_http import ReceivedResponse
+from loadbalancer.node.http.service_client import ReceivedResponse
 from loadbalancer.staleness.clock_offsets import MAX_SAMPLES
 from tests.support.lease_simulation import Deliver, LeasedMember, LeaseSimulation, sleep_ms
 
--- a/tests/support/lease_simulation.py
+++ b/tests/support/lease_simulation.py
@@ -26,7 +26,8 @@
 from loadbalancer.node.control.lease_client import LeaseClient
 from loadbalancer.node.control.registry_client import RegistryClient
 from loadbalancer.node.control.service_time import ServiceTimeEstimate
-from loadbalancer.node.http.service_http import HttpRequest, ReceivedResponse
+from loadbalancer.node.http.service_client import ReceivedResponse
+from loadbalancer.node.http.service_server import HttpRequest
 from loadbalancer.registry.clock_file import ClockFile, ProcessClocks
 from loadbalancer.registry.fleet_api import FleetApi
 from loadbalancer.registry.fleet_catalog import FleetCatalog
--- a/tests/wire/test_golden_registry.py
+++ b/tests/wire/test_golden_registry.py
@@ -11,7 +11,8 @@
 import orjson
 import pytest
 
-from loadbalancer.node.http.service_http import HttpClient, HttpRequest
+from loadbalancer.node.http.service_client import HttpClient
+from loadbalancer.node.http.service_server import HttpRequest
 from loadbalancer.registry.forwarding import forward
 from loadbalancer.registry.renewal_relay import RenewalRelay, decode_renewals, encode_responses
 from tests.support.golden import PRESENT
