--- a/loadbalancer/node/http/request_parsing.py
+++ b/loadbalancer/node/http/request_parsing.py
@@ -61,16 +61,16 @@
         Raise `httptools.HttpParserError` if they are no HTTP request, and `httptools.HttpParserUpgrade` after
         the head of a CONNECT request, whose end is never reported.
         """
-        rest: bytes | memoryview = data
-        while rest:
+        remaining: bytes | memoryview = data
+        while remaining:
             try:
-                self._parser.feed_data(rest)
+                self._parser.feed_data(remaining)
                 return
             except httptools.HttpParserUpgrade as offer:
                 if self.get_method() == CONNECT:
                     raise
                 head_size: int = offer.args[0]
-                rest = memoryview(rest)[head_size:]
+                remaining = memoryview(remaining)[head_size:]
             self._resume_without_offer()
 
     def get_method(self) -> bytes:
