Tests of groups: one fixture for simulated members instead of two copies

Need: test_groups_faults and test_groups_upgrade had the same fixture; the crowd's samples more often and keeps its own. Measured: test_groups_crowd, test_groups_faults and test_groups_upgrade: 16 passed.

--- a/tests/registry/test_groups_faults.py
+++ b/tests/registry/test_groups_faults.py
@@ -30,17 +30,6 @@
     cluster.stop()
 
 
-@pytest.fixture
-def hollows(registry: GroupRegistry) -> Iterator[HollowMembers]:
-    """Each test ends its members, so that no group with a live lease remains for the next one."""
-    members = HollowMembers(registry)
-    yield members
-    try:
-        members.check()
-    finally:
-        members.close()
-
-
 def assert_unaffected(hollows: HollowMembers, groups: list[list[HollowMember]]) -> Any:
     """Assert that no member of these groups lost its record or lease, and that no sample violated a rule."""
     for group in groups:
--- a/tests/registry/test_groups_upgrade.py
+++ b/tests/registry/test_groups_upgrade.py
@@ -28,16 +28,6 @@
 ADDED_FIELDS = ("aim", "service", "since", "removed")  # added to responses since the first release
 
 
-@pytest.fixture
-def hollows(registry: GroupRegistry) -> Iterator[HollowMembers]:
-    members = HollowMembers(registry)
-    yield members
-    try:
-        members.check()
-    finally:
-        members.close()
-
-
 @pytest.fixture
 def registry(tmp_path: Path) -> Iterator[GroupRegistry]:
     """Instances without groups, started on the data folders that a test may have prepared."""
