The work for one connection in one turn of the event loop is bounded

Cause: one read took up to 256 KiB and was parsed at once. Each tiny chunk became a write and each pipelined request an object. The limit of an unfinished head didn't apply behind the head, where httptools buffers a trailer or chunk extension without limit. Change: reads take 64 KiB at most, through one buffer that connections share. A turn of the parser ends after one complete request or 256 steps, the rest of the read waits for the next turn. The body parts of a turn are passed on as one. A request has at most 256 headers and trailers (431), and no field, trailer or chunk extension is buffered beyond 16 KiB (400). Why it works: each slice given to httptools ends at the end of the present request at the latest, so the number of callbacks in a turn is bounded, whatever the form. A stub server in test_bodies left an exception of a closed connection to the garbage collector, which failed another test once (test_component_that_hangs_or_fails); it reads with readuntil now.

--- a/loadbalancer/node/http/client_connection.py
+++ b/loadbalancer/node/http/client_connection.py
@@ -11,6 +11,7 @@
 import httptools
 
 from loadbalancer.node.http.body import HIGH_WATER_BYTES, MAX_BODY_BYTES, Body
+from loadbalancer.node.http.read_buffer import READ_BYTES, BoundedReadProtocol
 from loadbalancer.node.http.socket_buffer import readable
 
 MAX_BUFFERED_BYTES = HIGH_WATER_BYTES  # default size limit of a buffered response body
@@ -95,7 +96,7 @@
         self._connection.abandon()
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(BoundedReadProtocol):
     """The client's end of a connection, and the source of the response bodies that it streams.
 
     `on_closed` is called when the connection is closed, or as soon as it is certain to close before any
@@ -108,7 +109,9 @@
         on_closed: Callable[[ClientConnection], None],
         max_buffered_bytes: int = MAX_BUFFERED_BYTES,
         streams: bool = False,
+        read_buffer: bytearray | None = None,
     ) -> None:
+        super().__init__(bytearray(READ_BYTES) if read_buffer is None else read_buffer)
         self._on_closed = on_closed
         self._max_buffered_bytes = max_buffered_bytes
         self._streams = streams
@@ -205,7 +208,7 @@
         if upload is not None:
             upload.body.detach(upload)
 
-    # ---------------------------------------------------------------- asyncio.Protocol
+    # -------------------------------------------------------- asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its write buffer limits to 0.
--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -23,10 +23,11 @@
 
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener)
+        self._parse_scheduled = False
         self._read_control: ReadControl
         self._stream: StreamedResponse | None = None  # set in state SEND_BODY
 
-    # ---------------------------------------------------------------- asyncio.Protocol
+    # -------------------------------------------------------- asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with its listener and start reading."""
@@ -39,7 +40,7 @@
             self._on_request_received,
             self.opened_at,
         )
-        self._read_control = ReadControl(self._listener.loop, transport, self._parser.extend_deadline)
+        self._read_control = ReadControl(self._listener.loop, transport, self._on_body_resumed)
         self._write_control = WriteControl(transport)
         self._listener.opened(self)
 
@@ -63,7 +64,8 @@
         """
         if self.state is ConnectionState.SEND_BODY and self._parser.request is None:
             return True
-        if self._linger is None and (self._queue or self._parser.request is not None):
+        received = self._queue or self._parser.request is not None or self._parser.has_unparsed
+        if self._linger is None and received:
             self._fail(HTTPStatus.BAD_REQUEST)
         return False
 
@@ -120,13 +122,42 @@
             self._fail(error_status)
             return
         # Most clients send one request at a time; further pipelined requests stay in the kernel's buffer.
+        unparsed = self._parser.has_unparsed
         pipelined = first is not None and (len(self._queue) > 1 or partial not in (None, first))
         # While the client doesn't read, no further response is started, so that responses don't accumulate.
         blocked = self._write_control.full and (first is None or not first.dispatched)
-        self._read_control.set_backlogged(pipelined or blocked)
+        self._read_control.set_backlogged(pipelined or blocked or unparsed)
+        if unparsed and first in (None, partial):
+            self._parse_later()
         if first is not None and not first.dispatched and not blocked:
             self._dispatch(first)
 
+    def _parse_later(self) -> None:
+        """Parse more of the received bytes in the next iteration of the event loop."""
+        if not self._parse_scheduled:
+            self._parse_scheduled = True
+            self._listener.loop.call_soon(self._parse_unparsed)
+
+    def _parse_unparsed(self) -> None:
+        """Parse the bytes that the last turn has left, unless they belong behind a request in progress."""
+        self._parse_scheduled = False
+        parser, between = self._parser, self.state is ConnectionState.IDLE and self._parser.request is None
+        if self.is_closing or not parser.has_unparsed or self._read_control.body_paused:
+            return
+        if self._first not in (None, parser.request):
+            return
+        if between and self.disconnected:
+            self._fail(HTTPStatus.BAD_REQUEST)
+            return
+        parser.resume(self._listener.loop.time())
+        if self._linger is None:
+            self._advance()
+
+    def _on_body_resumed(self, paused_s: float) -> None:
+        self._parser.extend_deadline(paused_s)
+        if self._parser.has_unparsed:
+            self._parse_later()
+
     def _dispatch(self, request: InboundRequest) -> None:
         request.dispatched = True
         if request.target.partition(b"?")[0] == READINESS_PATH:
@@ -203,7 +234,8 @@
         self._stream = None
         if self.state is ConnectionState.SEND_BODY and not self._transport.is_closing():
             self._write_control.set_reset(False)
-            self._finish_request(close or (len(self._queue) == 1 and self.disconnected))
+            last = len(self._queue) == 1 and not self._parser.has_unparsed
+            self._finish_request(close or (last and self.disconnected))
 
     def abort_stream(self) -> None:
         """Reset the connection, so that the client detects that the streamed response is incomplete."""
--- a/loadbalancer/node/listener/connection_states.py
+++ b/loadbalancer/node/listener/connection_states.py
@@ -9,6 +9,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from loadbalancer.node.http.read_buffer import BoundedReadProtocol
 from loadbalancer.node.http.socket_buffer import ended, readable
 from loadbalancer.node.listener.flow_control import LingeringClose, WriteControl
 from loadbalancer.node.listener.inbound_request import InboundRequest
@@ -24,6 +25,11 @@
         """The event loop."""
         ...
 
+    @property
+    def read_buffer(self) -> bytearray:
+        """The buffer that all connections read into."""
+        ...
+
     @property
     def draining(self) -> bool:
         """Whether each response closes its connection."""
@@ -67,7 +73,7 @@
     CLOSED = "nothing is read or written"
 
 
-class ClosableConnection(asyncio.Protocol):
+class ClosableConnection(BoundedReadProtocol):
     """The part of a client connection that decides when the connection closes.
 
     It closes between requests (`close_if_idle`), with a response (`_closes_after`), when a request is overdue
@@ -79,6 +85,7 @@
     """
 
     def __init__(self, listener: ConnectionOwner) -> None:
+        super().__init__(listener.read_buffer)
         self._listener = listener
         self._transport: asyncio.Transport
         self._parser: RequestParser
@@ -97,7 +104,7 @@
     def idle(self) -> bool:
         """Whether no byte of a request has been read, and all responses have been sent."""
         between = self.state is ConnectionState.IDLE and self._parser.state is ReceiveState.IDLE
-        return between and not self._write_control.unsent
+        return between and not self._parser.has_unparsed and not self._write_control.unsent
 
     def close_if_idle(self) -> bool:
         """Close the connection if it is idle and its socket has no unread data; return whether it was closed.
@@ -138,7 +145,9 @@
         partial = self._parser.request
         responding_to_partial = self.state is ConnectionState.SEND_RESPONSE and self._first is partial
         receives = self.state is ConnectionState.IDLE or responding_to_partial
-        if not receives or not self._transport.is_reading() or now < self._parser.deadline():
+        # A client that sends faster than its bytes are parsed is not being waited for by others.
+        waits_for_client = self._transport.is_reading() or self._parser.has_unparsed
+        if not receives or not waits_for_client or now < self._parser.deadline():
             return False
         if partial is not None:
             self._fail(HTTPStatus.REQUEST_TIMEOUT)
@@ -154,7 +163,9 @@
             or self._listener.draining
             or self._listener.over_limit
         )
-        return wanted and len(self._queue) == 1 and self._parser.request in (None, request)
+        unparsed_request = request.keep_alive and not request.receiving and self._parser.has_unparsed
+        last = len(self._queue) == 1 and self._parser.request in (None, request) and not unparsed_request
+        return wanted and last
 
     def _fail(self, status: int) -> None:
         """Send an error response to a request that is invalid or won't be served, and end the connection."""
--- a/loadbalancer/node/listener/listener.py
+++ b/loadbalancer/node/listener/listener.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from itertools import islice
 
+from loadbalancer.node.http.read_buffer import READ_BYTES
 from loadbalancer.node.listener.connection import ServerConnection
 from loadbalancer.node.listener.connection_states import ClosableConnection
 from loadbalancer.node.listener.errors import InheritedSocketError
@@ -65,6 +66,7 @@
         self._burst = max(1, limit // LIMIT_PARTS)  # max connections accepted per loop iteration
         self.max_connections = limit + CLOSING_PARTS * limit // LIMIT_PARTS  # including those being closed
         self.on_request = on_request
+        self.read_buffer = bytearray(READ_BYTES)
         self.ready = False
         self.shares_socket = False  # another process may also accept from the listening socket
         self.draining = False  # each response closes its connection
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -10,7 +10,7 @@
 import httptools
 
 from loadbalancer.node.http.body import MAX_BODY_BYTES
-from loadbalancer.node.http.client_connection import MAX_BUFFERED_BYTES, MAX_HEAD_BYTES
+from loadbalancer.node.http.client_connection import MAX_HEAD_BYTES
 from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
 from loadbalancer.node.listener.inbound_request import InboundRequest
 
@@ -19,6 +19,16 @@
 MIN_BODY_BYTES_PER_S = 48_000.0  # min rate of a request body, after BODY_GRACE_S
 BODY_GRACE_S = 0.5
 
+# The work for one connection in one iteration of the event loop ends after a complete request, or after this
+# many steps: callbacks of the parser, and slices given to it.
+MAX_STEPS_PER_TURN = 256
+SLICE_BYTES = 1024  # of a head, or of a body with small chunks
+MAX_SLICE_BYTES = 16 * 1024  # of a body with large chunks
+LARGE_CHUNK_STEPS = 2  # a slice with at most so many callbacks is part of large chunks
+MAX_FIELDS = 256  # headers and trailers of a request
+HEAD_END = b"\r\n\r\n"
+LINE_BREAKS = b"\r\n"
+
 SCHEMES = (b"http", b"https")
 
 
@@ -32,7 +42,10 @@
 
 
 class RequestParser(RequestCallbacks):
-    """Parses received bytes; calls `on_head` after a request's head and `on_received` after its last byte."""
+    """Parses received bytes; calls `on_head` after a request's head and `on_received` after its last byte.
+
+    Each call parses at most one turn's work; the bytes behind it stay unparsed until `resume`.
+    """
 
     def __init__(
         self,
@@ -55,23 +68,98 @@
         self.started_at = now  # loop time (s) at which the connection or request started
         self.head_received_at = now  # loop time (s) of the head's end, plus body pauses
         self._head_fields_size = 0  # total size of the target, headers and trailers
-        self._partial_head_size = 0  # bytes received of an incomplete head
+        self._fields = 0  # number of headers and trailers
+        self._silent_bytes = 0  # given to the parser since its last callback; it may buffer them
+        self._callbacks = 0  # since the connection was opened
+        self._completed = 0  # requests received completely since the connection was opened
+        self._slice_bytes = SLICE_BYTES
+        self._body_parts: list[bytes] = []  # of this turn
+        self._unparsed = b""
+        self._offset = 0  # of the first unparsed byte
+        self._in_turn = False  # whether bytes are being parsed
+
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether the last turn has left received bytes, which wait for `resume`."""
+        return self._offset < len(self._unparsed) and not self._in_turn
 
     def feed(self, data: bytes, now: float, arrival: float) -> None:
         """Parse bytes read at loop time `now` (s) that may have arrived as early as `arrival` (s)."""
-        self._now, self._arrival = now, arrival
-        if self.state is ReceiveState.ERROR:
-            return
+        self._arrival = arrival
+        self._unparsed = self._unparsed[self._offset :] + data if self.has_unparsed else data
+        self._offset = 0
+        self.resume(now)
+
+    def resume(self, now: float) -> None:
+        """Parse unparsed bytes at loop time `now` (s), up to the limit of a turn."""
+        self._now = now
+        if self.state is ReceiveState.IDLE:
+            self._skip_empty_lines()
+        self._in_turn = True
+        completed, steps = self._completed, 0
+        while self._offset < len(self._unparsed) and self.state is not ReceiveState.ERROR:
+            steps += self._parse_slice()
+            if completed != self._completed or steps >= MAX_STEPS_PER_TURN:
+                break
+        self._in_turn = False
+        self._flush_body()
+        if self.state is ReceiveState.ERROR or self._offset == len(self._unparsed):
+            self._drop_unparsed()
+
+    def _skip_empty_lines(self) -> None:
+        """Skip line breaks before a request; each pair of them would otherwise end a slice."""
+        if self._unparsed[self._offset : self._offset + 1] in (b"\r", b"\n"):
+            self._unparsed = self._unparsed[self._offset :].lstrip(LINE_BREAKS)
+            self._offset = 0
+
+    def _parse_slice(self) -> int:
+        """Give the parser the next slice; return the number of steps that it took."""
+        end = self._slice_end()
+        data = self._unparsed
+        if self._offset or end < len(data):
+            data = data[self._offset : end]
+        self._offset = end
+        callbacks = self._callbacks
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(HTTPStatus.BAD_REQUEST)
-        # httptools reports a header only once it is complete, and buffers any number of bytes until then. The
-        # limit allows for body bytes that arrived together with the first part of the head.
-        if self.state is ReceiveState.HEAD:
-            self._partial_head_size += len(data)
-            if self._partial_head_size > MAX_HEAD_BYTES + MAX_BUFFERED_BYTES:
-                self._fail(HTTPStatus.BAD_REQUEST)
+        callbacks = self._callbacks - callbacks
+        # httptools reports a header or trailer only once it is complete, and buffers it until then.
+        self._silent_bytes = 0 if callbacks else self._silent_bytes + len(data)
+        if self._silent_bytes > MAX_HEAD_BYTES and not self._reads_fixed_body():
+            self._fail(HTTPStatus.BAD_REQUEST)
+        large_chunks = self.state is ReceiveState.BODY and callbacks <= LARGE_CHUNK_STEPS
+        self._slice_bytes = min(2 * self._slice_bytes, MAX_SLICE_BYTES) if large_chunks else SLICE_BYTES
+        return 1 + callbacks
+
+    def _slice_end(self) -> int:
+        """Return the end of the next slice, which contains no byte behind the present request."""
+        data, offset = self._unparsed, self._offset
+        if self._reads_fixed_body():
+            assert self.request is not None
+            assert self.request.content_length is not None
+            return min(len(data), offset + max(1, self.request.content_length - self.size))
+        limit = min(len(data), offset + self._slice_bytes)
+        head_end = data.find(HEAD_END, offset, limit)
+        return limit if head_end < 0 else head_end + len(HEAD_END)
+
+    def _reads_fixed_body(self) -> bool:
+        """Whether a body with a Content-Length is being received."""
+        request = self.request
+        return self.state is ReceiveState.BODY and request is not None and request.content_length is not None
+
+    def _flush_body(self) -> None:
+        """Pass on the parts of the body that this turn has received, as one."""
+        parts = self._body_parts
+        if not parts:
+            return
+        self._body_parts = []
+        if self.request is not None:
+            self.request.body.feed(parts[0] if len(parts) == 1 else b"".join(parts))
+
+    def _drop_unparsed(self) -> None:
+        self._unparsed, self._offset = b"", 0
 
     def deadline(self) -> float:
         """Return the loop time (s) at which the request is overdue if no more data arrives.
@@ -93,6 +181,8 @@
 
     def discard(self) -> None:
         """Discard the request that is being received."""
+        self._drop_unparsed()
+        self._body_parts = []
         request, self.request = self.request, None
         if request is not None:
             request.body.fail()
@@ -109,22 +199,28 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._callbacks += 1
         if self.state is not ReceiveState.ERROR:
             self.state = ReceiveState.HEAD
             self.request = self._new_request()
-            self.size = self._partial_head_size = self._head_fields_size = 0
+            self.size = self._head_fields_size = self._fields = 0
             if not self.is_first:
                 self.started_at = self._now
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
+        self._callbacks += 1
         self._grow_head(len(url))
         if self.request is not None:
             self.request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; ignore a trailer."""
+        self._callbacks += 1
+        self._fields += 1
         self._grow_head(len(name) + len(value))
+        if self._fields > MAX_FIELDS:
+            self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         if self.request is not None and self.state is ReceiveState.HEAD:
             self.request.headers[name.lower()] = value
 
@@ -148,17 +244,21 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; set status 413 if the body exceeds the limit."""
+        self._callbacks += 1
         self.size += len(body)
         if self.size > MAX_BODY_BYTES:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         if self.request is not None and self.state is not ReceiveState.ERROR:
-            self.request.body.feed(body)
+            self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Complete the request."""
+        self._callbacks += 1
         request = self.request
         if request is None or self.state is ReceiveState.ERROR:
             return
+        self._completed += 1
+        self._flush_body()
         self.state, self.request, self.is_first = ReceiveState.IDLE, None, False
         # The client timeout starts at the arrival, even if the bytes wait unread behind another request.
         request.received_at = self._arrival
--- a/loadbalancer/node/upstream/pool.py
+++ b/loadbalancer/node/upstream/pool.py
@@ -10,6 +10,7 @@
 from loadbalancer.node.address import Address
 from loadbalancer.node.http.body import Body
 from loadbalancer.node.http.client_connection import ClientConnection, Response
+from loadbalancer.node.http.read_buffer import READ_BYTES
 from loadbalancer.node.upstream.attempt import Attempt
 from loadbalancer.node.upstream.endpoint import PooledEndpoint
 
@@ -37,6 +38,7 @@
         self.max_connections = limit
         self.connect_timeout_s = connect_timeout_s
         self.on_sent = on_sent
+        self._read_buffer = bytearray(READ_BYTES)
         self.malformed_responses = 0  # number of attempts ended by a malformed response
         self._idle_timeout_s = endpoint_idle_s * IDLE_TIMEOUT_RATIO  # 0: idle connections are not retained
         self._endpoints: dict[str, PooledEndpoint] = {}
@@ -163,7 +165,10 @@
         assert task is not None
         try:
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: ClientConnection(self._connections.discard, streams=True), *address
+                lambda: ClientConnection(
+                    self._connections.discard, streams=True, read_buffer=self._read_buffer
+                ),
+                *address,
             )
         finally:
             # The task itself ends in the next loop iteration; until then the connection would count twice.
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -433,7 +433,7 @@
             body = b""
             try:
                 if b"transfer-encoding: chunked" in head:
-                    while size := int(await reader.readline(), 16):
+                    while size := int(await reader.readuntil(b"\n"), 16):
                         body += await reader.readexactly(size)
                         await reader.readexactly(2)
                     await reader.readexactly(2)
