One memory budget counts what clients make a node hold, from the accept to the last byte

Cause: each kind of use had its own limit or none (bytes of a head but not its objects, 64 KiB for each unfinished request, 64 to 256 KiB for each response that isn't read, descriptors instead of memory for connections), and no part of the program knew the sum. Closed connections referred to themselves and waited for the garbage collector by the thousand. Change: node/memory_budget.py owns the limit. Half of it bounds the numbers of connections. Buffers shrink with the limit. What doesn't fit gets a 503 without an attempt, or one 503 behind the response in progress. At the limit of connections, clients that send on after their last response are closed after 0.2 s, and unfinished requests are rejected before connections that are younger than 0.5 s are closed. Rejections and closes are counted by reason in the statistics line and as proxy.limits.REASON (a limit that was never reached has no line). Closed connections are freed at once but for asyncio's transport. The node doesn't load OpenSSL any more: 20 MB at the start instead of 24.

--- a/bench/crowds/clients.py
+++ b/bench/crowds/clients.py
@@ -110,16 +110,12 @@
     ends = time.monotonic() + seconds
     while time.monotonic() < ends:
         began = time.monotonic()
-        try:
-            if connection is None:
-                connection = socket.create_connection(address, timeout=timeout_s)
-            head = (
-                b"GET /read/steady HTTP/1.1\r\nHost: s\r\nReq-Deadline-Ms: 20000\r\nReq-Id: steady-%d\r\n\r\n"
-            )
-            connection.sendall(head % result.calls)
-            response = _read_response(connection)
-        except OSError:
-            response = b""
+        response = b"" if connection is None else _call(connection, result.calls)
+        if not response:  # the node may close a connection between two requests
+            if connection is not None:
+                connection.close()
+            connection = socket.create_connection(address, timeout=timeout_s)
+            response = _call(connection, result.calls)
         result.longest_s = max(result.longest_s, time.monotonic() - began)
         result.calls += 1
         if response:
@@ -136,6 +132,16 @@
     return result
 
 
+def _call(connection: socket.socket, number: int) -> bytes:
+    """Send a request; return the head of its response, empty if the connection ends first."""
+    head = b"GET /read/steady HTTP/1.1\r\nHost: s\r\nReq-Deadline-Ms: 20000\r\nReq-Id: steady-%d\r\n\r\n"
+    try:
+        connection.sendall(head % number)
+        return _read_response(connection)
+    except OSError:
+        return b""
+
+
 def _read_response(connection: socket.socket) -> bytes:
     """Return a short response with its body; empty if the connection ends first."""
     data = b""
--- a/loadbalancer/__main__.py
+++ b/loadbalancer/__main__.py
@@ -6,22 +6,30 @@
 
 from __future__ import annotations
 
+import sys
+
+if __name__ == "__main__":
+    # The node has no TLS. Without this module asyncio doesn't load OpenSSL, which takes 4 MB.
+    sys.modules["ssl"] = None  # type: ignore[assignment]
+
 import argparse
 import asyncio
 import gc
 import logging
 import os
 import signal
-import sys
 from pathlib import Path
 
 from loadbalancer.node.config import NodeConfig, parse_config
 from loadbalancer.node.errors import ConfigPathError
 from loadbalancer.node.failure_log import one_line
+from loadbalancer.node.memory_budget import MIB, PROGRAM_BYTES, resident_bytes
 from loadbalancer.node.node import Node
 from loadbalancer.node.state.inspection import describe_state
 
 CONFIG_VARIABLE = "PROXY_CONFIG"
+COLLECTOR_THRESHOLDS = (700, 4, 2)
+START_BYTES = 1 * MIB  # memory of the node's components, which are created after the measurement
 MAX_ERROR_CHARS = 400  # an error quotes the invalid value, which may have any length
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -58,12 +66,15 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node = Node(config)
+    resident = resident_bytes()
+    node = Node(config, PROGRAM_BYTES if resident is None else resident + START_BYTES)
     loop.add_signal_handler(signal.SIGHUP, reload, node)
     await node.start()
     # Objects created so far live as long as the process; once frozen, the garbage collector skips them.
     gc.collect()
     gc.freeze()
+    # Transports of closed connections refer to themselves; they must not accumulate in the older generations.
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
     logging.info("%s serves on %s:%d", config.name, *node.listener.address)
     await stop.wait()
     logging.info("%s stops", config.name)
--- a/loadbalancer/node/admin/metrics.py
+++ b/loadbalancer/node/admin/metrics.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 
 # Plain integers, as the status of every response is compared with them.
@@ -17,6 +18,7 @@
         self._responses = {name: {"success": 0, "overload": 0, "error": 0} for name in classes}
         self.reloads = {"success": 0, "failure": 0}
         self.attempts_sent = 0  # attempts whose last byte has been written
+        self.limits: Counter[str] = Counter()  # rejections and closes at a limit, by reason
 
     def count_response(self, class_name: str, status: int) -> None:
         """Count the final response to a request of this class."""
@@ -30,18 +32,27 @@
         """Count an attempt whose last byte has been written."""
         self.attempts_sent += 1
 
-    def render(self, concurrent: int, targets: int, disabled: int) -> bytes:
+    def count_limit(self, reason: str, count: int = 1) -> None:
+        """Count rejections or closes because a limit was reached."""
+        self.limits[reason] += count
+
+    def render(
+        self, concurrent: int, targets: int, disabled: int, closes: Mapping[str, int] | None = None
+    ) -> bytes:
         """Return the lines of GET /status/metrics.
 
         `concurrent` is the number of requests in flight, `targets` the number of listed endpoints, and
-        `disabled` how many of these are ejected.
+        `disabled` how many of these are ejected. `closes` are connections closed at a limit, by reason. A
+        limit that was never reached has no line.
         """
+        limits = dict(self.limits) | dict(closes or {})
         lines = [
             f"proxy.replies.{name}.{kind}={count}"
             for name, responses in self._responses.items()
             for kind, count in responses.items()
         ]
         lines += [f"proxy.reload_{kind}={count}" for kind, count in self.reloads.items()]
+        lines += [f"proxy.limits.{reason}={count}" for reason, count in sorted(limits.items()) if count]
         lines += [
             f"proxy.dispatches={self.attempts_sent}",
             f"proxy.concurrent={concurrent}",
--- a/loadbalancer/node/http/body.py
+++ b/loadbalancer/node/http/body.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 MAX_BODY_BYTES = 32 * 1024 * 1024  # limit for the body of a request or a response
-HIGH_WATER_BYTES = 64 * 1024  # without a sink, reading pauses once this many bytes are buffered
+HIGH_WATER_BYTES = 64 * 1024  # default; without a sink, reading pauses once this many bytes are buffered
 
 
 class Source(Protocol):
@@ -41,8 +41,9 @@
     Once a longer body has a sink, it is no longer buffered, and only that sink gets the rest.
     """
 
-    def __init__(self, source: Source) -> None:
+    def __init__(self, source: Source, high_water_bytes: int = HIGH_WATER_BYTES) -> None:
         self._source = source
+        self.high_water_bytes = high_water_bytes
         self._sink: Sink | None = None
         self._replay_buffer: bytearray | None = bytearray()
         self.size = 0  # bytes received so far
@@ -66,13 +67,13 @@
         """Buffer the next bytes, and pass them to the sink if there is one."""
         self.size += len(data)
         if self._replay_buffer is not None:
-            if self._sink is not None and self.size > HIGH_WATER_BYTES:
+            if self._sink is not None and self.size > self.high_water_bytes:
                 self._replay_buffer = None
             else:
                 self._replay_buffer += data
         if self._sink is not None:
             self._sink.write(data)
-        elif self._replay_buffer is not None and self.size >= HIGH_WATER_BYTES:
+        elif self._replay_buffer is not None and self.size >= self.high_water_bytes:
             self._source.pause()
 
     def end(self) -> None:
@@ -124,7 +125,7 @@
             return
         if self._replay_buffer is None:
             self._source.abandon()
-        elif self.size >= HIGH_WATER_BYTES:
+        elif self.size >= self.high_water_bytes:
             self._source.pause()
 
     def discard(self) -> None:
--- a/loadbalancer/node/http/client_connection.py
+++ b/loadbalancer/node/http/client_connection.py
@@ -16,6 +16,7 @@
 
 MAX_BUFFERED_BYTES = HIGH_WATER_BYTES  # default size limit of a buffered response body
 MAX_HEAD_BYTES = 16 * 1024
+MAX_FIELDS = 256  # headers and trailers of a message
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -122,6 +123,7 @@
         self._body_size = 0  # bytes
         self._in_head = False
         self._head_size = 0  # bytes of head and trailers
+        self._fields = 0  # number of headers and trailers
         self._unparsed_bytes = 0  # received since the last body part; the parser buffers an incomplete line
         self._complete = False
         self._ends_with_connection = False  # whether closing the connection completes the response
@@ -252,7 +254,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._unusable = self.malformed = True
         # httptools reports a header only once it is complete, and buffers any number of bytes until then.
-        if self._unparsed_bytes > MAX_HEAD_BYTES + MAX_BUFFERED_BYTES:
+        if self._unparsed_bytes > MAX_HEAD_BYTES + len(self._read_buffer):
             self._unusable = self.malformed = True
         self._process_received()
 
@@ -286,7 +288,7 @@
             long = max(response.content_length or 0, len(response.body)) > self._max_buffered_bytes
             if not (self._streams and long and response.body) or self._complete:
                 return
-            response.stream = Body(self)
+            response.stream = Body(self, self._max_buffered_bytes)
             assert self._exchange is not None
             self._exchange.on_stream_started(response)
         piece = bytes(response.body)
@@ -303,8 +305,9 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the exchange."""
+        """End the exchange, and drop the references that would need the garbage collector."""
         self._end_exchange(self._written)
+        del self._parser
 
     def _end_exchange(self, written: bool) -> None:
         exchange = self._exchange
@@ -336,11 +339,13 @@
         if self._complete:
             self._unusable = True
         self._in_head, self._head_size, self._unparsed_bytes = not self._complete, 0, 0
+        self._fields = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are dropped."""
         self._head_size += len(name) + len(value)
-        if self._head_size > MAX_HEAD_BYTES:
+        self._fields += 1
+        if self._head_size > MAX_HEAD_BYTES or self._fields > MAX_FIELDS:
             self._unusable = self.malformed = True
         if self._in_head:
             self._response.headers[name.lower()] = value
@@ -370,7 +375,7 @@
         self._unparsed_bytes = 0
         self._body_size += len(body)
         if self._streams and self._response.status != HTTPStatus.OK:
-            if self._body_size > MAX_BUFFERED_BYTES:
+            if self._body_size > self._max_buffered_bytes:
                 self._complete = self._unusable = True
         elif self._body_size > (MAX_BODY_BYTES if self._streams else self._max_buffered_bytes):
             self._unusable = self.malformed = True
--- a/loadbalancer/node/http/request_parsing.py
+++ b/loadbalancer/node/http/request_parsing.py
@@ -73,6 +73,10 @@
                 remaining = memoryview(remaining)[head_size:]
             self._resume_without_offer()
 
+    def close(self) -> None:
+        """Drop the references to the callbacks; nothing may be parsed afterwards."""
+        del self._parser
+
     def get_method(self) -> bytes:
         """Return the method of the request in progress."""
         return self._parser.get_method()
--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from loadbalancer.node.http.body import HIGH_WATER_BYTES, Body
+from loadbalancer.node.http.body import Body
 from loadbalancer.node.listener.connection_states import ClosableConnection, ConnectionOwner, ConnectionState
 from loadbalancer.node.listener.flow_control import ReadControl, WriteControl
 from loadbalancer.node.listener.inbound_request import InboundRequest
@@ -35,13 +35,13 @@
         self._transport = transport
         self.opened_at = self.last_activity_at = self._listener.loop.time()
         self._parser = RequestParser(
-            lambda: InboundRequest(self, Body(self._read_control)),
+            lambda: InboundRequest(self, Body(self._read_control, self._memory.buffer_bytes)),
             self._on_head,
             self._on_request_received,
             self.opened_at,
         )
         self._read_control = ReadControl(self._listener.loop, transport, self._on_body_resumed)
-        self._write_control = WriteControl(transport)
+        self._write_control = WriteControl(transport, self._memory.buffer_bytes)
         self._listener.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -54,7 +54,7 @@
                 self.last_activity_at = now
             self._parser.feed(data, now, self._read_control.earliest_arrival(now))
             if self._linger is None:  # parsing may end the connection; later requests are not served
-                self._advance()
+                self._advance_within_budget()
 
     def eof_received(self) -> bool:
         """Treat the client as disconnected: a full close can't be distinguished from a half-close.
@@ -77,6 +77,9 @@
             self._stream.on_client_lost()
         self._stream = None
         self._drop_requests()
+        self._release_memory()
+        self._parser.close()
+        self._read_control.close()
 
     def pause_writing(self) -> None:
         """Pause the streamed response, as the write buffer is full."""
@@ -111,14 +114,17 @@
     def _advance(self) -> None:
         """Act on the parsed data: dispatch the first request, continue reading, or respond with an error."""
         partial, error_status = self._parser.request, self._parser.error_status
-        if partial is not None and not self._queue and partial.body.size >= HIGH_WATER_BYTES:
+        if partial is not None and not self._queue and partial.body.size >= partial.body.high_water_bytes:
             partial.received_at = self._listener.loop.time()  # replaced when its last byte arrives
             self._queue.append(partial)  # dispatched while its body is still being received
         if self._queue and self.state is ConnectionState.IDLE:
             self.state = ConnectionState.SEND_RESPONSE
         first = self._first
         if error_status and first in (None, partial):
-            self._listener.on_malformed_request()
+            if error_status == HTTPStatus.SERVICE_UNAVAILABLE:
+                self._listener.on_memory_denied()
+            else:
+                self._listener.on_malformed_request()
             self._fail(error_status)
             return
         # Most clients send one request at a time; further pipelined requests stay in the kernel's buffer.
@@ -151,7 +157,20 @@
             return
         parser.resume(self._listener.loop.time())
         if self._linger is None:
-            self._advance()
+            self._advance_within_budget()
+
+    def _advance_within_budget(self) -> None:
+        """Act on the parsed data, or reject what doesn't fit into the memory budget.
+
+        Requests behind the one in progress have not been dispatched. They get one 503 after its response.
+        """
+        if not self._hold_received():
+            while len(self._queue) > 1 or (self._queue and not self._queue[0].dispatched):
+                self._queue.pop()
+            if self._parser.request is not self._first or self._first is None:
+                self._parser.reject(HTTPStatus.SERVICE_UNAVAILABLE)
+            self._hold_received()
+        self._advance()
 
     def _on_body_resumed(self, paused_s: float) -> None:
         self._parser.extend_deadline(paused_s)
@@ -160,6 +179,7 @@
 
     def _dispatch(self, request: InboundRequest) -> None:
         request.dispatched = True
+        self._hold_received()
         if request.target.partition(b"?")[0] == READINESS_PATH:
             ready = self._listener.accepts_clients
             request.respond(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
@@ -245,6 +265,7 @@
     def _finish_request(self, close: bool) -> None:
         """Remove the first request, as its response is written; process the next one or close."""
         self._queue.popleft()
+        self._hold_unsent()
         self.last_activity_at = self._listener.loop.time()
         self._parser.restart_timeout(self.last_activity_at)
         self.state = ConnectionState.SEND_RESPONSE if self._queue else ConnectionState.IDLE
--- a/loadbalancer/node/listener/connection_states.py
+++ b/loadbalancer/node/listener/connection_states.py
@@ -15,6 +15,7 @@
 from loadbalancer.node.listener.inbound_request import InboundRequest
 from loadbalancer.node.listener.request_parser import ReceiveState, RequestParser
 from loadbalancer.node.listener.streamed_response import response_head
+from loadbalancer.node.memory_budget import BASIC_REQUEST_BYTES, MemoryBudget
 
 
 class ConnectionOwner(Protocol):
@@ -26,8 +27,8 @@
         ...
 
     @property
-    def read_buffer(self) -> bytearray:
-        """The buffer that all connections read into."""
+    def memory(self) -> MemoryBudget:
+        """The node's memory budget."""
         ...
 
     @property
@@ -53,6 +54,12 @@
     def on_malformed_request(self) -> None:
         """Count a connection that ends because the received data was invalid."""
 
+    def on_memory_denied(self) -> None:
+        """Count a connection that ends because its requests don't fit into the memory budget."""
+
+    def on_stalled(self) -> None:
+        """Count a connection that is closed because the client reads nothing."""
+
     def opened(self, connection: ClosableConnection) -> None:
         """Add a new connection, which accepts requests from now on."""
 
@@ -85,7 +92,10 @@
     """
 
     def __init__(self, listener: ConnectionOwner) -> None:
-        super().__init__(listener.read_buffer)
+        super().__init__(listener.memory.read_buffer)
+        self._memory = listener.memory
+        self._receiving_bytes = 0  # held for requests that are being received or queued
+        self._unsent_bytes = 0  # held for responses that the client has not read
         self._listener = listener
         self._transport: asyncio.Transport
         self._parser: RequestParser
@@ -100,6 +110,11 @@
     def _first(self) -> InboundRequest | None:
         return self._queue[0] if self._queue else None
 
+    @property
+    def age_s(self) -> float:
+        """The time since the connection was accepted."""
+        return self._listener.loop.time() - self.opened_at
+
     @property
     def idle(self) -> bool:
         """Whether no byte of a request has been read, and all responses have been sent."""
@@ -133,8 +148,12 @@
 
     def sweep(self, now: float) -> None:
         """Close the connection if the client has stopped reading or disconnected by loop time `now` (s)."""
+        self._hold_unsent()
         lingered = self._linger is not None and self._linger.is_over(now, self._write_control.unsent)
-        if lingered or self._write_control.stalled(now):
+        stalled = self._write_control.stalled(now)
+        if stalled and not lingered:
+            self._listener.on_stalled()
+        if lingered or stalled:
             self._abort()
         # While reading is paused, the event loop doesn't deliver a disconnect.
         elif self.state is ConnectionState.SEND_RESPONSE and not self._transport.is_reading():
@@ -176,6 +195,39 @@
             self._linger_and_close()
             self._drop_requests()
 
+    def _hold_received(self) -> bool:
+        """Update the memory held for received requests; return whether it fits into the budget.
+
+        A dispatched request is part of an exchange, and a basic one is part of its connection.
+        """
+        size = self._parser.held_bytes
+        for request in self._queue:
+            if not request.dispatched:
+                size += request.held_bytes
+        size = max(0, size - BASIC_REQUEST_BYTES)
+        growth = size - self._receiving_bytes
+        if growth == 0:
+            return True
+        if growth > 0 and not self._memory.receiving.try_hold(growth):
+            return False
+        if growth < 0:
+            self._memory.receiving.hold(growth)
+        self._receiving_bytes = size
+        return True
+
+    def _hold_unsent(self) -> None:
+        """Update the memory held for responses that the client has not read."""
+        unsent = self._write_control.unsent
+        if unsent != self._unsent_bytes:
+            self._memory.unsent.hold(unsent - self._unsent_bytes)
+            self._unsent_bytes = unsent
+
+    def _release_memory(self) -> None:
+        """Return what the connection holds to the budget, as it has been closed."""
+        self._memory.receiving.release(self._receiving_bytes)
+        self._memory.unsent.release(self._unsent_bytes)
+        self._receiving_bytes = self._unsent_bytes = 0
+
     def _drop_requests(self) -> None:
         """End all received requests without sending responses."""
         requests, self._queue = self._queue, deque()
@@ -184,6 +236,7 @@
             if request.on_disconnected is not None:
                 request.on_disconnected()
         self._parser.discard()
+        self._hold_received()
 
     @property
     def is_closing(self) -> bool:
@@ -214,6 +267,17 @@
         self._abort()
         return True
 
+    def close_lingering_sender(self) -> bool:
+        """Close the connection if its client has gone on sending since its last response was sent.
+
+        The close resets the connection. Used at capacity: such clients would keep out all others.
+        """
+        lingering = self._linger is not None and self._linger.has_lasted(self._listener.loop.time())
+        if not lingering or self._transport.is_closing() or self._write_control.unsent:
+            return False
+        self._abort()
+        return True
+
     def _linger_and_close(self) -> None:
         """Shut down the sending side after the last response, and start the lingering close."""
         self.state = ConnectionState.MUST_CLOSE
--- a/loadbalancer/node/listener/flow_control.py
+++ b/loadbalancer/node/listener/flow_control.py
@@ -10,10 +10,15 @@
 from loadbalancer.node.http.socket_buffer import readable
 
 LINGER_S = 1.0  # time until the close after the last response, or after the client's last byte since then
+MIN_LINGER_S = 0.2  # at capacity, from the last response to the close
 MAX_LINGER_S = 5.0  # upper bound after the last response, even if the client keeps sending
 WRITE_STALL_TIMEOUT_S = 10.0  # a client that reads no byte of its response for this time is disconnected
 
 
+def _ignore(_paused_s: float) -> None:
+    pass
+
+
 class ReadControl:
     """Pauses and resumes reading from a client connection; acts as the source of its request bodies.
 
@@ -57,6 +62,10 @@
         """Resume reading, as the rest of the body is discarded."""
         self.resume()
 
+    def close(self) -> None:
+        """Drop the reference to the connection, which has been closed."""
+        self._on_resumed = _ignore
+
     def set_backlogged(self, backlogged: bool) -> None:
         """Set whether reading pauses because enough requests are queued; further data stays in the kernel."""
         self._backlogged = backlogged
@@ -80,10 +89,14 @@
 
 
 class WriteControl:
-    """Observes a client connection's write buffer, and sets whether a close resets the connection."""
+    """Observes a client connection's write buffer, and sets whether a close resets the connection.
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    With over `max_unsent_bytes` in the buffer, no response is started and a streamed one pauses.
+    """
+
+    def __init__(self, transport: asyncio.Transport, max_unsent_bytes: int) -> None:
         self._transport = transport
+        transport.set_write_buffer_limits(high=max_unsent_bytes)
         self.full = False  # while True, no response is started
         self._last_unsent = 0  # bytes at the last check
         self._unchanged_since = 0.0  # loop time (s) since which the buffer size is the same
@@ -120,6 +133,10 @@
         """Record that the client sent data at loop time `now` (s)."""
         self._last_data_at = now
 
+    def has_lasted(self, now: float) -> bool:
+        """Whether, at loop time `now` (s), the client has had `MIN_LINGER_S` to read its last response."""
+        return now >= self._until - MAX_LINGER_S + MIN_LINGER_S
+
     def is_over(self, now: float, unsent: int) -> bool:
         """Whether the connection may close: everything has been sent, and the client has been silent for
         `LINGER_S` or has kept sending for `MAX_LINGER_S`."""
--- a/loadbalancer/node/listener/inbound_request.py
+++ b/loadbalancer/node/listener/inbound_request.py
@@ -60,6 +60,12 @@
     answered: bool = False
     on_disconnected: Callable[[], None] | None = None
     on_received: Callable[[], None] | None = None  # called if dispatched before its last byte
+    head_bytes: int = 0  # memory of its head, objects included
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory of its head and of the part of its body that has been received."""
+        return self.head_bytes + self.body.size
 
     def respond(self, status: int, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         """Send the response; ignore it if the request already has one."""
--- a/loadbalancer/node/listener/listener.py
+++ b/loadbalancer/node/listener/listener.py
@@ -5,15 +5,14 @@
 import asyncio
 import logging
 import socket
-from collections import deque
 from collections.abc import Callable, Iterable
 from itertools import islice
 
-from loadbalancer.node.http.read_buffer import READ_BYTES
 from loadbalancer.node.listener.connection import ServerConnection
 from loadbalancer.node.listener.connection_states import ClosableConnection
 from loadbalancer.node.listener.errors import InheritedSocketError
 from loadbalancer.node.listener.inbound_request import InboundRequest
+from loadbalancer.node.memory_budget import MemoryBudget
 
 log = logging.getLogger("loadbalancer")
 
@@ -30,12 +29,24 @@
 
 # The methods by which connections are closed, in order of preference: when more than `limit` connections
 # accept requests, and when the listener is at capacity. Closing some keeps the pauses of accepting short.
+# The first request of a new connection may be in transit, and clients don't retry it.
 _CloseMethod = Callable[[ClosableConnection], bool]
+
+
+def _close_settled(connection: ClosableConnection) -> bool:
+    return connection.age_s >= NEW_CONNECTION_GRACE_S and connection.close_if_idle()
+
+
 _CLOSE_OVER_LIMIT: tuple[_CloseMethod, ...] = (
-    ClosableConnection.close_if_idle,
+    _close_settled,
     ClosableConnection.reject_partial_request,
+    ClosableConnection.close_if_idle,
+)
+_CLOSE_AT_CAPACITY: tuple[_CloseMethod, ...] = (
+    ClosableConnection.close_lingering,
+    ClosableConnection.close_lingering_sender,
+    *_CLOSE_OVER_LIMIT,
 )
-_CLOSE_AT_CAPACITY: tuple[_CloseMethod, ...] = (ClosableConnection.close_lingering, *_CLOSE_OVER_LIMIT)
 
 
 def inherited_socket(descriptor: str) -> socket.socket:
@@ -60,18 +71,25 @@
     If more than `limit` connections accept requests, others are closed.
     """
 
-    def __init__(self, limit: int, on_request: Callable[[InboundRequest], None]) -> None:
+    def __init__(
+        self, limit: int, on_request: Callable[[InboundRequest], None], memory: MemoryBudget
+    ) -> None:
+        parts = LIMIT_PARTS + CLOSING_PARTS
+        limit = max(1, min(limit, memory.max_client_connections * LIMIT_PARTS // parts))
         self.loop = asyncio.get_running_loop()
         self.request_limit = limit  # desired maximum of connections that accept requests
         self._burst = max(1, limit // LIMIT_PARTS)  # max connections accepted per loop iteration
         self.max_connections = limit + CLOSING_PARTS * limit // LIMIT_PARTS  # including those being closed
         self.on_request = on_request
-        self.read_buffer = bytearray(READ_BYTES)
+        self.memory = memory
         self.ready = False
         self.shares_socket = False  # another process may also accept from the listening socket
         self.draining = False  # each response closes its connection
         self.expired = 0  # number of connections ended because a request was overdue
         self.malformed_requests = 0  # number of connections ended because the received data was invalid
+        self.closed_over_limit = 0  # number of connections closed because there were too many
+        self.memory_denials = 0  # number of connections ended because of the memory budget
+        self.closed_stalled = 0  # number of connections closed because the client read nothing
         self.connections: dict[ClosableConnection, None] = {}  # in the order in which they were opened
         self._socket: socket.socket | None = None
         self._accepting: set[asyncio.Task[object]] = set()  # accepted, but not yet in `connections`
@@ -179,6 +197,14 @@
         """Count a connection that ends because the received data was invalid."""
         self.malformed_requests += 1
 
+    def on_memory_denied(self) -> None:
+        """Count a connection that ends because its requests don't fit into the memory budget."""
+        self.memory_denials += 1
+
+    def on_stalled(self) -> None:
+        """Count a connection that is closed because the client reads nothing."""
+        self.closed_stalled += 1
+
     def opened(self, connection: ClosableConnection) -> None:
         """Add a connection, and close others if the limit is exceeded."""
         self.connections[connection] = None
@@ -201,7 +227,7 @@
                 key=lambda connection: connection.last_activity_at,
             )
             closed = (connection for close in close_methods for connection in others if close(connection))
-            deque(islice(closed, count), maxlen=0)
+            self.closed_over_limit += sum(1 for _ in islice(closed, count))
 
     def reject_partial_requests(self) -> None:
         """Respond with 503 to all requests that are being received."""
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -10,9 +10,10 @@
 import httptools
 
 from loadbalancer.node.http.body import MAX_BODY_BYTES
-from loadbalancer.node.http.client_connection import MAX_HEAD_BYTES
+from loadbalancer.node.http.client_connection import MAX_FIELDS, MAX_HEAD_BYTES
 from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
 from loadbalancer.node.listener.inbound_request import InboundRequest
+from loadbalancer.node.memory_budget import FIELD_BYTES
 
 # A slow but legitimate client sends a head within 2 s and a body at 64 kB/s.
 HEAD_TIMEOUT_S = 2.3  # limit for receiving a head; for the first request, it starts with the connection
@@ -25,7 +26,6 @@
 SLICE_BYTES = 1024  # of a head, or of a body with small chunks
 MAX_SLICE_BYTES = 16 * 1024  # of a body with large chunks
 LARGE_CHUNK_STEPS = 2  # a slice with at most so many callbacks is part of large chunks
-MAX_FIELDS = 256  # headers and trailers of a request
 HEAD_END = b"\r\n\r\n"
 LINE_BREAKS = b"\r\n"
 
@@ -78,6 +78,19 @@
         self._offset = 0  # of the first unparsed byte
         self._in_turn = False  # whether bytes are being parsed
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory of the bytes that are not parsed, and of the request that is being received.
+
+        It is 0 if that request has been dispatched, as it is then part of an exchange.
+        """
+        request = self.request
+        if request is None:
+            return len(self._unparsed)
+        if request.dispatched:
+            return 0
+        return len(self._unparsed) + self._silent_bytes + request.held_bytes
+
     @property
     def has_unparsed(self) -> bool:
         """Whether the last turn has left received bytes, which wait for `resume`."""
@@ -179,6 +192,21 @@
         """Extend the deadline by a period in which reading was paused."""
         self.head_received_at += seconds
 
+    def close(self) -> None:
+        """Drop the references to the connection, so that both are freed without the garbage collector.
+
+        No other method may be called afterwards; the parser has no state but ERROR.
+        """
+        self.discard()
+        self.state = ReceiveState.ERROR
+        self._parser.close()
+        del self._parser, self._new_request, self._on_head, self._on_received
+
+    def reject(self, status: int) -> None:
+        """Discard what has been received but the requests in progress, and parse nothing more."""
+        self.discard()
+        self._fail(status)
+
     def discard(self) -> None:
         """Discard the request that is being received."""
         self._drop_unparsed()
@@ -268,6 +296,8 @@
 
     def _grow_head(self, size: int) -> None:
         self._head_fields_size += size
+        if self.request is not None:
+            self.request.head_bytes += size + FIELD_BYTES
         if self._head_fields_size > MAX_HEAD_BYTES:
             self._fail(HTTPStatus.BAD_REQUEST)
 
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -25,6 +25,7 @@
 from loadbalancer.node.discovery.watcher import EndpointListWatcher
 from loadbalancer.node.endpoint_list import EndpointList
 from loadbalancer.node.listener.listener import Listener
+from loadbalancer.node.memory_budget import PROGRAM_BYTES, MemoryBudget
 from loadbalancer.node.operator_ejections import OperatorEjections
 from loadbalancer.node.periodic_tasks import PeriodicTasks
 from loadbalancer.node.request_registry import RequestRegistry
@@ -54,10 +55,12 @@
     register for attempt outcomes in `attempts.outcome_listeners`.
     """
 
-    def __init__(self, config: NodeConfig) -> None:
+    def __init__(self, config: NodeConfig, program_bytes: int = PROGRAM_BYTES) -> None:
+        """`program_bytes` is the memory of the process before it serves clients."""
         self.loop = asyncio.get_running_loop()
         self.clock = Clock(self.loop)
         self.config = config
+        self.memory = MemoryBudget(config.memory_mb, program_bytes)
         self.stopping = False
         self.event_counts: Counter[str] = Counter()  # since the last statistics line in the log
         self.metrics = NodeMetrics(service_class.name for service_class in config.settings.classes)
@@ -75,13 +78,16 @@
             config.max_descriptors - RESERVED_DESCRIPTORS - config.membership_descriptors,
         )
         self.listener = Listener(
-            int(usable * INBOUND_FRACTION), lambda request: self.request_registry.receive(request)
+            int(usable * INBOUND_FRACTION),
+            lambda request: self.request_registry.receive(request),
+            self.memory,
         )
         self.pool = ConnectionPool(
             int(usable * UPSTREAM_FRACTION),
             config.connection_idle_ms / 1000.0,
             config.connect_timeout_ms / 1000.0,
             self.metrics.count_attempt_sent,
+            self.memory,
         )
         self.request_registry = RequestRegistry(
             config, self.clock, self.listener, self.metrics, self.event_counts, self.handle_event
@@ -186,6 +192,11 @@
             self.request_registry.in_progress,
             len(self.endpoint_list.endpoints),
             self.driver.balancer.ejected_count,
+            {
+                "closed_over_limit": self.listener.closed_over_limit,
+                "closed_for_memory": self.listener.memory_denials,
+                "closed_as_stalled": self.listener.closed_stalled,
+            },
         )
         return node_lines + "".join(component.metrics() for component in self.components).encode()
 
--- a/loadbalancer/node/periodic_tasks.py
+++ b/loadbalancer/node/periodic_tasks.py
@@ -9,6 +9,7 @@
 
 from loadbalancer.node.balancer_driver import BalancerDriver
 from loadbalancer.node.listener.listener import Listener
+from loadbalancer.node.memory_budget import KIB
 from loadbalancer.node.request_registry import RequestRegistry
 from loadbalancer.node.upstream.pool import ConnectionPool
 
@@ -39,6 +40,7 @@
         self._listener = listener
         self._pool = pool
         self._driver = driver
+        self._reported: Counter[str] = Counter()  # counts since the start that a line has reported
         self._max_lag_s = 0.0  # longest delay of a tick since the last statistics line
         self._tick_timer: asyncio.TimerHandle | None = None
         self._statistics_timer: asyncio.TimerHandle | None = None
@@ -66,13 +68,15 @@
     def _log_statistics(self) -> None:
         self._collect_counts()
         log.info(
-            "%s: %s; open requests %d, client connections %d, upstream connections %d, loop lag %.0f ms;"
+            "%s: %s; open requests %d, client connections %d, upstream connections %d, memory held %d kB,"
+            " loop lag %.0f ms;"
             " balancer: %s",
             self._name,
             ", ".join(f"{name} {count}" for name, count in sorted(self._event_counts.items())),
             self._request_registry.unanswered,
             len(self._listener.connections),
             self._pool.connection_count,
+            self._listener.memory.requests.held_bytes // KIB,
             self._max_lag_s * 1000.0,
             self._driver.balancer.summary(),
         )
@@ -81,13 +85,21 @@
         self._statistics_timer = self._loop.call_later(STATISTICS_INTERVAL_S, self._log_statistics)
 
     def _collect_counts(self) -> None:
-        """Move the counts of the listener and the pool into `event_counts`; a count of 0 gets no entry."""
-        if self._listener.expired:
-            self._event_counts["request timeouts"] += self._listener.expired
-            self._listener.expired = 0
-        if self._listener.malformed_requests:
-            self._event_counts["malformed requests"] += self._listener.malformed_requests
-            self._listener.malformed_requests = 0
-        if self._pool.malformed_responses:
-            self._event_counts["malformed responses"] += self._pool.malformed_responses
-            self._pool.malformed_responses = 0
+        """Add what the listener, the pool and the memory budget have counted since the last line."""
+        for name, total in self._totals().items():
+            if total > self._reported[name]:
+                self._event_counts[name] += total - self._reported[name]
+                self._reported[name] = total
+
+    def _totals(self) -> dict[str, int]:
+        """Return the counts since the start of the process, by their names in the statistics line."""
+        listener = self._listener
+        denials = {f"memory denied to {pool.name}": pool.denials for pool in listener.memory.pools}
+        return denials | {
+            "request timeouts": listener.expired,
+            "malformed requests": listener.malformed_requests,
+            "malformed responses": self._pool.malformed_responses,
+            "closed over limit": listener.closed_over_limit,
+            "closed for memory": listener.memory_denials,
+            "closed as stalled": listener.closed_stalled,
+        }
--- a/loadbalancer/node/request_registry.py
+++ b/loadbalancer/node/request_registry.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from http import HTTPStatus
 
 from loadbalancer.balancing.actions import Fail, Reject
@@ -24,9 +25,15 @@
 
 BACKSTOP_DELAY_S = 0.005  # a request without a response gets a 504 this long after its deadline
 STREAM_OVERRUN_S = 0.4  # a streamed response whose server hangs is aborted this long after its deadline
-RECEIVING_MEMORY_RATIO = 0.25  # part of the node's memory for requests that are being received
-MAX_RECEIVING_BYTES = 256 * 1024  # max memory that one such request uses
-BYTES_PER_MB = 1024 * 1024
+
+
+class Limit(Enum):
+    """A limit at which requests are rejected; the values are names of metrics and in the statistics line."""
+
+    UPLOADS = "uploads"
+    REQUESTS = "requests"
+    CONNECTIONS = "connections"
+    MEMORY = "memory"
 
 
 @dataclass(slots=True, eq=False)
@@ -39,8 +46,10 @@
     deadline: float  # loop time (s)
     client_timeout_s: float  # starts at the request's last byte
     received_at: float  # loop time (s) of its last byte, or of its dispatch while it is being received
+    held_bytes: int  # of the memory budget, until its response has ended and no attempt is in flight
     backstop_timer: asyncio.TimerHandle | None = None
     answered: bool = False
+    streaming: bool = False  # its response is being streamed
     attempts: list[Attempt | None] = field(default_factory=list)  # None for an attempt that has ended
     attempts_in_flight: int = 0
     last_result: AttemptResult | None = None
@@ -68,8 +77,8 @@
         self._handle_event = handle_event
         self._classes = {service_class.name: service_class for service_class in config.settings.classes}
         self._max_in_progress = config.max_open_requests
-        receiving_bytes = config.memory_mb * RECEIVING_MEMORY_RATIO * BYTES_PER_MB
-        self.max_receiving = max(1, int(receiving_bytes / MAX_RECEIVING_BYTES))
+        self._memory = listener.memory
+        self.max_receiving = self._memory.max_uploads
         self.active: dict[str, ActiveRequest] = {}
         # Ids of cancelled requests that may have been executed; removed at their deadlines.
         self._cancelled_ids: set[str] = set()
@@ -106,15 +115,26 @@
             return
         request = parsed.request
         # A request beyond a limit was sent to no endpoint, so the client may safely retry it.
-        too_many_receiving = inbound.receiving and self.receiving >= self.max_receiving
-        if too_many_receiving or self.in_progress >= self._max_in_progress or self._listener.over_limit:
+        held_bytes = self._memory.exchange_bytes(inbound.held_bytes, inbound.receiving)
+        limit = self._limit_reached(inbound)
+        if limit is None and not self._memory.exchanges.try_hold(held_bytes):
+            limit = Limit.MEMORY
+        if limit is not None:
             self._counts["over-limit rejections"] += 1
+            self._counts[f"over limit of {limit.value}"] += 1
+            self._metrics.count_limit(limit.value)
             self._metrics.count_response(request.service, HTTPStatus.SERVICE_UNAVAILABLE)
             inbound.respond(HTTPStatus.SERVICE_UNAVAILABLE)
             return
         received_at, timeout_s = inbound.received_at, parsed.client_timeout_s
         active = ActiveRequest(
-            request.id, request.service, inbound, received_at + timeout_s, timeout_s, received_at
+            request.id,
+            request.service,
+            inbound,
+            received_at + timeout_s,
+            timeout_s,
+            received_at,
+            held_bytes,
         )
         self.active[request.id] = active
         self.unanswered += 1
@@ -126,6 +146,16 @@
             self._set_backstop(active)
         self._handle_event(request)
 
+    def _limit_reached(self, inbound: InboundRequest) -> Limit | None:
+        """Return the limit that leaves no place for this request, or None."""
+        if inbound.receiving and self.receiving >= self.max_receiving:
+            return Limit.UPLOADS
+        if self.in_progress >= self._max_in_progress:
+            return Limit.REQUESTS
+        if self._listener.over_limit:
+            return Limit.CONNECTIONS
+        return None
+
     def _check_new(self, request: Request) -> None:
         """Raise BadRequestError if an earlier request with this id is unanswered or may still be executed."""
         earlier = self.active.get(request.id)
@@ -206,6 +236,7 @@
             body.discard()
             return
         self._counts["responses 200"] += 1
+        active.streaming = True
         self._mark_answered(active)
         self.streaming += 1
         ended = False
@@ -214,6 +245,8 @@
             nonlocal ended
             ended = True
             self.streaming -= 1
+            active.streaming = False
+            self._release_memory(active)
             if not complete:
                 self._counts["aborted streams"] += 1
             self._metrics.count_response(
@@ -256,3 +289,12 @@
             if active.cancelled and active.possibly_executed and not idempotent:
                 self._cancelled_ids.add(active.id)
                 self._loop.call_at(active.deadline, self._cancelled_ids.discard, active.id)
+            self._release_memory(active)
+
+    def _release_memory(self, active: ActiveRequest) -> None:
+        """Return the request's memory to the budget, unless its response or an attempt is in progress."""
+        if not active.streaming and not active.attempts_in_flight:
+            self._memory.exchanges.release(active.held_bytes)
+            active.held_bytes = 0
+            # Without these references the garbage collector isn't needed to free the request.
+            active.inbound.on_disconnected = active.inbound.on_received = None
--- a/loadbalancer/node/upstream/pool.py
+++ b/loadbalancer/node/upstream/pool.py
@@ -9,8 +9,9 @@
 from loadbalancer.endpoints import AttemptResult
 from loadbalancer.node.address import Address
 from loadbalancer.node.http.body import Body
-from loadbalancer.node.http.client_connection import ClientConnection, Response
+from loadbalancer.node.http.client_connection import MAX_BUFFERED_BYTES, ClientConnection, Response
 from loadbalancer.node.http.read_buffer import READ_BYTES
+from loadbalancer.node.memory_budget import MemoryBudget
 from loadbalancer.node.upstream.attempt import Attempt
 from loadbalancer.node.upstream.endpoint import PooledEndpoint
 
@@ -34,11 +35,13 @@
         endpoint_idle_s: float,
         connect_timeout_s: float,
         on_sent: Callable[[], None] = lambda: None,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        self.max_connections = limit
+        self.max_connections = limit if memory is None else min(limit, memory.max_upstream_connections)
         self.connect_timeout_s = connect_timeout_s
         self.on_sent = on_sent
-        self._read_buffer = bytearray(READ_BYTES)
+        self._read_buffer = bytearray(READ_BYTES) if memory is None else memory.read_buffer
+        self._max_buffered_bytes = MAX_BUFFERED_BYTES if memory is None else memory.buffer_bytes
         self.malformed_responses = 0  # number of attempts ended by a malformed response
         self._idle_timeout_s = endpoint_idle_s * IDLE_TIMEOUT_RATIO  # 0: idle connections are not retained
         self._endpoints: dict[str, PooledEndpoint] = {}
@@ -166,7 +169,7 @@
         try:
             _, connection = await asyncio.get_running_loop().create_connection(
                 lambda: ClientConnection(
-                    self._connections.discard, streams=True, read_buffer=self._read_buffer
+                    self._connections.discard, self._max_buffered_bytes, True, self._read_buffer
                 ),
                 *address,
             )
