An id that may have been executed is not executed again, by this process or its sibling

What callers saw: an order ran twice when its id came again: after its response, after its client had left a streamed response, after its deadline, and at the other process of an upgrade. Cause: an id was remembered only if its client had left before the response, and only until that request's own deadline. The set had no limit, and the processes of an upgrade didn't share it. Change: node/executed_ids.py retains the id of each request that a server may have executed, however it ended, for ten times the longest client timeout, 30 s at least: no client may wait longer for a request, so none sends it again later. The memory budget bounds the number of ids (an eighth); without a place a request that must not run twice gets 503 before it is sent. During an upgrade each process appends its claim to a file before the first attempt and then reads those of the other (node/state/executed_id_log.py), so that of two simultaneous claims at least one is refused (502). Times are those of the monotonic clock. Limits: an old process of an earlier release doesn't write the files.

--- a/loadbalancer/node/attempt_dispatcher.py
+++ b/loadbalancer/node/attempt_dispatcher.py
@@ -51,7 +51,8 @@
         started_at = self._loop.time()
         if active is not None:
             active.attempts.append(None)  # an abandoned attempt also uses a number
-        if active is None or number >= self._settings.max_attempts:
+        refused = active is None or number >= self._settings.max_attempts or not self._requests.claim(active)
+        if active is None or refused:
             self._finish(action, number, active, AttemptResult.ABANDONED, started_at)
             return
         inbound = active.inbound
--- a/loadbalancer/node/config.py
+++ b/loadbalancer/node/config.py
@@ -19,7 +19,7 @@
     MalformedSettingError,
     MissingSettingError,
 )
-from loadbalancer.node.state import ejections, handover
+from loadbalancer.node.state import ejections, executed_id_log, handover
 from loadbalancer.service_settings import Settings, check_within
 from loadbalancer.settings import JsonObject, parse_settings, section, text_of
 
@@ -45,9 +45,10 @@
     settings: Settings
     admin_address: Address | None = None
     accept_fd: str | None = None  # descriptor of an inherited listening socket for clients
-    # Both processes of a node share these two folders during an upgrade.
+    # Both processes of a node share these folders during an upgrade.
     ejections_folder: Path | None = None
     handover_folder: Path | None = None
+    executed_ids_folder: Path | None = None
     state_path: Path | None = None  # of the state file
     state_write_interval_ms: float = 1000.0
     membership: MembershipSettings | None = None
@@ -112,6 +113,7 @@
         settings=parse_settings(settings),
         admin_address=_address("operator", admin_address) if admin_address else None,
         ejections_folder=_shared_folder(variables, ejections.FOLDER_NAME),
+        executed_ids_folder=_shared_folder(variables, executed_id_log.FOLDER_NAME),
         handover_folder=_shared_folder(variables, handover.FOLDER_NAME),
         accept_fd=variables.get("PROXY_ACCEPT_FD") or None,
         state_path=Path(state) if state else None,
--- a/loadbalancer/node/memory_budget.py
+++ b/loadbalancer/node/memory_budget.py
@@ -27,7 +27,7 @@
 UPSTREAM_RATIO = 0.125  # of the budget, for connections to servers
 REQUESTS_RATIO = 0.5  # of the budget, for requests and responses
 RECEIVING_RATIO = 0.25  # of the budget, for requests that are being received or queued
-IDS_RATIO = 0.0625  # of the budget, for the ids of executed requests
+IDS_RATIO = 0.125  # of the budget, for the ids of executed requests
 
 CONNECTION_BYTES = 6 * KIB  # objects of one connection
 BASIC_REQUEST_BYTES = 2 * KIB  # of a request that is held without a reservation; part of its connection
@@ -35,7 +35,7 @@
 BUFFERS_PER_EXCHANGE = 2  # of its response
 BUFFERS_PER_UPLOAD = 2  # of a request that is forwarded while it is received
 FIELD_BYTES = 160  # objects of one header
-EXECUTED_ID_BYTES = 96
+EXECUTED_ID_BYTES = 128  # with its records in shared files
 
 RESIDENT_PAGES_FIELD = 1
 
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import time
 from collections import Counter
 from collections.abc import Callable
 from http import HTTPStatus
@@ -24,7 +25,9 @@
 from loadbalancer.node.discovery.poll_policy import INITIAL_BACKOFF_S, PollPolicy
 from loadbalancer.node.discovery.watcher import EndpointListWatcher
 from loadbalancer.node.endpoint_list import EndpointList
+from loadbalancer.node.executed_ids import ExecutedIds
 from loadbalancer.node.listener.listener import Listener
+from loadbalancer.node.listener.request_translation import MAX_TIMEOUT_FACTOR
 from loadbalancer.node.memory_budget import PROGRAM_BYTES, MemoryBudget
 from loadbalancer.node.operator_ejections import OperatorEjections
 from loadbalancer.node.periodic_tasks import PeriodicTasks
@@ -32,6 +35,7 @@
 from loadbalancer.node.shutdown import GracefulShutdown
 from loadbalancer.node.sibling_process import SiblingProcess
 from loadbalancer.node.state.ejections import EjectionStore
+from loadbalancer.node.state.executed_id_log import ExecutedIdLog
 from loadbalancer.node.state.handover import HandoverFiles
 from loadbalancer.node.state_writer import StateWriter
 from loadbalancer.node.upstream.pool import ConnectionPool
@@ -45,6 +49,7 @@
 # have been closed.
 INBOUND_FRACTION = 0.45
 UPSTREAM_FRACTION = 0.35
+MIN_ID_RETENTION_S = 30.0
 POLL_WAIT_FRACTION = 0.5  # of the poll deadline; the rest is for the transfer of the response
 
 
@@ -62,6 +67,7 @@
         self.config = config
         self.memory = MemoryBudget(config.memory_mb, program_bytes)
         self.stopping = False
+        self._executed_id_log: ExecutedIdLog | None = None
         self.event_counts: Counter[str] = Counter()  # since the last statistics line in the log
         self.metrics = NodeMetrics(service_class.name for service_class in config.settings.classes)
         self._build_data_path()
@@ -90,7 +96,13 @@
             self.memory,
         )
         self.request_registry = RequestRegistry(
-            config, self.clock, self.listener, self.metrics, self.event_counts, self.handle_event
+            config,
+            self.clock,
+            self.listener,
+            self._executed_ids(),
+            self.metrics,
+            self.event_counts,
+            self.handle_event,
         )
         self.attempts = AttemptDispatcher(
             config.settings,
@@ -101,6 +113,19 @@
             self.handle_event,
         )
 
+    def _executed_ids(self) -> ExecutedIds:
+        """Return the set of executed ids, shared with the other process if there may be one."""
+        longest_ms = max(service_class.client_timeout_ms for service_class in self.config.settings.classes)
+        # No client waits longer for a request, and so none sends it again.
+        retention_s = max(MIN_ID_RETENTION_S, MAX_TIMEOUT_FACTOR * longest_ms / 1000.0)
+        folder = self.config.executed_ids_folder
+        now = self.loop.time()
+        if self.config.accept_fd is None or folder is None:
+            return ExecutedIds(self.memory.executed_ids, retention_s, now)
+        process = f"{os.getpid()}-{time.monotonic_ns()}"
+        self._executed_id_log = ExecutedIdLog(folder, process, retention_s)
+        return ExecutedIds(self.memory.executed_ids, retention_s, now, self._executed_id_log)
+
     def _build_endpoint_list(self) -> None:
         ejection_store = EjectionStore(self.config.ejections_folder)
         self.endpoint_list = EndpointList(
@@ -245,6 +270,8 @@
     def close(self) -> None:
         """Release all resources immediately."""
         self.admin_server.close()
+        if self._executed_id_log is not None:
+            self._executed_id_log.close()
         if self.sibling_process is not None:
             self.sibling_process.close()
         for component in self.components:
--- a/loadbalancer/node/request_registry.py
+++ b/loadbalancer/node/request_registry.py
@@ -15,6 +15,7 @@
 from loadbalancer.node.admin.metrics import NodeMetrics
 from loadbalancer.node.clock import Clock
 from loadbalancer.node.config import NodeConfig
+from loadbalancer.node.executed_ids import ExecutedIds
 from loadbalancer.node.http.body import Body
 from loadbalancer.node.listener.errors import BadRequestError
 from loadbalancer.node.listener.inbound_request import InboundRequest
@@ -34,6 +35,7 @@
     REQUESTS = "requests"
     CONNECTIONS = "connections"
     MEMORY = "memory"
+    EXECUTED_IDS = "executed_ids"
 
 
 @dataclass(slots=True, eq=False)
@@ -54,7 +56,7 @@
     attempts_in_flight: int = 0
     last_result: AttemptResult | None = None
     possibly_executed: bool = False  # according to the results of its attempts so far
-    cancelled: bool = False  # the client disconnected before the response
+    claimed: bool = False  # its id, for its attempts
 
 
 class RequestRegistry:
@@ -65,6 +67,7 @@
         config: NodeConfig,
         clock: Clock,
         listener: Listener,
+        executed_ids: ExecutedIds,
         metrics: NodeMetrics,
         counts: Counter[str],
         handle_event: Callable[[Event], None],
@@ -80,8 +83,7 @@
         self._memory = listener.memory
         self.max_receiving = self._memory.max_uploads
         self.active: dict[str, ActiveRequest] = {}
-        # Ids of cancelled requests that may have been executed; removed at their deadlines.
-        self._cancelled_ids: set[str] = set()
+        self.executed_ids = executed_ids
         self.unanswered = 0
         self.receiving = 0  # unanswered requests whose last byte has not arrived yet
         self.streaming = 0  # responses that are being streamed
@@ -116,9 +118,7 @@
         request = parsed.request
         # A request beyond a limit was sent to no endpoint, so the client may safely retry it.
         held_bytes = self._memory.exchange_bytes(inbound.held_bytes, inbound.receiving)
-        limit = self._limit_reached(inbound)
-        if limit is None and not self._memory.exchanges.try_hold(held_bytes):
-            limit = Limit.MEMORY
+        limit = self._limit_reached(inbound) or self._reserve(request, held_bytes)
         if limit is not None:
             self._counts["over-limit rejections"] += 1
             self._counts[f"over limit of {limit.value}"] += 1
@@ -156,16 +156,49 @@
             return Limit.CONNECTIONS
         return None
 
+    def _reserve(self, request: Request, held_bytes: int) -> Limit | None:
+        """Reserve memory for a request; return the limit that prevents it, or None."""
+        executes_once = self._executes_once(request.service)
+        if executes_once and not self.executed_ids.reserve(self._loop.time()):
+            return Limit.EXECUTED_IDS
+        if self._memory.exchanges.try_hold(held_bytes):
+            return None
+        if executes_once:
+            self.executed_ids.end(request.id, executed=False, claimed=False, now=self._loop.time())
+        return Limit.MEMORY
+
+    def _executes_once(self, service: str) -> bool:
+        """Whether requests of this class must not be executed a second time."""
+        return self._classes[service].effect is not Effect.IDEMPOTENT
+
+    def claim(self, active: ActiveRequest) -> bool:
+        """Claim the request's id before its first attempt.
+
+        If another process of this node has claimed it, respond with 502 and return False: that request may
+        have been executed.
+        """
+        if active.claimed or not self._executes_once(active.service):
+            return True
+        active.claimed = True
+        if self.executed_ids.claim(active.id, self._loop.time()):
+            return True
+        self._counts["ids of another process"] += 1
+        self.respond(active, HTTPStatus.BAD_GATEWAY)
+        return False
+
     def _check_new(self, request: Request) -> None:
         """Raise BadRequestError if an earlier request with this id is unanswered or may still be executed."""
         earlier = self.active.get(request.id)
         if earlier is not None and self.awaits_response(earlier):
             raise BadRequestError(HTTPStatus.BAD_REQUEST)
-        if request.id in self.active or request.id in self._cancelled_ids:
-            # An attempt of the earlier request may have been executed or still be in flight, so another
-            # attempt could execute it twice. A 503 invites a retry, which is safe only if it is idempotent.
-            idempotent = self._classes[request.service].effect is Effect.IDEMPOTENT
-            raise BadRequestError(HTTPStatus.SERVICE_UNAVAILABLE if idempotent else HTTPStatus.BAD_GATEWAY)
+        # An attempt of the earlier request may have been executed or still be in flight, so another attempt
+        # could execute it twice. A 503 invites a retry, which is safe only if it is idempotent.
+        executes_once = self._executes_once(request.service)
+        if executes_once and self.executed_ids.contains(request.id, self._loop.time()):
+            self._counts["repeated ids"] += 1
+            raise BadRequestError(HTTPStatus.BAD_GATEWAY)
+        if request.id in self.active:
+            raise BadRequestError(HTTPStatus.BAD_GATEWAY if executes_once else HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _on_received(self, active: ActiveRequest) -> None:
         """Start the client timeout of a request whose last byte arrived after its dispatch."""
@@ -184,7 +217,6 @@
     def _on_client_disconnected(self, active: ActiveRequest) -> None:
         if not active.answered:
             self._counts["client disconnects"] += 1
-            active.cancelled = True
             self._mark_answered(active)
             self._handle_event(RequestCancelled(active.id))
 
@@ -285,10 +317,9 @@
     def release(self, active: ActiveRequest) -> None:
         """Remove the request if it is answered and none of its attempts is in flight."""
         if active.answered and not active.attempts_in_flight and self.active.pop(active.id, None) is not None:
-            idempotent = self._classes[active.service].effect is Effect.IDEMPOTENT
-            if active.cancelled and active.possibly_executed and not idempotent:
-                self._cancelled_ids.add(active.id)
-                self._loop.call_at(active.deadline, self._cancelled_ids.discard, active.id)
+            if self._executes_once(active.service):
+                now = self._loop.time()
+                self.executed_ids.end(active.id, active.possibly_executed, active.claimed, now)
             self._release_memory(active)
 
     def _release_memory(self, active: ActiveRequest) -> None:
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -11,6 +11,7 @@
 
 from loadbalancer.node.config import NodeConfig
 from loadbalancer.node.listener.connection import ServerConnection
+from loadbalancer.node.memory_budget import EXECUTED_ID_BYTES
 from loadbalancer.node.node import Node
 from tests.support.loopback import (
     BlockedServer,
@@ -118,3 +119,30 @@
     response = await client.exchange(data)
     client.writer.close()
     assert response.status == status
+
+
+def test_request_whose_id_finds_no_memory_is_rejected_unless_it_may_be_repeated():
+    async def main():
+        server = StubServer()
+        async with loopback_node(server) as node:
+            node.memory.executed_ids.limit_bytes = 0
+            assert (await exchange(node, sent("post"))).status == 503
+            assert not server.requests
+            assert (await exchange(node, request("read", "q2"))).status == 200
+            assert node.event_counts["over limit of executed_ids"] == 1
+            assert b"proxy.limits.executed_ids=1\n" in node.render_metrics()
+
+    asyncio.run(main())
+
+
+def test_id_of_a_request_that_no_server_got_may_come_again():
+    async def main():
+        server = StubServer()
+        async with loopback_node(server) as node:
+            node.memory.exchanges.limit_bytes = 0
+            assert (await exchange(node, sent("post"))).status == 503
+            node.memory.exchanges.limit_bytes = 10**9
+            assert (await exchange(node, sent("post"))).status == 200
+            assert node.memory.executed_ids.held_bytes == EXECUTED_ID_BYTES
+
+    asyncio.run(main())
