A long request is not sent to its end after its client has left

What callers saw: a request that is forwarded while it is received ran although its client had closed the connection long before. Cause: the end of the connection waits in the kernel behind the unread rest of the request, and nothing looked for it until that rest had been read and forwarded, its last byte included, with which the server begins. Change: before each part of such a request is parsed, the socket is checked for the client's end (one poll for each read of an upload). At the last part it is visible, so the server never gets a complete request of a client that has left.

--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -50,12 +50,23 @@
         if self._linger is not None:  # discard the data; unread data would turn the close into a reset
             self._linger.on_data(now)
         elif self.state is not ConnectionState.CLOSED:
+            if self._upload_is_over():
+                return
             if self._parser.request is None:
                 self.last_activity_at = now
             self._parser.feed(data, now, self._read_control.earliest_arrival(now))
             if self._linger is None:  # parsing may end the connection; later requests are not served
                 self._advance_within_budget()
 
+    def _upload_is_over(self) -> bool:
+        """End a request that is forwarded while it is received if its client has left; return whether it has.
+
+        Checked before each part, so that the last one, which would let the server begin, isn't sent.
+        """
+        request = self._parser.request
+        uploading = self.state is ConnectionState.SEND_RESPONSE and request is not None and request.dispatched
+        return uploading and self.close_if_disconnected()
+
     def eof_received(self) -> bool:
         """Treat the client as disconnected: a full close can't be distinguished from a half-close.
 
@@ -155,6 +166,8 @@
         if between and self.disconnected:
             self._fail(HTTPStatus.BAD_REQUEST)
             return
+        if self._upload_is_over():
+            return
         parser.resume(self._listener.loop.time())
         if self._linger is None:
             self._advance_within_budget()
--- a/tests/node/test_memory_budget.py
+++ b/tests/node/test_memory_budget.py
@@ -218,10 +218,10 @@
         async with loopback_node(StubServer()) as node:
             node.listener.max_connections = 3
             clients = [connect(node) for _ in range(3)]
+            began = node.loop.time()
             for client in clients:
                 client.sendall(b"INVALID\r\n\r\n")
             await wait_until(lambda: node.listener.malformed_requests == 3)
-            began = node.loop.time()
             sending = [asyncio.create_task(send_on(client)) for client in clients]
             assert (await exchange(node, request())).status == 200
             assert MIN_LINGER_S <= node.loop.time() - began < 10 * MIN_LINGER_S
