A long request that its server reads slowly gets its final response in time

What callers saw: the final response to a long request came up to 1.5 s after its deadline (seconds with longer deadlines) where the server read it slowly, so the request was lost. Cause: the client timeout starts at the last byte. Where reading had been paused, the node took the start of the last pause for the byte's earliest arrival, but it may have waited behind other unread bytes since an earlier one, and nothing ran until the node had read it. Change: bytes count as unread since the time from which the socket has never been seen empty, at the earliest since the rest of the request fitted into the largest send buffer (4 MiB). A request that is being received is rejected with 503 0.3 s after the client timeout from then on; its last byte hasn't been forwarded. A client that itself sends slowly is not affected: nothing waits unread. The timers of an upload and of a streamed response end with it; they kept the request in memory until they fired. Limit: a client that writes no faster than a slow server reads, with buffers smaller than 4 MiB, can't be told from one that has finished; its request may be rejected early.

--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -262,6 +262,11 @@
         self._abort()
         return None
 
+    def earliest_end(self, now: float) -> float:
+        """Return the earliest loop time (s) at which the client may have sent the last byte of the request
+        that is being received; `now` if it can't have."""
+        return min(now, self._parser.earliest_end(self._read_control.unread_since(now)))
+
     def finish_stream(self, close: bool) -> None:
         """Finish a streamed response that has been written completely, and continue with the next request."""
         self._stream = None
--- a/loadbalancer/node/listener/flow_control.py
+++ b/loadbalancer/node/listener/flow_control.py
@@ -72,9 +72,23 @@
         self._apply()
 
     def earliest_arrival(self, now: float) -> float:
-        """Return the earliest loop time (s) at which the bytes read at `now` may have arrived."""
-        since, self._unread_since = self._unread_since, None
-        return now if since is None else since
+        """Return the earliest loop time (s) at which the bytes read at `now` may have arrived.
+
+        Bytes that are still unread may have arrived as early.
+        """
+        since = self._unread_since
+        if since is None:
+            return now
+        if not readable(self._transport):
+            self._unread_since = None
+        return since
+
+    def unread_since(self, now: float) -> float:
+        """Return the earliest loop time (s) at which unread bytes may have arrived, or `now`."""
+        since = self._stopped_at if self._unread_since is None else self._unread_since
+        if since is None or not readable(self._transport):
+            return now
+        return since
 
     def _apply(self) -> None:
         if self._backlogged or self._body_paused_at is not None:
@@ -82,7 +96,7 @@
                 self._stopped_at = self._loop.time()
             self._transport.pause_reading()
             return
-        if self._stopped_at is not None and readable(self._transport):
+        if self._unread_since is None and self._stopped_at is not None and readable(self._transport):
             self._unread_since = self._stopped_at
         self._stopped_at = None
         self._transport.resume_reading()
--- a/loadbalancer/node/listener/inbound_request.py
+++ b/loadbalancer/node/listener/inbound_request.py
@@ -32,6 +32,11 @@
         """Abort the streamed response if its server hangs, or return the loop time (s) of the next check."""
         ...
 
+    def earliest_end(self, now: float) -> float:
+        """Return the earliest loop time (s) at which the client may have sent the last byte of the request
+        that is being received; `now` if it can't have."""
+        ...
+
     def write(self, data: bytes) -> None:
         """Write the next bytes of the streamed response."""
 
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -19,6 +19,7 @@
 HEAD_TIMEOUT_S = 2.3  # limit for receiving a head; for the first request, it starts with the connection
 MIN_BODY_BYTES_PER_S = 48_000.0  # min rate of a request body, after BODY_GRACE_S
 BODY_GRACE_S = 0.5
+MAX_IN_TRANSIT_BYTES = 4 * 1024 * 1024  # the largest send buffer that Linux gives a connection by default
 
 # The work for one connection in one iteration of the event loop ends after a complete request, or after this
 # many steps: callbacks of the parser, and slices given to it.
@@ -66,6 +67,9 @@
         self.is_first = True  # no request has been received completely yet
         self.size = 0  # bytes received of the request's body
         self.started_at = now  # loop time (s) at which the connection or request started
+        self._in_transit_since = (
+            now  # loop time (s) at which the rest of the body fitted into the kernels' buffers
+        )
         self.head_received_at = now  # loop time (s) of the head's end, plus body pauses
         self._head_fields_size = 0  # total size of the target, headers and trailers
         self._fields = 0  # number of headers and trailers
@@ -162,6 +166,11 @@
         request = self.request
         return self.state is ReceiveState.BODY and request is not None and request.content_length is not None
 
+    def _rest_fits_in_transit(self) -> bool:
+        """Whether the rest of the body is unknown, or short enough to have been sent completely."""
+        length = None if self.request is None else self.request.content_length
+        return length is None or length - self.size <= MAX_IN_TRANSIT_BYTES
+
     def _flush_body(self) -> None:
         """Pass on the parts of the body that this turn has received, as one."""
         parts = self._body_parts
@@ -174,6 +183,14 @@
     def _drop_unparsed(self) -> None:
         self._unparsed, self._offset = b"", 0
 
+    def earliest_end(self, unread_since: float) -> float:
+        """Return the earliest loop time (s) at which the client may have sent the last byte of the request.
+
+        `unread_since`: the time since which bytes of this connection wait unread. The client can't have sent
+        more than the buffers of the two kernels hold.
+        """
+        return max(unread_since, self._in_transit_since)
+
     def deadline(self) -> float:
         """Return the loop time (s) at which the request is overdue if no more data arrives.
 
@@ -232,6 +249,7 @@
             self.state = ReceiveState.HEAD
             self.request = self._new_request()
             self.size = self._head_fields_size = self._fields = 0
+            self._in_transit_since = self._arrival
             if not self.is_first:
                 self.started_at = self._now
 
@@ -273,7 +291,10 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; set status 413 if the body exceeds the limit."""
         self._callbacks += 1
+        was_in_transit = self._rest_fits_in_transit()
         self.size += len(body)
+        if not was_in_transit and self._rest_fits_in_transit():
+            self._in_transit_since = self._now
         if self.size > MAX_BODY_BYTES:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         if self.request is not None and self.state is not ReceiveState.ERROR:
@@ -289,7 +310,7 @@
         self._flush_body()
         self.state, self.request, self.is_first = ReceiveState.IDLE, None, False
         # The client timeout starts at the arrival, even if the bytes wait unread behind another request.
-        request.received_at = self._arrival
+        request.received_at = self.earliest_end(self._arrival)
         request.receiving = False
         request.body.end()
         self._on_received(request)
--- a/loadbalancer/node/request_registry.py
+++ b/loadbalancer/node/request_registry.py
@@ -25,6 +25,8 @@
 from loadbalancer.service_settings import Effect
 
 BACKSTOP_DELAY_S = 0.005  # a request without a response gets a 504 this long after its deadline
+UPLOAD_OVERRUN_S = 0.3  # an upload that its endpoint reads slowly is rejected this long after its deadline
+MIN_UPLOAD_CHECK_S = 0.05  # interval between checks of an upload
 STREAM_OVERRUN_S = 0.4  # a streamed response whose server hangs is aborted this long after its deadline
 
 
@@ -50,6 +52,7 @@
     received_at: float  # loop time (s) of its last byte, or of its dispatch while it is being received
     held_bytes: int  # of the memory budget, until its response has ended and no attempt is in flight
     backstop_timer: asyncio.TimerHandle | None = None
+    check_timer: asyncio.TimerHandle | None = None  # of its upload or of its streamed response
     answered: bool = False
     streaming: bool = False  # its response is being streamed
     attempts: list[Attempt | None] = field(default_factory=list)  # None for an attempt that has ended
@@ -142,6 +145,7 @@
         if inbound.receiving:
             self.receiving += 1
             inbound.on_received = lambda: self._on_received(active)
+            active.check_timer = self._loop.call_later(timeout_s, self._check_upload, active)
         else:
             self._set_backstop(active)
         self._handle_event(request)
@@ -214,6 +218,25 @@
                 attempt.start_timeout(active.deadline - self._loop.time())
         self._handle_event(RequestReceived(active.id, self._clock.unix_ms(active.deadline)))
 
+    def _check_upload(self, active: ActiveRequest) -> None:
+        """Reject a request whose last byte may have waited unread for its whole client timeout.
+
+        That happens if its endpoint reads slowly. Its last byte has not been forwarded, so it can't have been
+        executed. While the client itself sends slowly, nothing waits unread.
+        """
+        if active.answered or not active.inbound.receiving:
+            return
+        now = self._loop.time()
+        earliest_end = active.inbound.connection.earliest_end(now)
+        due = earliest_end + active.client_timeout_s + UPLOAD_OVERRUN_S
+        if now < due:
+            check_at = max(now + MIN_UPLOAD_CHECK_S, due)
+            active.check_timer = self._loop.call_at(check_at, self._check_upload, active)
+            return
+        self._counts["uploads not read in time"] += 1
+        self.respond(active, HTTPStatus.SERVICE_UNAVAILABLE)
+        self._handle_event(RequestCancelled(active.id))
+
     def _on_client_disconnected(self, active: ActiveRequest) -> None:
         if not active.answered:
             self._counts["client disconnects"] += 1
@@ -221,10 +244,17 @@
             self._handle_event(RequestCancelled(active.id))
 
     def _set_backstop(self, active: ActiveRequest) -> None:
+        self._cancel_timers(active)
         active.backstop_timer = self._loop.call_at(
             active.deadline + BACKSTOP_DELAY_S, self._on_backstop, active
         )
 
+    def _cancel_timers(self, active: ActiveRequest) -> None:
+        """Cancel the request's timers, which would otherwise keep the request in memory until they fire."""
+        for timer in (active.backstop_timer, active.check_timer):
+            if timer is not None:
+                timer.cancel()
+
     def _on_backstop(self, active: ActiveRequest) -> None:
         """Respond with 504 to a request to which the balancer has not responded."""
         if not active.answered:
@@ -271,11 +301,9 @@
         active.streaming = True
         self._mark_answered(active)
         self.streaming += 1
-        ended = False
 
         def on_end(complete: bool) -> None:
-            nonlocal ended
-            ended = True
+            self._cancel_timers(active)
             self.streaming -= 1
             active.streaming = False
             self._release_memory(active)
@@ -285,28 +313,28 @@
                 active.service, HTTPStatus.OK if complete else HTTPStatus.BAD_GATEWAY
             )
 
-        def abort_if_hanging() -> None:
-            if ended:
-                return
-            next_check_at = active.inbound.abort_if_hanging()
-            if next_check_at is None:
-                self._counts["streams of hanging servers"] += 1
-            else:
-                self._loop.call_at(next_check_at, abort_if_hanging)
-
         # The client must see the response end soon after its deadline if the endpoint hangs, but not if it
         # only sends slowly. Classes that are configured as streams have no such limit.
         if not active.inbound.receiving and not self._classes[active.service].stream:
-            self._loop.call_at(active.deadline + STREAM_OVERRUN_S, abort_if_hanging)
+            active.check_timer = self._loop.call_at(
+                active.deadline + STREAM_OVERRUN_S, self._abort_if_hanging, active
+            )
         active.inbound.begin_stream(content_length, body, on_end)
 
+    def _abort_if_hanging(self, active: ActiveRequest) -> None:
+        """Abort a streamed response whose endpoint hangs, or check again later."""
+        next_check_at = active.inbound.abort_if_hanging()
+        if next_check_at is None:
+            self._counts["streams of hanging servers"] += 1
+        else:
+            active.check_timer = self._loop.call_at(next_check_at, self._abort_if_hanging, active)
+
     def _mark_answered(self, active: ActiveRequest) -> None:
         active.answered = True
         self.unanswered -= 1
         if active.inbound.receiving:
             self.receiving -= 1
-        if active.backstop_timer is not None:
-            active.backstop_timer.cancel()
+        self._cancel_timers(active)
         for attempt in active.attempts:
             if attempt is not None:
                 # If cancelling is disabled, the balancer cancels no attempt: one that has been written
