The age of a restarted endpoint is right after the wall clock has stepped

A server that restarted after a step forwards counted as just started for an hour, after a step back as started an hour ago: it would have got full load while cold. Cause: start times are Unix times of the wall clock, the node's clock keeps the offset to Unix time of its own start. Change: a start time that is listed for the first time after a step of a second or more is shifted by the step; one that was listed before keeps its age.

--- a/loadbalancer/node/clock.py
+++ b/loadbalancer/node/clock.py
@@ -17,6 +17,10 @@
         """Return the Unix time in ms at `loop_time_s` of the event loop's clock; by default, now."""
         return ((self._time() if loop_time_s is None else loop_time_s) + self._unix_offset_s) * 1000.0
 
+    def step_ms(self) -> float:
+        """Return by how many ms the wall clock is ahead of this clock; it has stepped since the start."""
+        return time.time() * 1000.0 - self.unix_ms()
+
     def to_loop_time(self, unix_ms: float) -> float:
         """Return the event loop's time in s for a Unix time in ms."""
         return unix_ms / 1000.0 - self._unix_offset_s
--- a/loadbalancer/node/endpoint_list.py
+++ b/loadbalancer/node/endpoint_list.py
@@ -11,6 +11,7 @@
 from loadbalancer.node.address import Address
 from loadbalancer.node.clock import Clock
 from loadbalancer.node.discovery.response import DiscoveryResponse
+from loadbalancer.node.launch_times import LaunchTimes
 from loadbalancer.node.listener.listener import Listener
 from loadbalancer.node.state.ejections import EjectionStore
 from loadbalancer.node.upstream.pool import ConnectionPool
@@ -38,6 +39,7 @@
         self._listener = listener
         self._event_counts = event_counts
         self._handle_event = handle_event
+        self._launch_times = LaunchTimes(clock)
         self.endpoints: dict[str, tuple[Endpoint, Address]] = {}  # by name, also those not up
         self.revision = 0  # discovery's revision of the list
         self.service_revision = 0  # the list service's revision of the list; 0 if the agent gives none
@@ -60,7 +62,8 @@
                 self.endpoints.pop(endpoint.name, None)
             else:
                 self.endpoints[endpoint.name] = endpoint, response.addresses[endpoint.name]
-        self.apply_change(EndpointListUpdate(kind, response.endpoints))
+        self._launch_times.retain(set(self.endpoints))
+        self.apply_change(EndpointListUpdate(kind, self._launch_times.convert(response.endpoints)))
 
     def apply_change(self, event: Event) -> None:
         """Notify the balancer of a change of the endpoints, and set the pool's endpoints.
