--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -23,7 +23,6 @@
 
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener)
-        self._parse_scheduled = False
         self._read_control: ReadControl
         self._stream: StreamedResponse | None = None  # set in state SEND_BODY
 
@@ -145,19 +144,12 @@
         blocked = self._write_control.full and (first is None or not first.dispatched)
         self._read_control.set_backlogged(pipelined or blocked or unparsed)
         if unparsed and first in (None, partial):
-            self._parse_later()
+            self._listener.parse_later(self)
         if first is not None and not first.dispatched and not blocked:
             self._dispatch(first)
 
-    def _parse_later(self) -> None:
-        """Parse more of the received bytes in the next iteration of the event loop."""
-        if not self._parse_scheduled:
-            self._parse_scheduled = True
-            self._listener.loop.call_soon(self._parse_unparsed)
-
-    def _parse_unparsed(self) -> None:
+    def parse_unparsed(self) -> None:
         """Parse the bytes that the last turn has left, unless they belong behind a request in progress."""
-        self._parse_scheduled = False
         parser, between = self._parser, self.state is ConnectionState.IDLE and self._parser.request is None
         if self.is_closing or not parser.has_unparsed or self._read_control.body_paused:
             return
@@ -188,7 +180,7 @@
     def _on_body_resumed(self, paused_s: float) -> None:
         self._parser.extend_deadline(paused_s)
         if self._parser.has_unparsed:
-            self._parse_later()
+            self._listener.parse_later(self)
 
     def _dispatch(self, request: InboundRequest) -> None:
         request.dispatched = True
--- a/loadbalancer/node/listener/connection_states.py
+++ b/loadbalancer/node/listener/connection_states.py
@@ -54,6 +54,9 @@
     def on_malformed_request(self) -> None:
         """Count a connection that ends because the received data was invalid."""
 
+    def parse_later(self, connection: ClosableConnection) -> None:
+        """Call the connection's `parse_unparsed` in a later iteration of the event loop."""
+
     def on_memory_denied(self) -> None:
         """Count a connection that ends because its requests don't fit into the memory budget."""
 
@@ -110,6 +113,10 @@
     def _first(self) -> InboundRequest | None:
         return self._queue[0] if self._queue else None
 
+    def parse_unparsed(self) -> None:
+        """Parse the bytes that the last turn has left."""
+        raise NotImplementedError
+
     @property
     def age_s(self) -> float:
         """The time since the connection was accepted."""
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -23,8 +23,8 @@
 
 # The work for one connection in one iteration of the event loop ends after a complete request, or after this
 # many steps: callbacks of the parser, and slices given to it.
-MAX_STEPS_PER_TURN = 256
-SLICE_BYTES = 1024  # of a head, or of a body with small chunks
+MAX_STEPS_PER_TURN = 64
+SLICE_BYTES = 512  # of a head, or of a body with small chunks
 MAX_SLICE_BYTES = 16 * 1024  # of a body with large chunks
 LARGE_CHUNK_STEPS = 2  # a slice with at most so many callbacks is part of large chunks
 HEAD_END = b"\r\n\r\n"
