Node: limits, active requests, responses and targets are modules of their own; plain names

What the budget grants is reserved (it was held), in all names. Two more names said shared for the sibling process.

--- a/loadbalancer/node/attempt_dispatcher.py
+++ b/loadbalancer/node/attempt_dispatcher.py
@@ -10,10 +10,11 @@
 from loadbalancer.balancing.actions import Cancel, Send
 from loadbalancer.balancing.events import AttemptOutcome, Event
 from loadbalancer.endpoints import AttemptResult
+from loadbalancer.node.active_request import ActiveRequest
 from loadbalancer.node.clock import Clock
-from loadbalancer.node.http.client_connection import Response
+from loadbalancer.node.http.response import Response
 from loadbalancer.node.listener.request_translation import encode_forwarded
-from loadbalancer.node.request_registry import ActiveRequest, RequestRegistry
+from loadbalancer.node.request_registry import RequestRegistry
 from loadbalancer.node.upstream.pool import ConnectionPool
 from loadbalancer.service_settings import Settings
 from loadbalancer.settings import parse_load_report
@@ -51,8 +52,7 @@
         started_at = self._loop.time()
         if active is not None:
             active.attempts.append(None)  # an abandoned attempt also uses a number
-        refused = active is None or number >= self._settings.max_attempts or not self._requests.claim(active)
-        if active is None or refused:
+        if active is None or not self._may_attempt(active, number):
             self._finish(action, number, active, AttemptResult.ABANDONED, started_at)
             return
         inbound = active.inbound
@@ -81,6 +81,10 @@
         else:
             active.attempts[number] = attempt
 
+    def _may_attempt(self, active: ActiveRequest, number: int) -> bool:
+        """Whether the number of attempts is within the limit, and no other process executes the request."""
+        return number < self._settings.max_attempts and self._requests.claim(active)
+
     def cancel(self, action: Cancel) -> None:
         """Cancel an attempt that is in flight."""
         active = self._requests.get(action.id)
--- a/loadbalancer/node/discovery/client.py
+++ b/loadbalancer/node/discovery/client.py
@@ -11,7 +11,8 @@
 from loadbalancer.node.discovery.errors import DiscoveryConnectionError, DiscoveryStatusError
 from loadbalancer.node.discovery.poll_policy import CONNECT_TIMEOUT_S
 from loadbalancer.node.discovery.response import DiscoveryResponse, decode_response
-from loadbalancer.node.http.client_connection import ClientConnection, Response
+from loadbalancer.node.http.client_connection import ClientConnection
+from loadbalancer.node.http.response import Response
 
 MAX_LIST_BYTES = 16 * 1024 * 1024
 LIST_PATH = "/discovery/hosts"
--- a/loadbalancer/node/executed_ids.py
+++ b/loadbalancer/node/executed_ids.py
@@ -17,7 +17,7 @@
 GENERATIONS = 4  # an id is retained for up to one part in so many longer than necessary
 
 
-class SharedClaims(Protocol):
+class SiblingClaims(Protocol):
     """The claims of the other processes of this node, and of this process for them."""
 
     def has_capacity(self, now: float) -> bool:
@@ -38,12 +38,12 @@
     """A set of ids, each retained for at least `retention_s` (s)."""
 
     def __init__(
-        self, pool: MemoryPool, retention_s: float, now: float, shared: SharedClaims | None = None
+        self, pool: MemoryPool, retention_s: float, now: float, sibling_claims: SiblingClaims | None = None
     ) -> None:
         """`now` is the present loop time (s)."""
         self.retention_s = retention_s
         self._pool = pool
-        self._shared = shared
+        self._sibling_claims = sibling_claims
         # Keys by the time of their addition, the newest last; sets are dropped as a whole.
         self._generations: deque[set[int]] = deque([set()])
         self._generation_s = retention_s / GENERATIONS
@@ -55,15 +55,19 @@
     def reserve(self, now: float) -> bool:
         """Reserve memory for an id; return False if there is none. `end` uses or returns it."""
         self._rotate(now)
-        if self._shared is not None and not self._shared.has_capacity(now):
+        if self._sibling_claims is not None and not self._sibling_claims.has_capacity(now):
             return False
-        return self._pool.try_hold(EXECUTED_ID_BYTES)
+        return self._pool.reserve(EXECUTED_ID_BYTES)
+
+    def cancel_reservation(self) -> None:
+        """Return the memory of a reservation for a request that is not executed."""
+        self._pool.release(EXECUTED_ID_BYTES)
 
     def contains(self, request_id: str, now: float) -> bool:
         """Whether a server may have executed a request with this id; `now` is the loop time (s)."""
         self._rotate(now)
-        if self._shared is not None:
-            self._shared.read(self, now)
+        if self._sibling_claims is not None:
+            self._sibling_claims.read(self, now)
         return self._has(key_of(request_id))
 
     def claim(self, request_id: str, now: float) -> bool:
@@ -72,29 +76,29 @@
         If two processes claim it at once, at least one of them gets False: each writes its claim before it
         reads those of the other.
         """
-        if self._shared is None:
+        if self._sibling_claims is None:
             return True
         key = key_of(request_id)
-        self._shared.claim(key, now)
-        self._shared.read(self, now)
+        self._sibling_claims.claim(key, now)
+        self._sibling_claims.read(self, now)
         return not self._has(key)
 
     def end(self, request_id: str, executed: bool, claimed: bool, now: float) -> None:
         """Note the end of a request: retain its id if a server may have executed it, else free its memory."""
-        self._pool.release(EXECUTED_ID_BYTES)
+        self.cancel_reservation()
         key = key_of(request_id)
         if executed:
             self._rotate(now)
             self.add(key)
-        elif claimed and self._shared is not None and not self._has(key):
-            self._shared.release(key, now)
+        elif claimed and self._sibling_claims is not None and not self._has(key):
+            self._sibling_claims.release(key, now)
 
     def add(self, key: int) -> None:
         """Retain a key from now on."""
         newest = self._generations[-1]
         if key not in newest:
             newest.add(key)
-            self._pool.hold(EXECUTED_ID_BYTES)
+            self._pool.add(EXECUTED_ID_BYTES)
 
     def discard(self, key: int) -> None:
         """Forget a key, as the process that had claimed it didn't execute it."""
--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -169,12 +169,12 @@
 
         Requests behind the one in progress have not been dispatched. They get one 503 after its response.
         """
-        if not self._hold_received():
+        if not self._reserve_received():
             while len(self._queue) > 1 or (self._queue and not self._queue[0].dispatched):
                 self._queue.pop()
             if self._parser.request is not self._first or self._first is None:
                 self._parser.reject(HTTPStatus.SERVICE_UNAVAILABLE)
-            self._hold_received()
+            self._reserve_received()
         self._advance()
 
     def _on_body_resumed(self, paused_s: float) -> None:
@@ -184,7 +184,7 @@
 
     def _dispatch(self, request: InboundRequest) -> None:
         request.dispatched = True
-        self._hold_received()
+        self._reserve_received()
         if request.target.partition(b"?")[0] == READINESS_PATH:
             ready = self._listener.accepts_clients
             request.respond(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
@@ -275,7 +275,7 @@
     def _finish_request(self, close: bool) -> None:
         """Remove the first request, as its response is written; process the next one or close."""
         self._queue.popleft()
-        self._hold_unsent()
+        self._count_unsent()
         self.last_activity_at = self._listener.loop.time()
         self._parser.restart_timeout(self.last_activity_at)
         self.state = ConnectionState.SEND_RESPONSE if self._queue else ConnectionState.IDLE
--- a/loadbalancer/node/listener/connection_states.py
+++ b/loadbalancer/node/listener/connection_states.py
@@ -155,7 +155,7 @@
 
     def sweep(self, now: float) -> None:
         """Close the connection if the client has stopped reading or disconnected by loop time `now` (s)."""
-        self._hold_unsent()
+        self._count_unsent()
         lingered = self._linger is not None and self._linger.is_over(now, self._write_control.unsent)
         stalled = self._write_control.stalled(now)
         if stalled and not lingered:
@@ -202,31 +202,31 @@
             self._linger_and_close()
             self._drop_requests()
 
-    def _hold_received(self) -> bool:
+    def _reserve_received(self) -> bool:
         """Update the memory held for received requests; return whether it fits into the budget.
 
         A dispatched request is part of an exchange, and a basic one is part of its connection.
         """
-        size = self._parser.held_bytes
+        size = self._parser.memory_bytes
         for request in self._queue:
             if not request.dispatched:
-                size += request.held_bytes
+                size += request.memory_bytes
         size = max(0, size - BASIC_REQUEST_BYTES)
         growth = size - self._receiving_bytes
         if growth == 0:
             return True
-        if growth > 0 and not self._memory.receiving.try_hold(growth):
+        if growth > 0 and not self._memory.receiving.reserve(growth):
             return False
         if growth < 0:
-            self._memory.receiving.hold(growth)
+            self._memory.receiving.add(growth)
         self._receiving_bytes = size
         return True
 
-    def _hold_unsent(self) -> None:
+    def _count_unsent(self) -> None:
         """Update the memory held for responses that the client has not read."""
         unsent = self._write_control.unsent
         if unsent != self._unsent_bytes:
-            self._memory.unsent.hold(unsent - self._unsent_bytes)
+            self._memory.unsent.add(unsent - self._unsent_bytes)
             self._unsent_bytes = unsent
 
     def _release_memory(self) -> None:
@@ -243,7 +243,7 @@
             if request.on_disconnected is not None:
                 request.on_disconnected()
         self._parser.discard()
-        self._hold_received()
+        self._reserve_received()
 
     @property
     def is_closing(self) -> bool:
--- a/loadbalancer/node/listener/inbound_request.py
+++ b/loadbalancer/node/listener/inbound_request.py
@@ -68,7 +68,7 @@
     head_bytes: int = 0  # memory of its head, objects included
 
     @property
-    def held_bytes(self) -> int:
+    def memory_bytes(self) -> int:
         """The memory of its head and of the part of its body that has been received."""
         return self.head_bytes + self.body.size
 
--- a/loadbalancer/node/listener/listener.py
+++ b/loadbalancer/node/listener/listener.py
@@ -10,8 +10,8 @@
 
 from loadbalancer.node.listener.connection import ServerConnection
 from loadbalancer.node.listener.connection_states import ClosableConnection
-from loadbalancer.node.listener.errors import InheritedSocketError
 from loadbalancer.node.listener.inbound_request import InboundRequest
+from loadbalancer.node.listener.inherited_socket import inherited_socket
 from loadbalancer.node.memory_budget import MemoryBudget
 
 log = logging.getLogger("loadbalancer")
@@ -50,22 +50,6 @@
 )
 
 
-def inherited_socket(descriptor: str) -> socket.socket:
-    """Return the listening socket of this descriptor; raise InheritedSocketError if it isn't one."""
-    try:
-        found = socket.socket(fileno=int(descriptor))
-    except (OSError, ValueError, OverflowError) as error:
-        raise InheritedSocketError(descriptor, f"no socket: {error}") from error
-    try:
-        listening = found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
-    except OSError:
-        listening = 0
-    if listening and (found.family, found.type) == (socket.AF_INET, socket.SOCK_STREAM):
-        return found
-    found.detach()  # the node doesn't own it, so it must not close it
-    raise InheritedSocketError(descriptor, "no listening TCP socket")
-
-
 class Listener:
     """Accepts client connections and passes their requests to `on_request`.
 
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Callable
 from enum import Enum
 from http import HTTPStatus
@@ -13,6 +12,7 @@
 from loadbalancer.node.http.client_connection import MAX_FIELDS, MAX_HEAD_BYTES
 from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
 from loadbalancer.node.listener.inbound_request import InboundRequest
+from loadbalancer.node.listener.request_target import origin_form
 from loadbalancer.node.memory_budget import FIELD_BYTES
 
 # A slow but legitimate client sends a head within 2 s and a body at 64 kB/s.
@@ -30,8 +30,6 @@
 HEAD_END = b"\r\n\r\n"
 LINE_BREAKS = b"\r\n"
 
-SCHEMES = (b"http", b"https")
-
 
 class ReceiveState(Enum):
     """The receiving side of a connection."""
@@ -83,7 +81,7 @@
         self._in_turn = False  # whether bytes are being parsed
 
     @property
-    def held_bytes(self) -> int:
+    def memory_bytes(self) -> int:
         """The memory of the bytes that are not parsed, and of the request that is being received.
 
         It is 0 if that request has been dispatched, as it is then part of an exchange.
@@ -93,7 +91,7 @@
             return len(self._unparsed)
         if request.dispatched:
             return 0
-        return len(self._unparsed) + self._silent_bytes + request.held_bytes
+        return len(self._unparsed) + self._silent_bytes + request.memory_bytes
 
     @property
     def has_unparsed(self) -> bool:
@@ -121,7 +119,7 @@
         self._in_turn = False
         self._flush_body()
         if self.state is ReceiveState.ERROR or self._offset == len(self._unparsed):
-            self._drop_unparsed()
+            self._discard_unparsed()
 
     def _skip_empty_lines(self) -> None:
         """Skip line breaks before a request; each pair of them would otherwise end a slice."""
@@ -166,7 +164,7 @@
         request = self.request
         return self.state is ReceiveState.BODY and request is not None and request.content_length is not None
 
-    def _rest_fits_in_transit(self) -> bool:
+    def _remainder_fits_in_transit(self) -> bool:
         """Whether the rest of the body is unknown, or short enough to have been sent completely."""
         length = None if self.request is None else self.request.content_length
         return length is None or length - self.size <= MAX_IN_TRANSIT_BYTES
@@ -180,7 +178,7 @@
         if self.request is not None:
             self.request.body.feed(parts[0] if len(parts) == 1 else b"".join(parts))
 
-    def _drop_unparsed(self) -> None:
+    def _discard_unparsed(self) -> None:
         self._unparsed, self._offset = b"", 0
 
     def earliest_end(self, unread_since: float) -> float:
@@ -226,7 +224,7 @@
 
     def discard(self) -> None:
         """Discard the request that is being received."""
-        self._drop_unparsed()
+        self._discard_unparsed()
         self._body_parts = []
         request, self.request = self.request, None
         if request is not None:
@@ -291,9 +289,9 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; set status 413 if the body exceeds the limit."""
         self._callbacks += 1
-        was_in_transit = self._rest_fits_in_transit()
+        was_in_transit = self._remainder_fits_in_transit()
         self.size += len(body)
-        if not was_in_transit and self._rest_fits_in_transit():
+        if not was_in_transit and self._remainder_fits_in_transit():
             self._in_transit_since = self._now
         if self.size > MAX_BODY_BYTES:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -321,12 +319,3 @@
             self.request.head_bytes += size + FIELD_BYTES
         if self._head_fields_size > MAX_HEAD_BYTES:
             self._fail(HTTPStatus.BAD_REQUEST)
-
-
-def origin_form(target: bytes) -> bytes:
-    """Return a target's path and query: the origin form that endpoints receive (RFC 9112, section 3.2.1)."""
-    scheme, _, rest = target.partition(b"://")
-    if target.startswith(b"/") or scheme.lower() not in SCHEMES:
-        return target
-    path = rest[len(re.split(rb"[/?]", rest, maxsplit=1)[0]) :]
-    return path if path.startswith(b"/") else b"/" + path
--- a/loadbalancer/node/memory_budget.py
+++ b/loadbalancer/node/memory_budget.py
@@ -41,40 +41,40 @@
 
 
 class MemoryPool:
-    """A part of the budget: `held_bytes` of it are in use, and at most `limit_bytes` are granted.
+    """A part of the budget: `reserved_bytes` of it are in use, and at most `limit_bytes` are granted.
 
     What a pool holds also counts for `parent`, if it has one. Several threads may not use it.
     """
 
-    __slots__ = ("denials", "held_bytes", "limit_bytes", "name", "parent")
+    __slots__ = ("denials", "limit_bytes", "name", "parent", "reserved_bytes")
 
     def __init__(self, name: str, limit_bytes: float, parent: MemoryPool | None = None) -> None:
         self.name = name
         self.limit_bytes = int(limit_bytes)
         self.parent = parent
-        self.held_bytes = 0
+        self.reserved_bytes = 0
         self.denials = 0  # reservations that were denied since the last statistics line
 
-    def try_hold(self, size: int) -> bool:
+    def reserve(self, size: int) -> bool:
         """Reserve `size` bytes; return False, and count a denial, if they don't fit."""
         if not self._fits(size):
             self.denials += 1
             return False
-        self.hold(size)
+        self.add(size)
         return True
 
-    def hold(self, size: int) -> None:
+    def add(self, size: int) -> None:
         """Count `size` bytes that are held already, even if they exceed the limit; a negative size frees."""
-        self.held_bytes += size
+        self.reserved_bytes += size
         if self.parent is not None:
-            self.parent.hold(size)
+            self.parent.add(size)
 
     def release(self, size: int) -> None:
         """Free `size` bytes."""
-        self.hold(-size)
+        self.add(-size)
 
     def _fits(self, size: int) -> bool:
-        fits = self.held_bytes + size <= self.limit_bytes
+        fits = self.reserved_bytes + size <= self.limit_bytes
         return fits and (self.parent is None or self.parent._fits(size))
 
 
--- a/loadbalancer/node/periodic_tasks.py
+++ b/loadbalancer/node/periodic_tasks.py
@@ -76,7 +76,7 @@
             self._request_registry.unanswered,
             len(self._listener.connections),
             self._pool.connection_count,
-            self._listener.memory.requests.held_bytes // KIB,
+            self._listener.memory.requests.reserved_bytes // KIB,
             self._max_lag_s * 1000.0,
             self._driver.balancer.summary(),
         )
--- a/loadbalancer/node/request_registry.py
+++ b/loadbalancer/node/request_registry.py
@@ -5,13 +5,12 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 from http import HTTPStatus
 
 from loadbalancer.balancing.actions import Fail, Reject
 from loadbalancer.balancing.events import Event, Request, RequestCancelled, RequestReceived
 from loadbalancer.endpoints import AttemptResult
+from loadbalancer.node.active_request import ActiveRequest
 from loadbalancer.node.admin.metrics import NodeMetrics
 from loadbalancer.node.clock import Clock
 from loadbalancer.node.config import NodeConfig
@@ -21,7 +20,7 @@
 from loadbalancer.node.listener.inbound_request import InboundRequest
 from loadbalancer.node.listener.listener import Listener
 from loadbalancer.node.listener.request_translation import parse_request
-from loadbalancer.node.upstream.attempt import Attempt
+from loadbalancer.node.request_limits import Limit, RequestLimits
 from loadbalancer.service_settings import Effect
 
 BACKSTOP_DELAY_S = 0.005  # a request without a response gets a 504 this long after its deadline
@@ -30,38 +29,6 @@
 STREAM_OVERRUN_S = 0.4  # a streamed response whose server hangs is aborted this long after its deadline
 
 
-class Limit(Enum):
-    """A limit at which requests are rejected; the values are names of metrics and in the statistics line."""
-
-    UPLOADS = "uploads"
-    REQUESTS = "requests"
-    CONNECTIONS = "connections"
-    MEMORY = "memory"
-    EXECUTED_IDS = "executed_ids"
-
-
-@dataclass(slots=True, eq=False)
-class ActiveRequest:
-    """A request that the balancer handles; active until it is answered and no attempt is in flight."""
-
-    id: str
-    service: str  # the name of its service class
-    inbound: InboundRequest
-    deadline: float  # loop time (s)
-    client_timeout_s: float  # starts at the request's last byte
-    received_at: float  # loop time (s) of its last byte, or of its dispatch while it is being received
-    held_bytes: int  # of the memory budget, until its response has ended and no attempt is in flight
-    backstop_timer: asyncio.TimerHandle | None = None
-    check_timer: asyncio.TimerHandle | None = None  # of its upload or of its streamed response
-    answered: bool = False
-    streaming: bool = False  # its response is being streamed
-    attempts: list[Attempt | None] = field(default_factory=list)  # None for an attempt that has ended
-    attempts_in_flight: int = 0
-    last_result: AttemptResult | None = None
-    possibly_executed: bool = False  # according to the results of its attempts so far
-    claimed: bool = False  # its id, for its attempts
-
-
 class RequestRegistry:
     """All active requests by id. Requests beyond the node's limits are rejected and never become active."""
 
@@ -82,9 +49,8 @@
         self._counts = counts
         self._handle_event = handle_event
         self._classes = {service_class.name: service_class for service_class in config.settings.classes}
-        self._max_in_progress = config.max_open_requests
         self._memory = listener.memory
-        self.max_receiving = self._memory.max_uploads
+        self._limits = RequestLimits(listener, executed_ids, config.max_open_requests)
         self.active: dict[str, ActiveRequest] = {}
         self.executed_ids = executed_ids
         self.unanswered = 0
@@ -120,14 +86,11 @@
             return
         request = parsed.request
         # A request beyond a limit was sent to no endpoint, so the client may safely retry it.
-        held_bytes = self._memory.exchange_bytes(inbound.held_bytes, inbound.receiving)
-        limit = self._limit_reached(inbound) or self._reserve(request, held_bytes)
+        executes_once = self._executes_once(request.service)
+        reserved_bytes = self._memory.exchange_bytes(inbound.memory_bytes, inbound.receiving)
+        limit = self._limits.reserve(self.in_progress, self._uploads(inbound), reserved_bytes, executes_once)
         if limit is not None:
-            self._counts["over-limit rejections"] += 1
-            self._counts[f"over limit of {limit.value}"] += 1
-            self._metrics.count_limit(limit.value)
-            self._metrics.count_response(request.service, HTTPStatus.SERVICE_UNAVAILABLE)
-            inbound.respond(HTTPStatus.SERVICE_UNAVAILABLE)
+            self._reject_at(limit, request.service, inbound)
             return
         received_at, timeout_s = inbound.received_at, parsed.client_timeout_s
         active = ActiveRequest(
@@ -137,7 +100,7 @@
             received_at + timeout_s,
             timeout_s,
             received_at,
-            held_bytes,
+            reserved_bytes,
         )
         self.active[request.id] = active
         self.unanswered += 1
@@ -150,26 +113,16 @@
             self._set_backstop(active)
         self._handle_event(request)
 
-    def _limit_reached(self, inbound: InboundRequest) -> Limit | None:
-        """Return the limit that leaves no place for this request, or None."""
-        if inbound.receiving and self.receiving >= self.max_receiving:
-            return Limit.UPLOADS
-        if self.in_progress >= self._max_in_progress:
-            return Limit.REQUESTS
-        if self._listener.over_limit:
-            return Limit.CONNECTIONS
-        return None
-
-    def _reserve(self, request: Request, held_bytes: int) -> Limit | None:
-        """Reserve memory for a request; return the limit that prevents it, or None."""
-        executes_once = self._executes_once(request.service)
-        if executes_once and not self.executed_ids.reserve(self._loop.time()):
-            return Limit.EXECUTED_IDS
-        if self._memory.exchanges.try_hold(held_bytes):
-            return None
-        if executes_once:
-            self.executed_ids.end(request.id, executed=False, claimed=False, now=self._loop.time())
-        return Limit.MEMORY
+    def _uploads(self, inbound: InboundRequest) -> int | None:
+        """Return the number of requests that are being received, or None if this one has been received."""
+        return self.receiving if inbound.receiving else None
+
+    def _reject_at(self, limit: Limit, service: str, inbound: InboundRequest) -> None:
+        self._counts["over-limit rejections"] += 1
+        self._counts[f"over limit of {limit.value}"] += 1
+        self._metrics.count_limit(limit.value)
+        self._metrics.count_response(service, HTTPStatus.SERVICE_UNAVAILABLE)
+        inbound.respond(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _executes_once(self, service: str) -> bool:
         """Whether requests of this class must not be executed a second time."""
@@ -353,7 +306,7 @@
     def _release_memory(self, active: ActiveRequest) -> None:
         """Return the request's memory to the budget, unless its response or an attempt is in progress."""
         if not active.streaming and not active.attempts_in_flight:
-            self._memory.exchanges.release(active.held_bytes)
-            active.held_bytes = 0
+            self._memory.exchanges.release(active.reserved_bytes)
+            active.reserved_bytes = 0
             # Without these references the garbage collector isn't needed to free the request.
             active.inbound.on_disconnected = active.inbound.on_received = None
--- a/loadbalancer/node/upstream/attempt.py
+++ b/loadbalancer/node/upstream/attempt.py
@@ -12,7 +12,8 @@
 from loadbalancer.endpoints import AttemptResult
 from loadbalancer.node.address import Address
 from loadbalancer.node.http.body import Body
-from loadbalancer.node.http.client_connection import ClientConnection, Response
+from loadbalancer.node.http.client_connection import ClientConnection
+from loadbalancer.node.http.response import Response
 from loadbalancer.node.upstream.endpoint import PooledEndpoint
 
 log = logging.getLogger("loadbalancer")
--- a/loadbalancer/node/upstream/pool.py
+++ b/loadbalancer/node/upstream/pool.py
@@ -9,8 +9,9 @@
 from loadbalancer.endpoints import AttemptResult
 from loadbalancer.node.address import Address
 from loadbalancer.node.http.body import Body
-from loadbalancer.node.http.client_connection import MAX_BUFFERED_BYTES, ClientConnection, Response
+from loadbalancer.node.http.client_connection import MAX_BUFFERED_BYTES, ClientConnection
 from loadbalancer.node.http.read_buffer import READ_BYTES
+from loadbalancer.node.http.response import Response
 from loadbalancer.node.memory_budget import MemoryBudget
 from loadbalancer.node.upstream.attempt import Attempt
 from loadbalancer.node.upstream.endpoint import PooledEndpoint
--- a/tests/node/state/test_executed_id_log.py
+++ b/tests/node/state/test_executed_id_log.py
@@ -40,10 +40,10 @@
     for index in range(100):
         assert ids.reserve(0.0)
         ids.end(f"q{index}", executed=True, claimed=True, now=index * 0.1)
-    assert pool.held_bytes == 100 * EXECUTED_ID_BYTES
+    assert pool.reserved_bytes == 100 * EXECUTED_ID_BYTES
     assert all(ids.contains(f"q{index}", index * 0.1 + RETENTION_S) for index in range(100))
     assert not ids.contains("q99", 9.9 + RETENTION_S * (1 + 2 / GENERATIONS))
-    assert (len(ids), pool.held_bytes) == (0, 0)
+    assert (len(ids), pool.reserved_bytes) == (0, 0)
 
 
 def test_id_of_a_request_that_was_not_executed_is_forgotten():
@@ -52,7 +52,7 @@
     assert ids.reserve(0.0)
     ids.end("q1", executed=False, claimed=True, now=0.0)
     assert not ids.contains("q1", 0.0)
-    assert pool.held_bytes == 0
+    assert pool.reserved_bytes == 0
 
 
 def test_full_memory_leaves_no_place_until_ids_expire(tmp_path):
@@ -87,7 +87,7 @@
     assert second.ids.contains("q1", 0.0)
     first.ids.end("q1", executed=False, claimed=True, now=0.1)
     assert second.execute("q1", 0.2)
-    assert first.pool.held_bytes == 0
+    assert first.pool.reserved_bytes == 0
 
 
 def test_incomplete_record_of_a_killed_process_is_ignored(tmp_path):
--- a/tests/node/test_bodies.py
+++ b/tests/node/test_bodies.py
@@ -660,7 +660,7 @@
     async def main():
         server = RecordingServer()
         async with running_node(server.serve, limits={"memory_mb": 1, "sockets": 1024}) as node:
-            assert node.request_registry.max_receiving == 1
+            assert node.memory.max_uploads == 1
             first = await Client.connect(node)
             first.writer.write(request("post", "q1", LONG)[:MIB])
             await wait_until(lambda: node.request_registry.receiving)
--- a/tests/node/test_memory_budget.py
+++ b/tests/node/test_memory_budget.py
@@ -30,12 +30,12 @@
 def test_pool_denies_what_does_not_fit_into_it_or_its_parent():
     parent = MemoryPool("parent", 100)
     first, second = MemoryPool("first", 80, parent), MemoryPool("second", 80, parent)
-    assert first.try_hold(80)
-    assert not first.try_hold(1)
-    assert not second.try_hold(21)
-    assert second.try_hold(20)
+    assert first.reserve(80)
+    assert not first.reserve(1)
+    assert not second.reserve(21)
+    assert second.reserve(20)
     first.release(80)
-    assert (parent.held_bytes, first.denials, second.denials, parent.denials) == (20, 1, 1, 0)
+    assert (parent.reserved_bytes, first.denials, second.denials, parent.denials) == (20, 1, 1, 0)
 
 
 @pytest.mark.parametrize("limit_mb", [1, 32, 64, 192, 2048])
@@ -90,7 +90,7 @@
 async def half_of_a_request(node: Node, server: StubServer) -> None:
     client = await Client.connect(node)
     client.writer.write(request("post", "q1", bytes(40_000))[:30_000])
-    await wait_until(lambda: node.memory.receiving.held_bytes)
+    await wait_until(lambda: node.memory.receiving.reserved_bytes)
     client.writer.close()
 
 
@@ -118,7 +118,7 @@
 
 async def slow_reader(node: Node, server: StubServer) -> None:
     client, _ = await start_slow_reader(node, server)
-    await wait_until(lambda: node.memory.unsent.held_bytes)
+    await wait_until(lambda: node.memory.unsent.reserved_bytes)
     client.close()
 
 
@@ -157,7 +157,7 @@
             await wait_until(lambda: not node.listener.connections)
             server.stop()
             await wait_until(lambda: not node.request_registry.active)
-            assert {pool.name: pool.held_bytes for pool in node.memory.pools[:3]} == {
+            assert {pool.name: pool.reserved_bytes for pool in node.memory.pools[:3]} == {
                 "receiving": 0,
                 "exchanges": 0,
                 "unsent": 0,
@@ -170,7 +170,7 @@
     async def main():
         server = StubServer()
         async with loopback_node(server) as node:
-            node.memory.exchanges.limit_bytes = node.memory.exchanges.held_bytes + 1000
+            node.memory.exchanges.limit_bytes = node.memory.exchanges.reserved_bytes + 1000
             assert (await exchange(node, request())).status == 503
             assert not server.requests
             assert node.event_counts["over limit of memory"] == 1
@@ -189,7 +189,7 @@
             await wait_until(lambda: server.requests)
             client.sendall(request("post", "q2", bytes(30_000)) + request(name="q3"))
             await wait_until(lambda: node.memory.receiving.denials)
-            assert node.memory.receiving.held_bytes == 0
+            assert node.memory.receiving.reserved_bytes == 0
             server.release.set()
             responses = await read_until_close(client)
             assert [part[:3] for part in responses.split(b"HTTP/1.1 ")[1:]] == [b"200", b"503"]
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -143,6 +143,6 @@
             assert (await exchange(node, sent("post"))).status == 503
             node.memory.exchanges.limit_bytes = 10**9
             assert (await exchange(node, sent("post"))).status == 200
-            assert node.memory.executed_ids.held_bytes == EXECUTED_ID_BYTES
+            assert node.memory.executed_ids.reserved_bytes == EXECUTED_ID_BYTES
 
     asyncio.run(main())
--- a/tests/node/test_upgrade.py
+++ b/tests/node/test_upgrade.py
@@ -10,7 +10,7 @@
 
 from loadbalancer.node import shutdown
 from loadbalancer.node.config import NodeConfig
-from loadbalancer.node.listener.listener import inherited_socket
+from loadbalancer.node.listener.inherited_socket import inherited_socket
 from loadbalancer.node.node import Node
 from tests.support.loopback import (
     BlockedServer,
--- a/tests/node/upstream/test_pooled_limit.py
+++ b/tests/node/upstream/test_pooled_limit.py
@@ -13,7 +13,7 @@
 
 from loadbalancer.endpoints import AttemptResult
 from loadbalancer.node.http.body import HIGH_WATER_BYTES
-from loadbalancer.node.http.client_connection import Response
+from loadbalancer.node.http.response import Response
 from tests.support.loopback import (
     Client,
     StubServer,
--- a/tests/node/upstream/test_upstream.py
+++ b/tests/node/upstream/test_upstream.py
@@ -10,7 +10,8 @@
 import pytest
 
 from loadbalancer.endpoints import AttemptResult
-from loadbalancer.node.http.client_connection import ClientConnection, Response
+from loadbalancer.node.http.client_connection import ClientConnection
+from loadbalancer.node.http.response import Response
 from loadbalancer.node.http.socket_buffer import readable
 from loadbalancer.node.upstream.pool import ConnectionPool
 from tests.support.loopback import (
--- a/tests/support/pool_environment.py
+++ b/tests/support/pool_environment.py
@@ -13,7 +13,8 @@
 
 from loadbalancer.endpoints import AttemptResult
 from loadbalancer.node.http.body import Body
-from loadbalancer.node.http.client_connection import ClientConnection, Response
+from loadbalancer.node.http.client_connection import ClientConnection
+from loadbalancer.node.http.response import Response
 from loadbalancer.node.http.socket_buffer import readable
 from loadbalancer.node.upstream.pool import ConnectionPool
 from tests.support.loopback import http_response, wait_until
