--- a/loadbalancer/node/memory_budget.py
+++ b/loadbalancer/node/memory_budget.py
@@ -2,10 +2,10 @@
 
 The budget counts objects as well as bytes, from the accept of a connection to the last byte written to it:
 
-- connections, to clients and to servers: their numbers are limited, so that they fit into half of the budget;
+- connections, to clients and to servers: their numbers are limited, so that they fit into their part of it;
 - requests that are being received or queued (`receiving`), the requests in progress with their attempts and
   responses (`exchanges`), responses that clients have not read yet (`unsent`) and the ids of executed
-  requests (`executed_ids`): together they fit into the other half.
+  requests (`executed_ids`): together they fit into the rest.
 """
 
 from __future__ import annotations
@@ -16,16 +16,16 @@
 KIB = 1024
 MIB = 1024 * KIB
 PROGRAM_BYTES = 21 * MIB  # of the interpreter and the program, before the first client
-USABLE_RATIO = 0.7  # of the memory beside the program; allocators can't use all of it
+USABLE_RATIO = 0.75  # of the memory beside the program; allocators can't use all of it
 MIN_USABLE_BYTES = 256 * KIB
 
 MIN_BUFFER_BYTES = 8 * KIB
 MAX_BUFFER_BYTES = 64 * KIB
 BUFFERS = 1024  # the budget over the size of one buffer
 
-CLIENTS_RATIO = 0.375  # of the budget, for connections to clients
-UPSTREAM_RATIO = 0.125  # of the budget, for connections to servers
-REQUESTS_RATIO = 0.5  # of the budget, for requests and responses
+CLIENTS_RATIO = 0.45  # of the budget, for connections to clients
+UPSTREAM_RATIO = 0.1  # of the budget, for connections to servers
+REQUESTS_RATIO = 0.45  # of the budget, for requests and responses
 RECEIVING_RATIO = 0.25  # of the budget, for requests that are being received or queued
 IDS_RATIO = 0.125  # of the budget, for the ids of executed requests
 
