A client that stops in a long request gets its error within three seconds

What callers saw: a client that stopped half way through a long request held its place and memory for 4.7 s after 200 kB, 66 s after 3 MB. Cause: a body had only a minimum mean rate, so a client could stop for as long as what it had sent would have taken at that rate. Change: between two parts of a body at most 2.3 s may pass (408), as for a head; time in which the node itself has paused reading doesn't count.

--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -19,6 +19,7 @@
 HEAD_TIMEOUT_S = 2.3  # limit for receiving a head; for the first request, it starts with the connection
 MIN_BODY_BYTES_PER_S = 48_000.0  # min rate of a request body, after BODY_GRACE_S
 BODY_GRACE_S = 0.5
+MAX_BODY_PAUSE_S = 2.3  # between two parts of a body
 MAX_IN_TRANSIT_BYTES = 4 * 1024 * 1024  # the largest send buffer that Linux gives a connection by default
 
 # The work for one connection in one iteration of the event loop ends after a complete request, or after this
@@ -71,6 +72,7 @@
         self.head_received_at = now  # loop time (s) of the head's end, plus body pauses
         self._head_fields_size = 0  # total size of the target, headers and trailers
         self._fields = 0  # number of headers and trailers
+        self._last_data_at = now  # loop time (s) of the last bytes received, plus body pauses
         self._silent_bytes = 0  # given to the parser since its last callback; it may buffer them
         self._callbacks = 0  # since the connection was opened
         self._completed = 0  # requests received completely since the connection was opened
@@ -101,6 +103,7 @@
     def feed(self, data: bytes, now: float, arrival: float) -> None:
         """Parse bytes read at loop time `now` (s) that may have arrived as early as `arrival` (s)."""
         self._arrival = arrival
+        self._last_data_at = now
         self._unparsed = self._unparsed[self._offset :] + data if self.has_unparsed else data
         self._offset = 0
         self.resume(now)
@@ -192,20 +195,24 @@
     def deadline(self) -> float:
         """Return the loop time (s) at which the request is overdue if no more data arrives.
 
-        A body has only a minimum rate: a limit on the total time would end uploads that keep to that rate.
+        A body has a minimum rate and a longest pause: a limit on the total time would end uploads that keep
+        to that rate, and without the pause a client that has sent much could stop for as long.
         """
         head_deadline = self.started_at + HEAD_TIMEOUT_S
         if self.state is not ReceiveState.BODY:
             return head_deadline
-        return max(head_deadline, self.head_received_at + BODY_GRACE_S + self.size / MIN_BODY_BYTES_PER_S)
+        rate_deadline = self.head_received_at + BODY_GRACE_S + self.size / MIN_BODY_BYTES_PER_S
+        pause_deadline = max(self._last_data_at, self.head_received_at) + MAX_BODY_PAUSE_S
+        return max(head_deadline, min(rate_deadline, pause_deadline))
 
     def restart_timeout(self, now: float) -> None:
         """Restart the timeout at loop time `now` (s), as the time before it is not counted."""
-        self.started_at = self.head_received_at = now
+        self.started_at = self.head_received_at = self._last_data_at = now
 
     def extend_deadline(self, seconds: float) -> None:
         """Extend the deadline by a period in which reading was paused."""
         self.head_received_at += seconds
+        self._last_data_at += seconds
 
     def close(self) -> None:
         """Drop the references to the connection, so that both are freed without the garbage collector.
--- a/tests/node/test_slow_uploads.py
+++ b/tests/node/test_slow_uploads.py
@@ -12,6 +12,7 @@
 from tests.support.raw_clients import MIB
 
 DEADLINE_S = 1.5
+STOPPED_CLIENT_S = 3.0  # within which a client that sends no proper request gets an error or a close
 GRACE_S = 0.5  # a final response may come this long after the deadline
 
 
@@ -56,6 +57,27 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("sent_bytes", [200_000, 3 * MIB])
+def test_client_that_stops_in_a_long_request_gets_its_error_in_time(sent_bytes: int):
+    async def main():
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.read(65_536):
+                pass
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        known = targets(s0=(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", "Ready"))
+        async with loopback_node(known=known) as node:
+            data = request("post", "q1", bytes(4 * MIB))[:sent_bytes]
+            status, waited_s = await upload(node, data)
+            assert status == 408
+            assert waited_s <= STOPPED_CLIENT_S
+            assert node.memory.exchanges.reserved_bytes == 0
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_long_request_of_a_slow_client_has_its_full_time_after_its_last_byte():
     async def main():
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
