--- a/loadbalancer/node/listener/connection_states.py
+++ b/loadbalancer/node/listener/connection_states.py
@@ -97,8 +97,8 @@
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener.memory.read_buffer)
         self._memory = listener.memory
-        self._receiving_bytes = 0  # held for requests that are being received or queued
-        self._unsent_bytes = 0  # held for responses that the client has not read
+        self._receiving_bytes = 0  # reserved for requests that are being received or queued
+        self._unsent_bytes = 0  # counted for responses that the client has not read
         self._listener = listener
         self._transport: asyncio.Transport
         self._parser: RequestParser
@@ -171,7 +171,7 @@
         partial = self._parser.request
         responding_to_partial = self.state is ConnectionState.SEND_RESPONSE and self._first is partial
         receives = self.state is ConnectionState.IDLE or responding_to_partial
-        # A client that sends faster than its bytes are parsed is not being waited for by others.
+        # While received bytes wait to be parsed, reading is paused but the client's timeout goes on.
         waits_for_client = self._transport.is_reading() or self._parser.has_unparsed
         if not receives or not waits_for_client or now < self._parser.deadline():
             return False
@@ -203,7 +203,7 @@
             self._drop_requests()
 
     def _reserve_received(self) -> bool:
-        """Update the memory held for received requests; return whether it fits into the budget.
+        """Update the memory reserved for received requests; return whether it fits into the budget.
 
         A dispatched request is part of an exchange, and a basic one is part of its connection.
         """
@@ -223,14 +223,14 @@
         return True
 
     def _count_unsent(self) -> None:
-        """Update the memory held for responses that the client has not read."""
+        """Update the memory counted for responses that the client has not read."""
         unsent = self._write_control.unsent
         if unsent != self._unsent_bytes:
             self._memory.unsent.add(unsent - self._unsent_bytes)
             self._unsent_bytes = unsent
 
     def _release_memory(self) -> None:
-        """Return what the connection holds to the budget, as it has been closed."""
+        """Return the connection's memory to the budget, as it has been closed."""
         self._memory.receiving.release(self._receiving_bytes)
         self._memory.unsent.release(self._unsent_bytes)
         self._receiving_bytes = self._unsent_bytes = 0
