The client timeout of a long request starts after its dispatch at the earliest

By reading: bytes that wait unread could count as arrived when reading first paused, a moment before the request is dispatched, so its deadline could be earlier than the one at its dispatch.

--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -185,6 +185,8 @@
     def _dispatch(self, request: InboundRequest) -> None:
         request.dispatched = True
         self._reserve_received()
+        if request.receiving:
+            self._read_control.restart_arrival()
         if request.target.partition(b"?")[0] == READINESS_PATH:
             ready = self._listener.accepts_clients
             request.respond(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
--- a/loadbalancer/node/listener/flow_control.py
+++ b/loadbalancer/node/listener/flow_control.py
@@ -83,6 +83,12 @@
             self._unread_since = None
         return since
 
+    def restart_arrival(self) -> None:
+        """Take unread bytes as arriving from now on, as their request is dispatched now."""
+        self._unread_since = None
+        if self._stopped_at is not None:
+            self._stopped_at = self._loop.time()
+
     def unread_since(self, now: float) -> float:
         """Return the earliest loop time (s) at which unread bytes may have arrived, or `now`."""
         since = self._stopped_at if self._unread_since is None else self._unread_since
