--- a/bench/crowds/cell.py
+++ b/bench/crowds/cell.py
@@ -107,6 +107,10 @@
             statistics,
         )
     finally:
+        # Clients before the node and the node before its servers: their ports may be used by others at once.
+        for process in processes[SERVERS:]:
+            process.kill()
+            process.join()
         if node is not None and node.process is not None and node.process.poll() is None:
             node.kill()
         for process in processes:
