The list service, its agent, probes and the admin server bound what a peer makes them hold

What callers saw: nothing yet; looked for as the same class on the other listeners. A peer could queue some 14,000 requests of one read, send a head or trailer of any number of short fields up to the body's limit, and a response's head without end was buffered until the timeout. Change: the servers read 64 KiB at most and parse in turns; no more than eight requests are queued; 256 fields (400). What the probes' listener holds comes out of the node's memory budget (503). Calls between programs reject a response with more fields or a field without end. The admin server reads its limit of 16 KiB at most.

--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -30,6 +30,7 @@
 from loadbalancer.node.control.registry_client import RegistryClient
 from loadbalancer.node.http.service_client import ReceivedResponse
 from loadbalancer.node.http.service_server import HttpRequest
+from loadbalancer.node.memory_budget import MemoryBudget
 from loadbalancer.registry.agent import RegistryFollower, SourceList
 from loadbalancer.registry.settings import AgentSettings
 from tests.support.loopback import config_document
@@ -181,7 +182,14 @@
             return TimedAgentClient(address, self)
 
         control_plane_module.RegistryClient = agent  # type: ignore[attr-defined, assignment]
-        return control_plane_module.ControlPlane(config, clock, servers, watcher, driver)  # type: ignore[arg-type]
+        return control_plane_module.ControlPlane(
+            config,
+            clock,
+            servers,
+            watcher,
+            driver,
+            MemoryBudget(config.memory_mb),  # type: ignore[arg-type]
+        )
 
     def _time_enrolment(self) -> None:
         """Record the time to the first response to enrolment, before the lease client handles it."""
--- a/loadbalancer/node/admin/connection.py
+++ b/loadbalancer/node/admin/connection.py
@@ -10,6 +10,7 @@
 import httptools
 
 from loadbalancer.node.admin.messages import AdminResponse
+from loadbalancer.node.http.read_buffer import BoundedReadProtocol
 from loadbalancer.node.http.request_parsing import FRAMING_HEADERS, RequestCallbacks, UpgradeIgnoringParser
 
 MAX_REQUEST_BYTES = 16 * 1024  # limit for head and body together
@@ -21,6 +22,7 @@
     """The server that a connection belongs to."""
 
     loop: asyncio.AbstractEventLoop
+    read_buffer: bytearray
 
     def connection_opened(self, connection: AdminConnection) -> None:
         """The connection has been accepted."""
@@ -33,10 +35,11 @@
         ...
 
 
-class AdminConnection(RequestCallbacks, asyncio.Protocol):
+class AdminConnection(RequestCallbacks, BoundedReadProtocol):
     """Parses a request, sends the owner's response and closes the connection."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
+        BoundedReadProtocol.__init__(self, owner.read_buffer)
         self._owner = owner
         self._transport: asyncio.Transport
         self._parser = UpgradeIgnoringParser(self)
--- a/loadbalancer/node/admin/server.py
+++ b/loadbalancer/node/admin/server.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 
 from loadbalancer.node.address import Address
-from loadbalancer.node.admin.connection import AdminConnection
+from loadbalancer.node.admin.connection import MAX_REQUEST_BYTES, AdminConnection
 from loadbalancer.node.admin.messages import AdminResponse, AdminRoutes
 
 log = logging.getLogger("loadbalancer")
@@ -22,6 +22,7 @@
 
     def __init__(self, routes: AdminRoutes) -> None:
         self.loop: asyncio.AbstractEventLoop = asyncio.get_running_loop()
+        self.read_buffer = bytearray(MAX_REQUEST_BYTES)
         self._routes = routes
         self._connections: dict[AdminConnection, None] = {}  # oldest first
         self._listener: asyncio.Server | None = None
--- a/loadbalancer/node/control/control_plane.py
+++ b/loadbalancer/node/control/control_plane.py
@@ -42,6 +42,7 @@
 from loadbalancer.node.control.status_reporter import StatusReporter
 from loadbalancer.node.discovery.watcher import EndpointListWatcher
 from loadbalancer.node.endpoint_list import EndpointList
+from loadbalancer.node.memory_budget import MemoryBudget, MemoryPool
 from loadbalancer.routing import RouteParticipant
 from loadbalancer.staleness import ClockOffsets
 
@@ -65,6 +66,7 @@
         endpoint_list: EndpointList,
         watcher: EndpointListWatcher,
         driver: BalancerDriver,
+        memory: MemoryBudget,
     ) -> None:
         """`config.membership` must not be None; the other arguments are components of the node."""
         assert config.membership is not None
@@ -81,7 +83,9 @@
         # Separate from the balancer's generator, so that the control plane does not change its sequence.
         rng = Random(int.from_bytes(os.urandom(SEED_BYTES), "big"))
         self.lease_client = self._make_lease_client(rng)
-        self.probe_transport = self._make_probe_transport(rng, config.membership_descriptors // 2)
+        self.probe_transport = self._make_probe_transport(
+            rng, config.membership_descriptors // 2, memory.receiving
+        )
         self.route_activator = self._make_route_activator(config)
         self.freshness = FreshnessTracker(
             settings, self.clock, self.clock_offsets, endpoint_list, driver, self._on_confidence_change
@@ -109,13 +113,13 @@
         client.on_quota_change = self._on_quota_change
         return client
 
-    def _make_probe_transport(self, rng: Random, max_connections: int) -> ProbeTransport:
+    def _make_probe_transport(self, rng: Random, max_connections: int, memory: MemoryPool) -> ProbeTransport:
         config = DetectorConfig(
             period_ms=self.settings.probe_period_ms,
             urgent_period_ms=self.settings.urgent_probe_period_ms,
             probe_timeout_ms=self.settings.probe_timeout_ms,
         )
-        transport = ProbeTransport(FailureDetector(0, rng, config), self.clock, max_connections)
+        transport = ProbeTransport(FailureDetector(0, rng, config), self.clock, max_connections, memory)
         transport.before_tick = self._before_tick
         transport.on_report = self._on_report
         transport.on_change = self._on_reachability_change
--- a/loadbalancer/node/control/probe_transport.py
+++ b/loadbalancer/node/control/probe_transport.py
@@ -27,6 +27,7 @@
 from loadbalancer.node.control.timers import RestartableTimer
 from loadbalancer.node.http.service_client import HttpClient
 from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, ServerLimits, serve
+from loadbalancer.node.memory_budget import MemoryPool
 
 log = logging.getLogger("loadbalancer")
 
@@ -52,9 +53,16 @@
     """
 
     def __init__(
-        self, detector: FailureDetector, clock: MembershipClock, max_connections: int = MAX_CONNECTIONS
+        self,
+        detector: FailureDetector,
+        clock: MembershipClock,
+        max_connections: int = MAX_CONNECTIONS,
+        memory: MemoryPool | None = None,
     ) -> None:
-        """`max_connections`: limit of accepted connections, and also of idle connections to members."""
+        """`max_connections`: limit of accepted connections, and also of idle connections to members.
+
+        `memory` limits what their requests hold.
+        """
         self.detector = detector
         self.before_tick: Callable[[float], None] = lambda now: None
         self.on_report: Callable[[ViewReceived], None] = lambda report: None
@@ -68,7 +76,7 @@
         self._pending_indirect: dict[int, asyncio.Future[bytes | None]] = {}  # acks awaited, by call number
         self._rejections = RejectionLog("members: call rejected (%d so far): %s")
         self._client = HttpClient(max_connections)
-        self._limits = ServerLimits(body=MAX_BODY_BYTES, connections=max_connections)
+        self._limits = ServerLimits(body=MAX_BODY_BYTES, connections=max_connections, memory=memory)
 
     @property
     def rejected_calls(self) -> int:
--- a/loadbalancer/node/http/service_client.py
+++ b/loadbalancer/node/http/service_client.py
@@ -11,6 +11,9 @@
 import httptools
 
 from loadbalancer.node.address import Address
+from loadbalancer.node.http.message_limits import MAX_FIELDS, TooManyFieldsError
+from loadbalancer.node.http.read_buffer import READ_BYTES, BoundedReadProtocol
+from loadbalancer.node.http.turn_parser import MAX_SILENT_BYTES
 
 CLIENT_IDLE_TIMEOUT_S = 60.0  # less than the server's, so that usually the client closes an idle connection
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024  # a complete list of 10,000 endpoints takes about 2 MB
@@ -25,6 +28,13 @@
         self.size = size
 
 
+class HeadTooLongError(ValueError):
+    """A field of a response's head, a trailer or a chunk extension has no end."""
+
+    def __init__(self) -> None:
+        super().__init__(f"over {MAX_SILENT_BYTES} bytes of a response without a complete field")
+
+
 class ExchangeError(ConnectionError):
     """A request got no response."""
 
@@ -56,10 +66,13 @@
 NO_HEADERS: Headers = MappingProxyType({})
 
 
-class _ClientConnection(asyncio.Protocol):
+class _ClientConnection(BoundedReadProtocol):
     """A connection to a server, for one request at a time."""
 
     def __init__(self) -> None:
+        super().__init__(bytearray(READ_BYTES))
+        self._silent_bytes = 0  # received since the last callback; httptools may buffer them
+        self._fields = 0  # headers and trailers of the response
         self.reusable = False  # whether it can carry another request
         self.on_lost: Callable[[], None] = lambda: None
         self._transport: asyncio.Transport | None = None
@@ -75,10 +88,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the bytes; fail the exchange if they are no HTTP response."""
+        self._silent_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
             self._fail(MalformedResponseError(error))
+        if self._silent_bytes > MAX_SILENT_BYTES + len(data):
+            self._fail(MalformedResponseError(HeadTooLongError()))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange, if there is one, and call `on_lost`."""
@@ -87,6 +103,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header under its name in lower case (called by httptools)."""
+        self._silent_bytes = 0
+        self._fields += 1
+        if self._fields > MAX_FIELDS:
+            raise TooManyFieldsError
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
@@ -97,6 +117,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body (called by httptools); raise ResponseTooLongError over the limit."""
+        self._silent_bytes = 0
         self._body += body
         if len(self._body) > MAX_RESPONSE_BODY_BYTES:  # a chunked body, whose size is not declared
             raise ResponseTooLongError(len(self._body))
@@ -111,6 +132,7 @@
         else:
             self.close()  # a response without a request
         self._headers, self._body = {}, bytearray()
+        self._silent_bytes = self._fields = 0
 
     def _fail(self, error: ConnectionError) -> None:
         self.close()
--- a/loadbalancer/node/http/service_server.py
+++ b/loadbalancer/node/http/service_server.py
@@ -9,18 +9,23 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from urllib.parse import parse_qs, urlsplit
 
-import httptools
-
 from loadbalancer.node.address import Address
+from loadbalancer.node.http.message_limits import FIELD_BYTES, MAX_FIELDS, TooManyFieldsError
+from loadbalancer.node.http.read_buffer import READ_BYTES, BoundedReadProtocol
 from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
+from loadbalancer.node.http.turn_parser import MalformedMessageError, TurnParser
+from loadbalancer.node.http.turn_scheduler import TurnScheduler
+from loadbalancer.node.memory_budget import MemoryPool
 
 MAX_REQUEST_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 SERVER_IDLE_TIMEOUT_S = 75.0  # longer than any watch poll
 MAX_QUEUED_REQUESTS = 8  # pipelined requests on one connection before reading pauses
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict"}
+LAST_RESPONSES = {400: b'{"error":"unreadable request"}', 503: b'{"error":"not enough memory"}'}
 REASONS |= {413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
 
 
@@ -75,21 +80,42 @@
     body: int = MAX_REQUEST_BODY_BYTES  # bytes of one request body
     idle_s: float = SERVER_IDLE_TIMEOUT_S  # a connection without a complete request for this long is closed
     connections: int = 10_000  # with more, the oldest is closed
+    memory: MemoryPool | None = None  # for what the connections hold; a request that doesn't fit gets a 503
+
+
+class _SharedState:
+    """What the connections of one server share."""
 
+    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.open_connections: dict[_Connection, None] = {}  # oldest first
+        self.read_buffer = bytearray(READ_BYTES)
+        self.turns = TurnScheduler()
 
-class _Connection(RequestCallbacks, asyncio.Protocol):
-    """A connection to the server. Its parsed requests are queued and handled one at a time."""
 
-    def __init__(
-        self, handler: Handler, limits: ServerLimits, open_connections: dict[_Connection, None]
-    ) -> None:
-        self._handler = handler
-        self._limits = limits
-        self._open_connections = open_connections  # all connections of the server, oldest first
+class _Connection(RequestCallbacks, BoundedReadProtocol):
+    """A connection to the server. Its parsed requests are queued and handled one at a time.
+
+    An int in the queue is the status of the last response, to a request that is not handled.
+    """
+
+    def __init__(self, shared: _SharedState) -> None:
+        BoundedReadProtocol.__init__(self, shared.read_buffer)
+        self._shared = shared
+        self._limits = shared.limits
         self._size = 0  # bytes received since the last complete request
+        self._fields = 0  # headers and trailers received since then
+        self._reserved_bytes = 0
+        self._ended = False  # whether the last response is queued
         self._parser = UpgradeIgnoringParser(self)
+        self._turns = TurnParser(self._parser.feed_data, self)
+        self.steps = 0
+        self.completed = 0
+        self.between_messages = True
+        self.in_body = False
         self._transport: asyncio.Transport | None = None
-        self._queue: asyncio.Queue[HttpRequest | None] = asyncio.Queue()
+        self._queue: asyncio.Queue[HttpRequest | int] = asyncio.Queue()
         self._url = b""
         self._headers: dict[str, str] = {}
         self._body = bytearray()
@@ -100,33 +126,91 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._task = asyncio.create_task(self._serve())
-        self._open_connections[self] = None
-        if len(self._open_connections) > self._limits.connections:  # bounds the descriptors in use
-            next(iter(self._open_connections)).abort()
+        connections = self._shared.open_connections
+        connections[self] = None
+        if len(connections) > self._limits.connections:  # bounds the descriptors in use
+            next(iter(connections)).abort()
 
     def abort(self) -> None:
         """Close the connection immediately."""
-        self._open_connections.pop(self, None)
+        self._shared.open_connections.pop(self, None)
         if self._transport is not None:
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Parse the bytes; if they are malformed or too long, queue None, which ends the connection."""
+        """Parse the bytes; if they are malformed or too long, end the connection with a 400."""
+        if self._ended:
+            return
         self._size += len(data)
         if self._size > self._limits.body + MAX_HEAD_BYTES:  # bounds the memory of an endless head
-            self._queue.put_nowait(None)
+            self._end(HTTPStatus.BAD_REQUEST)
             return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
-            self._queue.put_nowait(None)
+        self._take_turn(lambda: self._turns.feed(data))
+
+    def parse_unparsed(self) -> None:
+        """Parse the bytes that the last turn has left, unless enough requests are queued."""
+        if self._queue.qsize() < MAX_QUEUED_REQUESTS:
+            self._take_turn(self._turns.resume)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop handling requests, as the connection is closed."""
-        self._open_connections.pop(self, None)
+        self._shared.open_connections.pop(self, None)
+        self._shared.turns.discard(self)
+        if self._limits.memory is not None:
+            self._limits.memory.release(self._reserved_bytes)
+            self._reserved_bytes = 0
+        self._turns.close()
+        self._parser.close()
         if self._task is not None:
             self._task.cancel()
 
+    def _take_turn(self, parse: Callable[[], None]) -> None:
+        try:
+            parse()
+        except (MalformedMessageError, ValueError):
+            self._end(HTTPStatus.BAD_REQUEST)
+        if not self._reserve():
+            self._end(HTTPStatus.SERVICE_UNAVAILABLE)
+        self._continue()
+
+    def _end(self, status: HTTPStatus) -> None:
+        """Parse nothing more, and respond with this status after the requests that are queued."""
+        self._turns.stop()
+        self._body = bytearray()
+        if not self._ended:
+            self._ended = True
+            self._queue.put_nowait(status)
+
+    def _reserve(self) -> bool:
+        """Update the memory that is reserved for the request in progress; return whether it fits."""
+        if self._limits.memory is None:
+            return True
+        size = self._turns.memory_bytes + len(self._body) + self._fields * FIELD_BYTES
+        growth = size - self._reserved_bytes
+        if growth > 0 and not self._limits.memory.reserve(growth):
+            return False
+        if growth < 0:
+            self._limits.memory.release(-growth)
+        self._reserved_bytes = size
+        return True
+
+    def _continue(self) -> None:
+        """Read more, or parse what has been read, unless enough requests are queued."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._queue.qsize() >= MAX_QUEUED_REQUESTS or self._turns.has_unparsed:
+            self._transport.pause_reading()  # bounds the memory for a client that pipelines without end
+        else:
+            self._transport.resume_reading()
+        if self._turns.has_unparsed and self._queue.qsize() < MAX_QUEUED_REQUESTS:
+            self._shared.turns.add(self)
+
+    @property
+    def remaining_body(self) -> int | None:
+        """The bytes left of a body with a Content-Length, else None."""
+        length = self._headers.get("content-length", "")
+        return int(length) - len(self._body) if self.in_body and length.isdigit() else None
+
     def framing_header(self, name: bytes) -> bytes | None:
         """Return the value of this header of the request in progress, or None."""
         value = self._headers.get(name.decode("latin-1"))
@@ -134,28 +218,41 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
+        self.steps += 1
+        self.between_messages = False
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header under its name in lower case."""
+        """Store a header under its name in lower case; raise TooManyFieldsError over the limit."""
+        self.steps += 1
+        self._fields += 1
+        if self._fields > MAX_FIELDS:
+            raise TooManyFieldsError
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        """Note that the body begins."""
+        self.in_body = True
+
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; raise RequestTooLongError over the limit."""
+        self.steps += 1
         self._body += body
         if len(self._body) > self._limits.body:
             raise RequestTooLongError(self._limits.body)
 
     def on_message_complete(self) -> None:
-        """Queue the complete request; pause reading if the queue is full."""
+        """Queue the complete request."""
+        self.steps += 1
+        self.completed += 1
+        self.in_body, self.between_messages = False, True
         url = urlsplit(self._url.decode("latin-1"))
         fields = parse_qs(url.query, keep_blank_values=True)
         query = {name: values[0] for name, values in fields.items()}
         method = self._parser.get_method().decode("latin-1")
         self._queue.put_nowait(HttpRequest(method, url.path, query, self._headers, bytes(self._body)))
-        self._url, self._headers, self._body, self._size = b"", {}, bytearray(), 0
-        if self._queue.qsize() >= MAX_QUEUED_REQUESTS and self._transport is not None:
-            self._transport.pause_reading()  # bounds the memory for a client that pipelines without end
+        self._url, self._headers, self._body = b"", {}, bytearray()
+        self._size = self._fields = 0
 
     async def _serve(self) -> None:
         assert self._transport is not None
@@ -166,13 +263,12 @@
             except TimeoutError:
                 self._transport.close()
                 return
-            if self._queue.qsize() < MAX_QUEUED_REQUESTS:
-                self._transport.resume_reading()
-            if request is None:
-                self._transport.write(HttpResponse(400, b'{"error":"unreadable request"}').encode(close=True))
+            if isinstance(request, int):
+                self._transport.write(HttpResponse(request, LAST_RESPONSES[request]).encode(close=True))
                 self._transport.close()
                 return
-            response = await self._handler(request)
+            self._continue()
+            response = await self._shared.handler(request)
             if self._transport.is_closing():
                 return
             self._transport.write(response.encode(close=False))
@@ -184,7 +280,5 @@
     Raise OSError if the address can't be used.
     """
     loop = asyncio.get_running_loop()
-    server_limits, open_connections = limits or ServerLimits(), dict[_Connection, None]()
-    return await loop.create_server(
-        lambda: _Connection(handler, server_limits, open_connections), *address, reuse_address=True
-    )
+    shared = _SharedState(handler, limits or ServerLimits())
+    return await loop.create_server(lambda: _Connection(shared), *address, reuse_address=True)
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -195,7 +195,9 @@
         # Imported only if needed: its libraries cost memory and startup time.
         from loadbalancer.node.control import ControlPlane
 
-        control_plane = ControlPlane(self.config, self.clock, self.endpoint_list, self.watcher, self.driver)
+        control_plane = ControlPlane(
+            self.config, self.clock, self.endpoint_list, self.watcher, self.driver, self.memory
+        )
         self.attempts.outcome_listeners.append(control_plane.freshness.record_outcome)
         return control_plane
 
