--- a/tests/node/test_memory_budget.py
+++ b/tests/node/test_memory_budget.py
@@ -166,15 +166,26 @@
     asyncio.run(main())
 
 
-def test_request_beyond_the_budget_is_rejected_and_counted():
+@pytest.mark.parametrize(
+    ("pool", "kind", "reason"),
+    [
+        ("exchanges", "read", "memory"),
+        ("exchanges", "post", "memory"),
+        ("executed_ids", "post", "executed_ids"),
+        ("executed_ids", "read", None),  # it may be executed twice, so its id isn't retained
+    ],
+)
+def test_request_beyond_the_budget_is_rejected_and_counted(pool: str, kind: str, reason: str | None):
     async def main():
         server = StubServer()
         async with loopback_node(server) as node:
-            node.memory.exchanges.limit_bytes = node.memory.exchanges.reserved_bytes + 1000
-            assert (await exchange(node, request())).status == 503
-            assert not server.requests
-            assert node.event_counts["over limit of memory"] == 1
-            assert b"proxy.limits.memory=1\n" in node.render_metrics()
+            getattr(node.memory, pool).limit_bytes = 0
+            assert (await exchange(node, request(kind))).status == (503 if reason else 200)
+            assert bool(server.requests) == (reason is None)
+            if reason is not None:
+                assert node.event_counts[f"over limit of {reason}"] == 1
+                assert f"proxy.limits.{reason}=1\n".encode() in node.render_metrics()
+            assert node.memory.requests.reserved_bytes == 0
 
     asyncio.run(main())
 
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -121,20 +121,6 @@
     assert response.status == status
 
 
-def test_request_whose_id_finds_no_memory_is_rejected_unless_it_may_be_repeated():
-    async def main():
-        server = StubServer()
-        async with loopback_node(server) as node:
-            node.memory.executed_ids.limit_bytes = 0
-            assert (await exchange(node, sent("post"))).status == 503
-            assert not server.requests
-            assert (await exchange(node, request("read", "q2"))).status == 200
-            assert node.event_counts["over limit of executed_ids"] == 1
-            assert b"proxy.limits.executed_ids=1\n" in node.render_metrics()
-
-    asyncio.run(main())
-
-
 def test_id_of_a_request_that_no_server_got_may_come_again():
     async def main():
         server = StubServer()
