Clients that leave and come again: departed ones are dropped early, closing is once in an iteration

Cause: a departed client's connection stayed until all it had sent was parsed, in turns; up to 63 connections were accepted in one iteration, and each of them over the limit sorted and checked all others to close one. Change: a client that has left is noticed before the next turn of its unfinished request. At most 16 connections are accepted in an iteration, and connections over the limit are closed once in it, for all that were opened.

--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -150,12 +150,12 @@
 
     def parse_unparsed(self) -> None:
         """Parse the bytes that the last turn has left, unless they belong behind a request in progress."""
-        parser, between = self._parser, self.state is ConnectionState.IDLE and self._parser.request is None
+        parser = self._parser
         if self.is_closing or not parser.has_unparsed or self._read_control.body_paused:
             return
         if self._first not in (None, parser.request):
             return
-        if between and self.disconnected:
+        if self.state is ConnectionState.IDLE and self.disconnected:
             self._fail(HTTPStatus.BAD_REQUEST)
             return
         if self._upload_is_over():
--- a/loadbalancer/node/listener/listener.py
+++ b/loadbalancer/node/listener/listener.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from itertools import islice
 
 from loadbalancer.node.http.turn_scheduler import TurnScheduler
@@ -17,6 +17,7 @@
 
 log = logging.getLogger("loadbalancer")
 
+MAX_ACCEPTS = 16  # connections accepted in one loop iteration
 BACKLOG = 1024  # connections queued in the kernel until they are accepted
 ACCEPT_PAUSE_S = 0.002  # used at capacity; a closed connection frees its descriptor one iteration later
 CLOSE_IDLE_AFTER_S = 0.5  # from the start of a drain; clients open new connections for up to 0.4 s
@@ -63,7 +64,7 @@
         limit = max(1, min(limit, memory.max_client_connections * LIMIT_PARTS // parts))
         self.loop = asyncio.get_running_loop()
         self.request_limit = limit  # desired maximum of connections that accept requests
-        self._burst = max(1, limit // LIMIT_PARTS)  # max connections accepted per loop iteration
+        self._burst = max(1, min(MAX_ACCEPTS, limit // LIMIT_PARTS))
         self.max_connections = limit + CLOSING_PARTS * limit // LIMIT_PARTS  # including those being closed
         self.on_request = on_request
         self.memory = memory
@@ -76,6 +77,7 @@
         self.memory_denials = 0  # number of connections ended because of the memory budget
         self.closed_stalled = 0  # number of connections closed because the client read nothing
         self._turns = TurnScheduler()
+        self._opened: set[ClosableConnection] = set()  # over the limit, since connections were last closed
         self.connections: dict[ClosableConnection, None] = {}  # in the order in which they were opened
         self._socket: socket.socket | None = None
         self._accepting: set[asyncio.Task[object]] = set()  # accepted, but not yet in `connections`
@@ -196,9 +198,17 @@
         self.closed_stalled += 1
 
     def opened(self, connection: ClosableConnection) -> None:
-        """Add a connection, and close others if the limit is exceeded."""
+        """Add a connection; others are closed once per loop iteration if the limit is exceeded."""
         self.connections[connection] = None
-        self._close_surplus(_CLOSE_OVER_LIMIT, self._excess(), connection)
+        if len(self.connections) > self.request_limit:
+            if not self._opened:
+                self.loop.call_soon(self._close_excess)
+            self._opened.add(connection)
+
+    def _close_excess(self) -> None:
+        """Close as many connections as the limit is exceeded by, but none that has just been opened."""
+        opened, self._opened = self._opened, set()
+        self._close_surplus(_CLOSE_OVER_LIMIT, self._excess(), opened)
 
     def closed(self, connection: ClosableConnection) -> None:
         """Remove a closed connection."""
@@ -206,7 +216,7 @@
         self._turns.discard(connection)
 
     def _close_surplus(
-        self, close_methods: Iterable[_CloseMethod], count: int, excluded: ClosableConnection | None = None
+        self, close_methods: Iterable[_CloseMethod], count: int, excluded: Container[ClosableConnection] = ()
     ) -> None:
         """Close up to `count` connections, trying the methods in order, longest inactive connections first.
 
@@ -214,7 +224,7 @@
         """
         if count > 0:
             others = sorted(
-                (connection for connection in self.connections if connection is not excluded),
+                (connection for connection in self.connections if connection not in excluded),
                 key=lambda connection: connection.last_activity_at,
             )
             closed = (connection for close in close_methods for connection in others if close(connection))
--- a/tests/node/test_memory_budget.py
+++ b/tests/node/test_memory_budget.py
@@ -266,3 +266,20 @@
             assert NEW_CONNECTION_GRACE_S > 0.0
 
     asyncio.run(main())
+
+
+def test_departed_client_is_dropped_before_the_rest_of_its_request_is_parsed():
+    async def main():
+        async with loopback_node(StubServer()) as node:
+            client = connect(node)
+            client.sendall(
+                b"POST /post HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 5000
+            )
+            client.close()
+            await wait_until(lambda: node.listener.connections)
+            (connection,) = node.listener.connections
+            await wait_until(lambda: not node.listener.connections)
+            assert connection._parser.size < 1000
+            assert node.memory.receiving.reserved_bytes == 0
+
+    asyncio.run(main())
