Test of a departed client records its connection instead of polling for it

Cause: test_departed_client_is_dropped_before_the_rest_of_its_request_is_parsed looked for the connection every 5 ms. Change: the listener's `closed` is recorded, so that the connection can't be missed. The checks are the same: less than 1,000 bytes parsed, nothing reserved, no connection left.

--- a/tests/node/test_memory_budget.py
+++ b/tests/node/test_memory_budget.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from loadbalancer.node.listener.connection import ServerConnection
 from loadbalancer.node.listener.flow_control import MIN_LINGER_S
 from loadbalancer.node.listener.listener import NEW_CONNECTION_GRACE_S
 from loadbalancer.node.memory_budget import MIB, MemoryBudget, MemoryPool, resident_bytes
@@ -268,18 +269,33 @@
     asyncio.run(main())
 
 
-def test_departed_client_is_dropped_before_the_rest_of_its_request_is_parsed():
+def test_departed_client_is_dropped_before_the_rest_of_its_request_is_parsed(monkeypatch: pytest.MonkeyPatch):
     async def main():
         async with loopback_node(StubServer()) as node:
+            parsed: list[int] = []
+            monkeypatch.setattr(
+                node.listener, "closed", record_parsed(node.listener.closed, parsed), raising=True
+            )
             client = connect(node)
             client.sendall(
                 b"POST /post HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 5000
             )
             client.close()
-            await wait_until(lambda: node.listener.connections)
-            (connection,) = node.listener.connections
-            await wait_until(lambda: not node.listener.connections)
-            assert connection._parser.size < 1000
+            await wait_until(lambda: parsed)
+            assert not node.listener.connections
+            assert parsed[0] < 1000
             assert node.memory.receiving.reserved_bytes == 0
 
     asyncio.run(main())
+
+
+def record_parsed(
+    closed: Callable[[ServerConnection], None], parsed: list[int]
+) -> Callable[[ServerConnection], None]:
+    """Return `closed`, which also records how many bytes of the last request's body were parsed."""
+
+    def record(connection: ServerConnection) -> None:
+        parsed.append(connection._parser.size)
+        closed(connection)
+
+    return record
