A failed accept neither resets queued connections nor closes sound clients

At the end of a drain one failed accept (ECONNABORTED, ENFILE, ENOBUFS, ENOMEM, EMFILE) was taken for an empty queue: the listening socket closed, and each connection still queued in the kernel, with its request written, was reset. While serving, each failure closed up to 16 clients, idle ones and those in the middle of a request, every 2 ms for as long as it lasted. Cause: `_accept_one` returned the same False for "none queued" and "failed", and each error was handled like a lack of the process's own descriptors. Change: the result is one of three. After a failure the listener goes on listening, and the shutdown ends only once it has stopped. Only EMFILE closes connections, as only their descriptors help there. Failures are in the statistics line ("accepts failed").

--- a/loadbalancer/node/listener/listener.py
+++ b/loadbalancer/node/listener/listener.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from collections.abc import Callable, Container, Iterable
+from enum import Enum
 from itertools import islice
 
 from loadbalancer.node.http.turn_scheduler import TurnScheduler
@@ -51,6 +53,14 @@
 )
 
 
+class _AcceptResult(Enum):
+    """The result of one attempt to accept a queued connection."""
+
+    ACCEPTED = "a connection was accepted"
+    NONE_QUEUED = "no connection was queued"
+    FAILED = "the attempt failed; connections may be queued"
+
+
 class Listener:
     """Accepts client connections and passes their requests to `on_request`.
 
@@ -75,13 +85,14 @@
         self.malformed_requests = 0  # number of connections ended because the received data was invalid
         self.closed_over_limit = 0  # number of connections closed because there were too many
         self.memory_denials = 0  # number of connections ended because of the memory budget
+        self.accept_failures = 0  # number of accepts that failed for lack of a resource
         self.closed_stalled = 0  # number of connections closed because the client read nothing
         self._turns = TurnScheduler()
         self._opened: set[ClosableConnection] = set()  # over the limit, since connections were last closed
         self.connections: dict[ClosableConnection, None] = {}  # in the order in which they were opened
         self._socket: socket.socket | None = None
         self._accepting: set[asyncio.Task[object]] = set()  # accepted, but not yet in `connections`
-        self._lacks_descriptors = False  # the last accept has failed
+        self._accept_failing = False  # the last accept has failed
         self._accept_timer: asyncio.TimerHandle | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._drain_timer: asyncio.TimerHandle | None = None
@@ -108,6 +119,11 @@
         """Whether no accepted connection is open; connections queued in the kernel don't count."""
         return not self.connections and not self._accepting
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the listener has stopped listening and no accepted connection is open."""
+        return self._socket is None and self.has_no_clients
+
     @property
     def at_capacity(self) -> bool:
         """Whether another connection would use a descriptor reserved for endpoints and discovery."""
@@ -142,42 +158,59 @@
         """Accept up to `_burst` queued connections; the others wait for the next loop iterations."""
         for _ in range(self._burst):
             if self.at_capacity:
+                self._free_capacity()
                 self._accept_later()
-            elif self._accept_one():
+            elif self._accept_one() is _AcceptResult.ACCEPTED:
                 continue
             break
 
+    def _free_capacity(self) -> None:
+        """Close connections, so that their descriptors are free when accepting is resumed."""
+        self._close_surplus(_CLOSE_AT_CAPACITY, self._burst)
+
     def _accept_later(self) -> None:
-        """Close connections, and resume accepting once their descriptors are free."""
+        """Pause accepting."""
         if self._socket is not None and self.loop.remove_reader(self._socket):
-            self._close_surplus(_CLOSE_AT_CAPACITY, self._burst)
             self._accept_timer = self.loop.call_later(ACCEPT_PAUSE_S, self._accept_again)
 
     def _accept_again(self) -> None:
         if self._socket is not None:
             self.loop.add_reader(self._socket, self._accept)
 
-    def _accept_one(self) -> bool:
-        """Accept a connection; return whether one was queued."""
+    def _accept_one(self) -> _AcceptResult:
+        """Accept a queued connection."""
         assert self._socket is not None
         try:
             accepted, _ = self._socket.accept()
-        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-            return False
-        except OSError as error:  # e.g. the platform allows fewer descriptors than configured
-            if not self._lacks_descriptors:  # logged once, as accepting is retried hundreds of times a second
-                log.error("failed to accept a connection: %s", error)
-            self._lacks_descriptors = True
-            self._accept_later()
-            return False
-        self._lacks_descriptors = False
+        except BlockingIOError:
+            return _AcceptResult.NONE_QUEUED
+        except (InterruptedError, ConnectionAbortedError):
+            return _AcceptResult.FAILED
+        except OSError as error:
+            self._on_accept_failure(error)
+            return _AcceptResult.FAILED
+        self._accept_failing = False
         # asyncio.Server isn't used: closing it fails connections accepted in the previous loop iteration.
         task = asyncio.create_task(
             self.loop.connect_accepted_socket(lambda: ServerConnection(self), accepted)
         )
         self._accepting.add(task)
         task.add_done_callback(self._accepting.discard)
-        return True
+        return _AcceptResult.ACCEPTED
+
+    def _on_accept_failure(self, error: OSError) -> None:
+        """Log the first of consecutive failures, and pause accepting.
+
+        Connections are closed only if the platform allows fewer descriptors than configured; a lack of
+        another resource would not end with them.
+        """
+        if not self._accept_failing:
+            log.error("failed to accept a connection: %s", error)
+        self._accept_failing = True
+        self.accept_failures += 1
+        if error.errno == errno.EMFILE:
+            self._free_capacity()
+        self._accept_later()
 
     # ---------------------------------------------------------------- connections
 
@@ -281,13 +314,17 @@
         """Accept the connections queued in the kernel, then stop listening.
 
         The kernel resets connections that are queued when the listening socket closes, unless another process
-        accepts from the same socket. At capacity the listener keeps listening; call this method again then.
+        accepts from the same socket. At capacity, or if an accept fails, the listener keeps listening;
+        call this method again then.
         """
         if self._socket is not None:
             while not self.shares_socket:
                 if self.at_capacity:
                     return
-                if not self._accept_one():
+                result = self._accept_one()
+                if result is _AcceptResult.FAILED:
+                    return
+                if result is _AcceptResult.NONE_QUEUED:
                     break
             self._stop_listening()
 
--- a/loadbalancer/node/periodic_tasks.py
+++ b/loadbalancer/node/periodic_tasks.py
@@ -99,6 +99,7 @@
             "request timeouts": listener.expired,
             "malformed requests": listener.malformed_requests,
             "malformed responses": self._pool.malformed_responses,
+            "accepts failed": listener.accept_failures,
             "closed over limit": listener.closed_over_limit,
             "closed for memory": listener.memory_denials,
             "closed as stalled": listener.closed_stalled,
--- a/loadbalancer/node/shutdown.py
+++ b/loadbalancer/node/shutdown.py
@@ -51,7 +51,7 @@
         while self._loop.time() < deadline and not self._is_drained(began + MIN_DRAIN_S):
             await asyncio.sleep(CHECK_INTERVAL_S)
         self._listener.stop_accepting()
-        if not self._listener.has_no_clients:
+        if not self._listener.has_ended:
             await self._reject_remaining()
         await self._stop_components()
 
@@ -69,7 +69,7 @@
         if self._loop.time() < earliest or not self._listener.has_no_clients:
             return False
         self._listener.stop_accepting()  # accepts the connections that wait in the kernel's queue
-        return self._listener.has_no_clients
+        return self._listener.has_ended
 
     async def _reject_remaining(self) -> None:
         """Fail requests in flight and reject new ones until clients have their responses or time runs out.
@@ -83,7 +83,7 @@
         self._listener.reject_partial_requests()
         self._request_registry.fail_all()
         deadline = self._loop.time() + REJECTION_TIMEOUT_S
-        while not self._listener.has_no_clients and self._loop.time() < deadline:
+        while not self._listener.has_ended and self._loop.time() < deadline:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self._listener.stop_accepting()
 
