The processes of an upgrade know each other after a step of the wall clock

What callers saw: nothing reported yet; it was listed as an open risk of the incident. If the wall clock had stepped by over a second between the starts of the two processes, each ignored the other's file: together they sent their servers up to twice the load, and the new process started without learned state. Cause: a process's clock is Unix time as of its start, and the time in the other's file was compared with it. After a step forward the new process also removed the file of the old one. Change: a file counts while it changes, by the reader's own clock; the time in it counts only at the first read, as before. Learned state is taken over from a process that was there at the start, once it is known to be alive, within a second. The form of the files is unchanged.

--- a/loadbalancer/node/sibling_process.py
+++ b/loadbalancer/node/sibling_process.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
+
 from loadbalancer.balancing.events import SiblingProcessLoad
 from loadbalancer.node.balancer_driver import BalancerDriver
 from loadbalancer.node.clock import Clock
-from loadbalancer.node.state.handover import HandoverFiles
+from loadbalancer.node.state.handover import FRESHNESS_MS, HandoverFiles
 
 
 class SiblingProcess:
@@ -16,15 +18,20 @@
         self._clock = clock
         self._driver = driver
         self._has_load = False  # whether the sibling had requests in flight at the last read
+        self._takes_over_until_ms = -math.inf  # until then the sibling's learned state is taken over
 
     def exchange(self, at_start: bool = False) -> None:
         """Read the sibling's file, then write this process's file.
 
-        The balancer takes over the sibling's learned state only `at_start`. It gets the sibling's load every
-        time, and an empty load once after that load has ended.
+        The balancer takes over the learned state of a sibling that runs `at_start`, as soon as it is known to
+        be alive. It gets the sibling's load every time, and an empty load once after that load has ended.
         """
-        sibling = self.handover.read_siblings(self._clock.unix_ms())
-        if at_start and sibling.learned is not None:
+        now_ms = self._clock.unix_ms()
+        sibling = self.handover.read_siblings(now_ms)
+        if at_start and self.handover.has_siblings:
+            self._takes_over_until_ms = now_ms + FRESHNESS_MS
+        if now_ms <= self._takes_over_until_ms and sibling.learned is not None:
+            self._takes_over_until_ms = -math.inf
             self._driver.handle_event(sibling.learned)
         if sibling.in_flight or self._has_load:
             self._driver.handle_event(SiblingProcessLoad(sibling.in_flight))
--- a/loadbalancer/node/state/handover.py
+++ b/loadbalancer/node/state/handover.py
@@ -23,8 +23,8 @@
 
 FOLDER_NAME = "orchidledge-handover"
 FILE_PREFIX = "process-"
-FRESHNESS_MS = 1000.0  # a process whose file is older has ended or hangs
-RETENTION_MS = 60_000.0  # a file older than this is removed
+FRESHNESS_MS = 1000.0  # a process whose file has not changed for this time has ended or hangs
+RETENTION_MS = 60_000.0  # a file older than this is removed, unless it still changes
 MAX_FILE_BYTES = 256 * 1024
 
 
@@ -43,12 +43,25 @@
     learned: LearnedState
 
 
+class _Sighting(NamedTuple):
+    """When this process last saw another process's file change, in ms of its own clock."""
+
+    written_ms: float  # in the file, by the other process's clock
+    seen_ms: float  # when the file was read first with this time
+    changed_ms: float  # the same, or -inf if the file may have been left behind by an ended process
+
+
 class HandoverFiles:
-    """Writes this process's file and reads the files of the other processes."""
+    """Writes this process's file and reads the files of the other processes.
+
+    The clocks of two processes differ if the wall clock has stepped between their starts. Whether a process
+    is alive is therefore told by changes of its file; the time in it counts only when it is read first.
+    """
 
     def __init__(self, folder: Path, process: int) -> None:
         self._folder = folder
         self._name = f"{FILE_PREFIX}{process}"
+        self._sightings: dict[Path, _Sighting] = {}
         self._failures = FailureLog()
 
     def write(self, now_ms: float, learned: LearnedState, in_flight: dict[str, float]) -> None:
@@ -66,14 +79,18 @@
         newest: LearnedState | None = None
         newest_ms = -math.inf
         in_flight: dict[str, float] = {}
+        previous, self._sightings = self._sightings, {}
         for path in self._sibling_files():
             record = self._read(path)
             if record is None:
                 continue
-            if record.written_ms < now_ms - RETENTION_MS:
+            sighting = _sight(previous.get(path), record.written_ms, now_ms)
+            self._sightings[path] = sighting
+            unchanged_ms = now_ms - sighting.seen_ms
+            if record.written_ms < now_ms - RETENTION_MS and unchanged_ms > FRESHNESS_MS:
                 with contextlib.suppress(OSError):
                     path.unlink()
-            if not now_ms - FRESHNESS_MS <= record.written_ms <= now_ms + FRESHNESS_MS:
+            if now_ms - sighting.changed_ms > FRESHNESS_MS:
                 continue
             for endpoint, load in record.in_flight.items():
                 in_flight[endpoint] = in_flight.get(endpoint, 0.0) + load
@@ -81,6 +98,11 @@
                 newest, newest_ms = record.learned, record.written_ms
         return SiblingReport(newest, in_flight)
 
+    @property
+    def has_siblings(self) -> bool:
+        """Whether the last `read_siblings` has found files of other processes, which may have ended."""
+        return bool(self._sightings)
+
     def close(self) -> None:
         """Remove this process's file."""
         with contextlib.suppress(OSError):
@@ -108,6 +130,16 @@
             return None
 
 
+def _sight(previous: _Sighting | None, written_ms: float, now_ms: float) -> _Sighting:
+    """Return when a file that is read at `now_ms` has changed."""
+    if previous is None:
+        recent = abs(now_ms - written_ms) <= FRESHNESS_MS
+        return _Sighting(written_ms, now_ms, min(written_ms, now_ms) if recent else -math.inf)
+    if written_ms != previous.written_ms:
+        return _Sighting(written_ms, now_ms, now_ms)
+    return previous
+
+
 def _decode_record(data: bytes) -> _HandoverRecord:
     """Return the contents of a file; raise ValueError if they are malformed."""
     fields = mapping_of(orjson.loads(data), "handover")
--- a/tests/node/state/test_handover.py
+++ b/tests/node/state/test_handover.py
@@ -12,6 +12,7 @@
 from loadbalancer.balancing.events import LearnedState, SiblingProcessLoad
 from loadbalancer.endpoints import EndpointListKind
 from loadbalancer.node.node import Node
+from loadbalancer.node.sibling_process import SiblingProcess
 from loadbalancer.node.state.handover import (
     FILE_PREFIX,
     FOLDER_NAME,
@@ -23,6 +24,35 @@
 from tests.support.builders import BalancerEnvironment, sent
 from tests.support.loopback import BlockedServer, Client, loopback_node, request, wait_until
 
+HOUR_MS = 3_600_000.0
+
+
+class ManualClock:
+    """A clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+
+    def unix_ms(self) -> float:
+        return self.now_ms
+
+
+class RecordingDriver:
+    """Records the events that it gets; its balancer has nothing in flight."""
+
+    def __init__(self) -> None:
+        self.events: list[object] = []
+        self.balancer = self
+
+    def handle_event(self, event: object) -> None:
+        self.events.append(event)
+
+    def learned_state(self) -> LearnedState:
+        return learned()
+
+    def in_flight(self) -> dict[str, float]:
+        return {}
+
 
 def learned(**changes: object) -> LearnedState:
     fields = {
@@ -63,6 +93,53 @@
     assert not list(tmp_path.iterdir())
 
 
+@pytest.mark.parametrize("step_ms", [-HOUR_MS, HOUR_MS])
+def test_file_counts_while_it_changes_if_the_wall_clock_stepped_between_the_starts(tmp_path, step_ms):
+    """The clocks of both processes differ by the step, as each reads the wall clock once."""
+    first, second = HandoverFiles(tmp_path, 1), HandoverFiles(tmp_path, 2)
+    first.write(0.0, learned(), {"s0": 1.0})
+    assert second.read_siblings(step_ms) == (None, {})  # it may have been left behind by an ended process
+    first.write(100.0, learned(), {"s0": 2.0})
+    assert second.read_siblings(step_ms + 100.0) == (learned(), {"s0": 2.0})
+    assert second.read_siblings(step_ms + 100.0 + FRESHNESS_MS) == (learned(), {"s0": 2.0})
+    assert second.read_siblings(step_ms + 101.0 + FRESHNESS_MS) == (None, {})
+    second.write(step_ms, learned(cursor=1), {"s0": 3.0})
+    assert first.read_siblings(200.0) == (None, {})
+    assert (tmp_path / f"{FILE_PREFIX}2").exists()
+    second.write(step_ms + 100.0, learned(cursor=1), {"s0": 4.0})
+    assert first.read_siblings(300.0) == (learned(cursor=1), {"s0": 4.0})
+
+
+@pytest.mark.parametrize("step_ms", [0.0, -HOUR_MS, HOUR_MS])
+@pytest.mark.parametrize("old_ends", [False, True])
+def test_new_process_takes_over_learned_state_once_after_a_clock_step(tmp_path, step_ms, old_ends):
+    first, second = HandoverFiles(tmp_path, 1), HandoverFiles(tmp_path, 2)
+    driver, clock = RecordingDriver(), ManualClock()
+    new = SiblingProcess(second, clock, driver)  # type: ignore[arg-type]
+    first.write(0.0, learned(cursor=1), {})
+    clock.now_ms = step_ms
+    new.exchange(at_start=True)
+    for tick in range(1, 20):
+        clock.now_ms += 100.0
+        if not old_ends:
+            first.write(tick * 100.0, learned(cursor=1), {})
+        new.exchange()
+    known_at_start = step_ms == 0.0
+    assert driver.events == ([learned(cursor=1)] if known_at_start or not old_ends else [])
+
+
+def test_old_process_takes_no_learned_state_of_a_new_one(tmp_path):
+    first, second = HandoverFiles(tmp_path, 1), HandoverFiles(tmp_path, 2)
+    driver, clock = RecordingDriver(), ManualClock()
+    old = SiblingProcess(first, clock, driver)  # type: ignore[arg-type]
+    old.exchange(at_start=True)
+    for tick in range(20):
+        clock.now_ms += 100.0
+        second.write(tick * 100.0, learned(cursor=2), {})
+        old.exchange()
+    assert driver.events == []
+
+
 @pytest.mark.parametrize(
     "change",
     [
