Files of claimed ids are bounded, and counted in the memory budget

What callers saw: nothing reported yet; found while the bounds of ids were checked. With a socket that is shared for upgrades, a request that was claimed and then not executed (its servers rejected it) left a claim and a release in the node's files, which lie in memory. They should have ended at 3 MB; they had no end. Cause: the limit of three files was checked before a claim, not before a release. The release that found the third file full began a fourth, which then was never full when the limit was checked. The 3 MB themselves belonged to no part of the budget. Change: the files' size comes out of the memory budget (a twentieth of it, from the part of requests), and the last file takes the records of requests in progress. Beyond it requests that must not run twice get 503 (proxy.limits.executed_ids), as before.

--- a/loadbalancer/node/memory_budget.py
+++ b/loadbalancer/node/memory_budget.py
@@ -28,13 +28,14 @@
 REQUESTS_RATIO = 0.45  # of the budget, for requests and responses
 RECEIVING_RATIO = 0.25  # of the budget, for requests that are being received or queued
 IDS_RATIO = 0.125  # of the budget, for the ids of executed requests
+ID_FILES_RATIO = 0.05  # of the budget, for the files of ids during an upgrade; part of that of requests
 
 CONNECTION_BYTES = 6 * KIB  # objects of one connection
 BASIC_REQUEST_BYTES = 2 * KIB  # of a request that is held without a reservation; part of its connection
 EXCHANGE_BYTES = 8 * KIB  # objects of a request in progress and of its attempts
 BUFFERS_PER_EXCHANGE = 2  # of its response
 BUFFERS_PER_UPLOAD = 2  # of a request that is forwarded while it is received
-EXECUTED_ID_BYTES = 128  # with its records in shared files
+EXECUTED_ID_BYTES = 128
 
 RESIDENT_PAGES_FIELD = 1
 
@@ -96,6 +97,12 @@
         self.executed_ids = MemoryPool("executed_ids", usable * IDS_RATIO, self.requests)
         self.pools = (self.receiving, self.exchanges, self.unsent, self.executed_ids)
 
+    def reserve_id_files(self, count: int) -> int:
+        """Reserve the memory of `count` files of ids, as files count as memory; return the bytes of one."""
+        size = int(self.usable_bytes * ID_FILES_RATIO) // count
+        self.requests.add(count * size)
+        return size
+
     @property
     def max_uploads(self) -> int:
         """The number of requests that may be forwarded while they are received."""
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -35,7 +35,7 @@
 from loadbalancer.node.shutdown import GracefulShutdown
 from loadbalancer.node.sibling_process import SiblingProcess
 from loadbalancer.node.state.ejections import EjectionStore
-from loadbalancer.node.state.executed_id_log import ExecutedIdLog
+from loadbalancer.node.state.executed_id_log import MAX_FILES, ExecutedIdLog
 from loadbalancer.node.state.handover import HandoverFiles
 from loadbalancer.node.state_writer import StateWriter
 from loadbalancer.node.upstream.pool import ConnectionPool
@@ -123,7 +123,9 @@
         if self.config.accept_fd is None or folder is None:
             return ExecutedIds(self.memory.executed_ids, retention_s, now)
         process = f"{os.getpid()}-{time.monotonic_ns()}"
-        self._executed_id_log = ExecutedIdLog(folder, process, retention_s)
+        self._executed_id_log = ExecutedIdLog(
+            folder, process, retention_s, self.memory.reserve_id_files(MAX_FILES)
+        )
         return ExecutedIds(self.memory.executed_ids, retention_s, now, self._executed_id_log)
 
     def _build_endpoint_list(self) -> None:
--- a/loadbalancer/node/state/executed_id_log.py
+++ b/loadbalancer/node/state/executed_id_log.py
@@ -22,7 +22,7 @@
 FILE_PREFIX = "claims-"
 RECORD = Struct("<QdB")  # key, monotonic time (s), kind
 CLAIM, RELEASE = 1, 0
-MAX_FILE_BYTES = 60_000 * RECORD.size
+MAX_FILE_BYTES = 60_000 * RECORD.size  # default
 MAX_FILES = 3  # of one process; the oldest is removed once all of its records have expired
 READ_BYTES = 4096 * RECORD.size
 
@@ -53,11 +53,17 @@
     process still knows the id.
     """
 
-    def __init__(self, folder: Path, process: str, retention_s: float) -> None:
-        """`process` begins with the process id and is unique among the processes that share the folder."""
+    def __init__(
+        self, folder: Path, process: str, retention_s: float, max_file_bytes: int = MAX_FILE_BYTES
+    ) -> None:
+        """`process` begins with the process id and is unique among the processes that share the folder.
+
+        It has at most MAX_FILES files of `max_file_bytes`, beside the records of requests in progress.
+        """
         self._folder = folder
         self._prefix = f"{FILE_PREFIX}{process}-"
         self._retention_s = retention_s
+        self._max_file_bytes = max_file_bytes
         self._own: deque[_OwnFile] = deque()  # the file that is written to is the last
         self._others: dict[str, _OtherFile] = {}
         self._created = 0
@@ -65,7 +71,7 @@
 
     def has_capacity(self, now: float) -> bool:
         """Whether another claim fits into the files of this process at loop time `now` (s)."""
-        if len(self._own) < MAX_FILES or self._own[-1].size < MAX_FILE_BYTES:
+        if len(self._own) < MAX_FILES or self._own[-1].size < self._max_file_bytes:
             return True
         self._remove_expired(now)
         return len(self._own) < MAX_FILES
@@ -116,10 +122,15 @@
         self._failures.success()
 
     def _writable_file(self, now: float) -> _OwnFile:
-        """Return the file to append to; begin a new one and remove expired ones when the last is full."""
-        if self._own and self._own[-1].size < MAX_FILE_BYTES:
+        """Return the file to append to; begin a new one and remove expired ones when the last is full.
+
+        With MAX_FILES files the last one also gets the records of requests that are in progress.
+        """
+        if self._own and self._own[-1].size < self._max_file_bytes:
             return self._own[-1]
         self._remove_expired(now)
+        if len(self._own) >= MAX_FILES:
+            return self._own[-1]
         self._folder.mkdir(parents=True, exist_ok=True)
         path = self._folder / f"{self._prefix}{self._created}"
         descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
--- a/tests/node/state/test_executed_id_log.py
+++ b/tests/node/state/test_executed_id_log.py
@@ -12,7 +12,7 @@
 from loadbalancer.node.executed_ids import GENERATIONS, ExecutedIds, key_of
 from loadbalancer.node.memory_budget import EXECUTED_ID_BYTES, MemoryPool
 from loadbalancer.node.state import executed_id_log
-from loadbalancer.node.state.executed_id_log import RECORD, ExecutedIdLog
+from loadbalancer.node.state.executed_id_log import MAX_FILE_BYTES, RECORD, ExecutedIdLog
 
 RETENTION_S = 30.0
 
@@ -20,9 +20,11 @@
 class Process:
     """The ids of one process that shares `folder`."""
 
-    def __init__(self, folder: Path, name: str, capacity: int = 1000) -> None:
+    def __init__(
+        self, folder: Path, name: str, capacity: int = 1000, max_file_bytes: int = MAX_FILE_BYTES
+    ) -> None:
         self.pool = MemoryPool("ids", capacity * EXECUTED_ID_BYTES)
-        self.log = ExecutedIdLog(folder, f"{os.getpid()}-{name}", RETENTION_S)
+        self.log = ExecutedIdLog(folder, f"{os.getpid()}-{name}", RETENTION_S, max_file_bytes)
         self.ids = ExecutedIds(self.pool, RETENTION_S, 0.0, self.log)
 
     def execute(self, request_id: str, now: float = 0.0) -> bool:
@@ -131,9 +133,8 @@
     assert caplog.records
 
 
-def test_files_are_bounded_and_removed_once_their_records_have_expired(tmp_path, monkeypatch):
-    monkeypatch.setattr(executed_id_log, "MAX_FILE_BYTES", 10 * RECORD.size)
-    process, other = Process(tmp_path, "a"), Process(tmp_path, "b")
+def test_files_are_bounded_and_removed_once_their_records_have_expired(tmp_path):
+    process, other = Process(tmp_path, "a", max_file_bytes=10 * RECORD.size), Process(tmp_path, "b")
     executed = [process.execute(f"q{index}") for index in range(40)]
     assert executed.count(True) == 30
     assert not other.execute("q1")
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -13,6 +13,7 @@
 from loadbalancer.node.listener.connection import ServerConnection
 from loadbalancer.node.memory_budget import EXECUTED_ID_BYTES
 from loadbalancer.node.node import Node
+from loadbalancer.node.state.executed_id_log import FOLDER_NAME, MAX_FILES, RECORD
 from tests.support.loopback import (
     BlockedServer,
     Client,
@@ -107,6 +108,29 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("memory_mb", [32, 64])
+def test_files_of_claimed_ids_fit_into_the_memory_budget(memory_mb, tmp_path):
+    """Each claim is released, as no server executes a request; only the files grow."""
+
+    async def main():
+        listening = socket.create_server(("127.0.0.1", 0))
+        shared = {"accept_fd": str(os.dup(listening.fileno())), "tmpdir": str(tmp_path)}
+        async with loopback_node(StubServer(), memory_mb=memory_mb, **shared) as node:
+            reserved, now = node.memory.requests.reserved_bytes, node.loop.time()
+            ids = node.request_registry.executed_ids
+            accepted = 0
+            while accepted < 200_000 and ids.reserve(now):
+                accepted += 1
+                ids.claim(f"q{accepted}", now)
+                ids.end(f"q{accepted}", executed=False, claimed=True, now=now)
+            folder = tmp_path / FOLDER_NAME
+            assert sum(path.stat().st_size for path in folder.iterdir()) <= reserved + MAX_FILES * RECORD.size
+            assert node.memory.requests.reserved_bytes == reserved < node.memory.requests.limit_bytes / 5
+        listening.close()
+
+    asyncio.run(main())
+
+
 async def at_process(node: Node, data: bytes, status: int) -> None:
     """Send a request to this process, although another accepts from the same socket."""
     with socket.create_server(("127.0.0.1", 0)) as private:
