An idle connection to a server no longer holds its last response

Change: the response is handed over with the end of its exchange. Evidence: test_idle_connection_to_a_server_does_not_hold_its_last_response, three cases, all failed before.

--- a/loadbalancer/node/http/client_connection.py
+++ b/loadbalancer/node/http/client_connection.py
@@ -258,11 +258,13 @@
                 self._unusable = True
             if self._unusable:
                 self.abort()
-            if self._response.stream is not None:
+            # An idle connection doesn't hold its last response.
+            response, self._response = self._response, Response()
+            if response.stream is not None:
                 # The sink may have paused reading at the last bytes and will not resume it.
                 self.resume()
-                self._response.stream.end()
-            exchange.on_response(self._response)
+                response.stream.end()
+            exchange.on_response(response)
         elif self._unusable:
             self._end_exchange(self._written)
 
--- a/tests/node/test_memory_budget.py
+++ b/tests/node/test_memory_budget.py
@@ -225,6 +225,23 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("size", [4, 6_000, 500_000])
+def test_idle_connection_to_a_server_does_not_hold_its_last_response(size: int):
+    async def main():
+        async def respond(_message: Message) -> bytes:
+            return http_response(body=bytes(size))
+
+        async with loopback_node(StubServer(respond)) as node:
+            assert len((await exchange(node, request())).body) == size
+            (connection,) = node.pool._connections
+            assert connection.usable
+            assert not connection._response.body
+            assert not connection._response.headers
+            assert connection._response.stream is None
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("reason", ["unknown path", "limit of uploads", "response before the request's end"])
 def test_request_that_is_rejected_while_it_is_received_is_not_held_until_its_client_closes(reason: str):
     async def main():
