CPU of a call: short messages are parsed at once, and the data path calls less

Change: a read of at most one slice (512 bytes) that begins a message and has one end of a head is given to the parser as it is; a turn ended there anyway. No closures and no properties in the turns, no second count of a basic request, no reservation that is given back and taken again, one look at the loop per object instead of seven a call (each is a getpid in CPython 3.11).

The request is discarded where the final response is written.

--- a/loadbalancer/node/active_request.py
+++ b/loadbalancer/node/active_request.py
@@ -20,6 +20,7 @@
     deadline: float  # loop time (s)
     client_timeout_s: float  # starts at the request's last byte
     received_at: float  # loop time (s) of its last byte, or of its dispatch while it is being received
+    executes_once: bool  # whether it must not be executed a second time
     reserved_bytes: int  # of the memory budget, until its response has ended and no attempt is in flight
     backstop_timer: asyncio.TimerHandle | None = None
     check_timer: asyncio.TimerHandle | None = None  # of its upload or of its streamed response
--- a/loadbalancer/node/attempt_dispatcher.py
+++ b/loadbalancer/node/attempt_dispatcher.py
@@ -20,6 +20,7 @@
 from loadbalancer.settings import parse_load_report
 
 LOAD_REPORT_HEADER = b"srv-load"
+OK_STATUS = HTTPStatus.OK.value  # a plain integer, as each response has it
 
 
 class AttemptDispatcher:
@@ -110,7 +111,7 @@
             active.possibly_executed = active.possibly_executed or not result.never_executed
             if result is AttemptResult.OK and response is not None:
                 if response.stream is None:
-                    self._requests.respond(active, HTTPStatus.OK, bytes(response.body))
+                    self._requests.respond(active, OK_STATUS, bytes(response.body))
                 else:
                     self._requests.begin_stream(active, response.content_length, response.stream)
             self._requests.release(active)
--- a/loadbalancer/node/executed_ids.py
+++ b/loadbalancer/node/executed_ids.py
@@ -54,7 +54,8 @@
 
     def reserve(self, now: float) -> bool:
         """Reserve memory for an id; return False if there is none. `end` uses or returns it."""
-        self._rotate(now)
+        if now >= self._rotates_at:
+            self._rotate(now)
         if self._sibling_claims is not None and not self._sibling_claims.has_capacity(now):
             return False
         return self._pool.reserve(EXECUTED_ID_BYTES)
@@ -65,7 +66,8 @@
 
     def contains(self, request_id: str, now: float) -> bool:
         """Whether a server may have executed a request with this id; `now` is the loop time (s)."""
-        self._rotate(now)
+        if now >= self._rotates_at:
+            self._rotate(now)
         if self._sibling_claims is not None:
             self._sibling_claims.read(self, now)
         return self._has(key_of(request_id))
@@ -85,13 +87,17 @@
 
     def end(self, request_id: str, executed: bool, claimed: bool, now: float) -> None:
         """Note the end of a request: retain its id if a server may have executed it, else free its memory."""
-        self.cancel_reservation()
         key = key_of(request_id)
         if executed:
-            self._rotate(now)
-            self.add(key)
+            if now >= self._rotates_at:
+                self._rotate(now)
+            newest = self._generations[-1]
+            if key not in newest:
+                newest.add(key)
+                return  # the reservation is used
         elif claimed and self._sibling_claims is not None and not self._has(key):
             self._sibling_claims.release(key, now)
+        self.cancel_reservation()
 
     def add(self, key: int) -> None:
         """Retain a key from now on."""
--- a/loadbalancer/node/http/client_connection.py
+++ b/loadbalancer/node/http/client_connection.py
@@ -18,6 +18,7 @@
 
 MAX_BUFFERED_BYTES = HIGH_WATER_BYTES  # default size limit of a buffered response body
 LAST_CHUNK = b"0\r\n\r\n"
+OK_STATUS = HTTPStatus.OK.value  # a plain integer, as each response is compared with it
 
 
 def encode_chunk(data: bytes) -> bytes:
@@ -69,6 +70,7 @@
         self._max_buffered_bytes = max_buffered_bytes
         self._streams = streams
         self._transport: asyncio.Transport | None = None
+        self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._turns = TurnParser(self._parser.feed_data, self)
         self._scheduler = TurnScheduler() if scheduler is None else scheduler
@@ -186,13 +188,13 @@
     def pause_writing(self) -> None:
         """Pause the upload."""
         if self._upload is not None:
-            self.upload_progress_at = asyncio.get_running_loop().time()
+            self.upload_progress_at = self._loop.time()
             self._upload.body.pause()
 
     def resume_writing(self) -> None:
         """Resume the upload or, if there is none, note that the request has been sent."""
         if self._upload is not None:
-            self.upload_progress_at = asyncio.get_running_loop().time()
+            self.upload_progress_at = self._loop.time()
             self._upload.body.resume()
             return
         self._written = True
@@ -208,21 +210,29 @@
         if self._exchange is None:
             self.abort()
             return
-        self.last_data_at = asyncio.get_running_loop().time()
-        self._take_turn(lambda: self._turns.feed(data))
+        self.last_data_at = self._loop.time()
+        try:
+            self._turns.feed(data)
+        except MalformedMessageError:
+            self._unusable = self.malformed = True
+        self._end_turn()
 
     def parse_unparsed(self) -> None:
         """Parse the bytes that the last turn has left, unless the sink has paused the response."""
         if not self._paused:
-            self._take_turn(self._turns.resume)
+            self._resume_turn()
             self._apply_pause()
 
-    def _take_turn(self, parse: Callable[[], None]) -> None:
-        """Parse for one turn; forward what has arrived once the read has been parsed or the response ends."""
+    def _resume_turn(self) -> None:
+        """Parse unparsed bytes for one turn."""
         try:
-            parse()
+            self._turns.resume()
         except MalformedMessageError:
             self._unusable = self.malformed = True
+        self._end_turn()
+
+    def _end_turn(self) -> None:
+        """Forward what has arrived once the read has been parsed or the response ends."""
         if self._turns.has_unparsed and not (self._complete or self._unusable):
             self._apply_pause()
             return
@@ -297,7 +307,7 @@
         What has been received before may be a complete response.
         """
         while self._turns.has_unparsed and self._exchange is not None:
-            self._take_turn(self._turns.resume)
+            self._resume_turn()
         self._end_exchange(self._written)
         self._turns.close()
         del self._parser
@@ -317,7 +327,7 @@
 
     def resume(self) -> None:
         """Continue reading; the time since the last data restarts now."""
-        self.last_data_at = asyncio.get_running_loop().time()
+        self.last_data_at = self._loop.time()
         self._paused = False
         self._apply_pause()
 
@@ -367,7 +377,7 @@
                 # Rejected at its head, because a request can't be retried once its response is streamed.
                 self._unusable = self.malformed = True
             self._ends_with_connection = response.ends_with_connection(self._parser.get_http_version())
-            if response.status == HTTPStatus.OK and not self._written:
+            if response.status == OK_STATUS and not self._written:
                 # A server needs the complete request to succeed; this is a late response to an earlier one.
                 self._unusable = True
 
@@ -378,7 +388,7 @@
         """
         self.steps += 1
         self._body_size += len(body)
-        if self._streams and self._response.status != HTTPStatus.OK:
+        if self._streams and self._response.status != OK_STATUS:
             if self._body_size > self._max_buffered_bytes:
                 self._complete = self._unusable = True
         elif self._body_size > (MAX_BODY_BYTES if self._streams else self._max_buffered_bytes):
@@ -394,7 +404,7 @@
         status = self._parser.get_status_code()
         if self._complete or self._unusable:
             return
-        if status < HTTPStatus.OK:
+        if status < OK_STATUS:
             self._response, self._body_size = Response(), 0
             return
         self._complete = True
--- a/loadbalancer/node/http/turn_parser.py
+++ b/loadbalancer/node/http/turn_parser.py
@@ -55,12 +55,12 @@
 
     __slots__ = (
         "_failed",
-        "_in_turn",
         "_message",
         "_offset",
         "_parse",
         "_slice_bytes",
         "_unparsed",
+        "has_unparsed",
         "silent_bytes",
     )
 
@@ -70,15 +70,10 @@
         self._unparsed = b""
         self._offset = 0  # of the first unparsed byte
         self._slice_bytes = SLICE_BYTES
-        self._in_turn = False
         self._failed = False
+        self.has_unparsed = False  # whether the last turn has left received bytes, which wait for `resume`
         self.silent_bytes = 0  # parsed since the last callback; httptools may buffer them
 
-    @property
-    def has_unparsed(self) -> bool:
-        """Whether the last turn has left received bytes, which wait for `resume`."""
-        return self._offset < len(self._unparsed) and not self._in_turn
-
     @property
     def memory_bytes(self) -> int:
         """The memory of the bytes that are not parsed or not reported yet."""
@@ -88,7 +83,14 @@
         """Parse received bytes, up to the limit of a turn."""
         if self._failed:
             return
-        self._unparsed = self._unparsed[self._offset :] + data if self.has_unparsed else data
+        if not self._unparsed:
+            if len(data) <= SLICE_BYTES and self._is_one_message(data):
+                self.silent_bytes = 0
+                self._parse_checked(data)
+                return
+            self._unparsed = data
+        else:
+            self._unparsed = self._unparsed[self._offset :] + data
         self._offset = 0
         self.resume()
 
@@ -96,13 +98,14 @@
         """Parse bytes that earlier turns have left, up to the limit of a turn."""
         if self._message.between_messages:
             self._skip_empty_lines()
-        self._in_turn = True
+        self.has_unparsed = False
         try:
             self._run_turn()
         finally:
-            self._in_turn = False
             if self._offset >= len(self._unparsed):
                 self.discard()
+            else:
+                self.has_unparsed = True
 
     def stop(self) -> None:
         """Discard all bytes, and parse nothing more."""
@@ -112,6 +115,7 @@
     def discard(self) -> None:
         """Discard the bytes that are not parsed."""
         self._unparsed, self._offset = b"", 0
+        self.has_unparsed = False
 
     def close(self) -> None:
         """Stop, and drop the references to the parser and the message."""
@@ -120,6 +124,22 @@
 
     # ---------------------------------------------------------------- internals
 
+    def _is_one_message(self, data: bytes) -> bool:
+        """Whether the bytes begin a message and end at most one."""
+        return (
+            data.count(HEAD_END) == 1
+            and not data.startswith((b"\r", b"\n"))
+            and self._message.between_messages
+        )
+
+    def _parse_checked(self, data: bytes) -> None:
+        """Give the parser these bytes; raise MalformedMessageError if they are invalid."""
+        try:
+            self._parse(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.stop()
+            raise MalformedMessageError(error) from error
+
     def _run_turn(self) -> None:
         completed, steps = self._message.completed, 0
         while self._offset < len(self._unparsed) and not self._failed:
@@ -148,11 +168,7 @@
             data = data[self._offset : end]
         self._offset = end
         steps = message.steps
-        try:
-            self._parse(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.stop()
-            raise MalformedMessageError(error) from error
+        self._parse_checked(data)
         steps = message.steps - steps
         if steps:
             self.silent_bytes = 0
--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -184,7 +184,8 @@
 
     def _dispatch(self, request: InboundRequest) -> None:
         request.dispatched = True
-        self._reserve_received()
+        if self._receiving_bytes:
+            self._reserve_received()
         if request.receiving:
             self._read_control.restart_arrival()
         if request.target.partition(b"?")[0] == READINESS_PATH:
@@ -283,6 +284,9 @@
         self.state = ConnectionState.SEND_RESPONSE if self._queue else ConnectionState.IDLE
         if close:
             self._linger_and_close()
+            # A request that is still being received has its response; the rest of it is discarded.
+            self._parser.discard()
+            self._reserve_received()
         elif self._queue:
             self._listener.loop.call_soon(self._advance_queue)
         else:
--- a/loadbalancer/node/listener/connection_states.py
+++ b/loadbalancer/node/listener/connection_states.py
@@ -207,11 +207,12 @@
 
         A dispatched request is part of an exchange, and a basic one is part of its connection.
         """
-        size = self._parser.memory_bytes
+        size = self._parser.memory_bytes - BASIC_REQUEST_BYTES
         for request in self._queue:
             if not request.dispatched:
                 size += request.memory_bytes
-        size = max(0, size - BASIC_REQUEST_BYTES)
+        if size < 0:
+            size = 0
         growth = size - self._receiving_bytes
         if growth == 0:
             return True
@@ -286,14 +287,9 @@
         return True
 
     def _linger_and_close(self) -> None:
-        """Shut down the sending side after the last response, and start the lingering close.
-
-        A request that is still being received has its response; the rest of it is discarded.
-        """
+        """Shut down the sending side after the last response, and start the lingering close."""
         self.state = ConnectionState.MUST_CLOSE
         self._linger = LingeringClose(self._listener.loop.time())
-        self._parser.discard()
-        self._reserve_received()
         self._transport.resume_reading()
         try:
             self._transport.write_eof()
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -85,19 +85,22 @@
     def feed(self, data: bytes, now: float, arrival: float) -> None:
         """Parse bytes read at loop time `now` (s) that may have arrived as early as `arrival` (s)."""
         self._now, self._arrival, self._last_data_at = now, arrival, now
-        self._take_turn(lambda: self._turns.feed(data))
+        try:
+            self._turns.feed(data)
+        except MalformedMessageError:
+            self._fail(HTTPStatus.BAD_REQUEST)
+        if self._body_parts:
+            self._flush_body()
 
     def resume(self, now: float) -> None:
         """Parse unparsed bytes at loop time `now` (s), up to the limit of a turn."""
         self._now = now
-        self._take_turn(self._turns.resume)
-
-    def _take_turn(self, parse: Callable[[], None]) -> None:
         try:
-            parse()
+            self._turns.resume()
         except MalformedMessageError:
             self._fail(HTTPStatus.BAD_REQUEST)
-        self._flush_body()
+        if self._body_parts:
+            self._flush_body()
 
     def _remainder_fits_in_transit(self) -> bool:
         """Whether the rest of the body is unknown, or short enough to have been sent completely."""
@@ -106,10 +109,7 @@
 
     def _flush_body(self) -> None:
         """Pass on the parts of the body that this turn has received, as one."""
-        parts = self._body_parts
-        if not parts:
-            return
-        self._body_parts = []
+        parts, self._body_parts = self._body_parts, []
         if self.request is not None:
             self.request.body.feed(parts[0] if len(parts) == 1 else b"".join(parts))
 
@@ -261,7 +261,8 @@
         if request is None or self.state is ReceiveState.ERROR:
             return
         self.completed += 1
-        self._flush_body()
+        if self._body_parts:
+            self._flush_body()
         self.state, self.request, self.is_first = ReceiveState.IDLE, None, False
         # The client timeout starts at the arrival, even if the bytes wait unread behind another request.
         request.received_at = self.earliest_end(self._arrival)
--- a/loadbalancer/node/listener/request_translation.py
+++ b/loadbalancer/node/listener/request_translation.py
@@ -43,9 +43,10 @@
     headers = inbound.headers
     path = inbound.target.partition(b"?")[0]
     parts = path.split(b"/")
-    service_class = (
-        classes.get(unquote_to_bytes(parts[1]).decode("utf-8", "replace")) if len(parts) > 1 else None
-    )
+    if len(parts) <= 1:
+        raise BadRequestError(HTTPStatus.NOT_FOUND)
+    name = unquote_to_bytes(parts[1]) if b"%" in parts[1] else parts[1]
+    service_class = classes.get(name.decode("utf-8", "replace"))
     if service_class is None:
         raise BadRequestError(HTTPStatus.NOT_FOUND)
     if inbound.method != (b"GET" if service_class.effect is Effect.IDEMPOTENT else b"POST"):
--- a/loadbalancer/node/memory_budget.py
+++ b/loadbalancer/node/memory_budget.py
@@ -65,17 +65,22 @@
 
     def add(self, size: int) -> None:
         """Count `size` bytes that are held already, even if they exceed the limit; a negative size frees."""
-        self.reserved_bytes += size
-        if self.parent is not None:
-            self.parent.add(size)
+        pool: MemoryPool | None = self
+        while pool is not None:
+            pool.reserved_bytes += size
+            pool = pool.parent
 
     def release(self, size: int) -> None:
         """Free `size` bytes."""
         self.add(-size)
 
     def _fits(self, size: int) -> bool:
-        fits = self.reserved_bytes + size <= self.limit_bytes
-        return fits and (self.parent is None or self.parent._fits(size))
+        pool: MemoryPool | None = self
+        while pool is not None:
+            if pool.reserved_bytes + size > pool.limit_bytes:
+                return False
+            pool = pool.parent
+        return True
 
 
 class MemoryBudget:
--- a/loadbalancer/node/request_registry.py
+++ b/loadbalancer/node/request_registry.py
@@ -79,14 +79,14 @@
         self._counts["requests"] += 1
         try:
             parsed = parse_request(inbound, self._classes, self._clock.unix_ms(inbound.received_at))
-            self._check_new(parsed.request)
+            request = parsed.request
+            # A request beyond a limit was sent to no endpoint, so the client may safely retry it.
+            executes_once = self._executes_once(request.service)
+            self._check_new(request, executes_once)
         except BadRequestError as error:
             self._counts[f"bad requests {error.status}"] += 1
             inbound.respond(error.status)
             return
-        request = parsed.request
-        # A request beyond a limit was sent to no endpoint, so the client may safely retry it.
-        executes_once = self._executes_once(request.service)
         reserved_bytes = self._memory.exchange_bytes(inbound.memory_bytes, inbound.receiving)
         limit = self._limits.reserve(self.in_progress, self._uploads(inbound), reserved_bytes, executes_once)
         if limit is not None:
@@ -100,6 +100,7 @@
             received_at + timeout_s,
             timeout_s,
             received_at,
+            executes_once,
             reserved_bytes,
         )
         self.active[request.id] = active
@@ -134,7 +135,7 @@
         If another process of this node has claimed it, respond with 502 and return False: that request may
         have been executed.
         """
-        if active.claimed or not self._executes_once(active.service):
+        if active.claimed or not active.executes_once:
             return True
         active.claimed = True
         if self.executed_ids.claim(active.id, self._loop.time()):
@@ -143,14 +144,13 @@
         self.respond(active, HTTPStatus.BAD_GATEWAY)
         return False
 
-    def _check_new(self, request: Request) -> None:
+    def _check_new(self, request: Request, executes_once: bool) -> None:
         """Raise BadRequestError if an earlier request with this id is unanswered or may still be executed."""
         earlier = self.active.get(request.id)
         if earlier is not None and self.awaits_response(earlier):
             raise BadRequestError(HTTPStatus.BAD_REQUEST)
         # An attempt of the earlier request may have been executed or still be in flight, so another attempt
         # could execute it twice. A 503 invites a retry, which is safe only if it is idempotent.
-        executes_once = self._executes_once(request.service)
         if executes_once and self.executed_ids.contains(request.id, self._loop.time()):
             self._counts["repeated ids"] += 1
             raise BadRequestError(HTTPStatus.BAD_GATEWAY)
@@ -165,6 +165,7 @@
         # The client timeout also runs while bytes wait unread here for an endpoint that reads slowly.
         active.received_at = active.inbound.received_at
         active.deadline = active.received_at + active.client_timeout_s
+        self._cancel_timers(active)
         self._set_backstop(active)
         for attempt in active.attempts:
             if attempt is not None:
@@ -197,7 +198,6 @@
             self._handle_event(RequestCancelled(active.id))
 
     def _set_backstop(self, active: ActiveRequest) -> None:
-        self._cancel_timers(active)
         active.backstop_timer = self._loop.call_at(
             active.deadline + BACKSTOP_DELAY_S, self._on_backstop, active
         )
@@ -298,7 +298,7 @@
     def release(self, active: ActiveRequest) -> None:
         """Remove the request if it is answered and none of its attempts is in flight."""
         if active.answered and not active.attempts_in_flight and self.active.pop(active.id, None) is not None:
-            if self._executes_once(active.service):
+            if active.executes_once:
                 now = self._loop.time()
                 self.executed_ids.end(active.id, active.possibly_executed, active.claimed, now)
             self._release_memory(active)
--- a/loadbalancer/node/upstream/attempt.py
+++ b/loadbalancer/node/upstream/attempt.py
@@ -92,7 +92,7 @@
         self._endpoint: PooledEndpoint | None = None
         self._connection: ClientConnection | None = None
         self._connect_task: asyncio.Task[None] | None = None
-        loop = asyncio.get_running_loop()
+        loop = self._loop = asyncio.get_running_loop()
         self._deadline = loop.time() + timeout_s
         self._written_by = written_by
         bounded = written_by < math.inf
@@ -108,7 +108,7 @@
         Results are reported in a later loop iteration, after the action that started the attempt has ended.
         """
         self._endpoint = endpoint
-        loop = asyncio.get_running_loop()
+        loop = self._loop
         if not self._may_write():
             loop.call_soon(self.withdraw, AttemptResult.ABANDONED)
         elif (connection := self._pool.acquire_idle(endpoint)) is not None:
@@ -124,7 +124,7 @@
         """Start the timeout, at most `limit_s`, as the request's last byte has been received."""
         if not self._ended:
             self._timer.cancel()
-            loop = asyncio.get_running_loop()
+            loop = self._loop
             self._deadline = loop.time() + min(self._timeout_s, limit_s)
             self._timer = loop.call_at(self._deadline, self._on_timeout)
 
@@ -181,7 +181,7 @@
         the attempt separately (`remove_endpoint`).
         """
         receiving = self._body is not None and not self._body.ended
-        now = asyncio.get_running_loop().time()
+        now = self._loop.time()
         in_time = (receiving or now < self._deadline) and now < self._written_by
         replayable = self._body is None or self._body.replayable
         return not self._ended and in_time and replayable and self._is_awaited()
@@ -213,7 +213,7 @@
 
     def _write(self, connection: ClientConnection) -> None:
         self._connection = connection
-        now = asyncio.get_running_loop().time()
+        now = self._loop.time()
         receiving = self._body is not None and not self._body.ended
         remaining_s = self._timeout_s if receiving else self._deadline - now
         connection.upload_progress_at = now
@@ -221,7 +221,7 @@
 
     def _watch_upload(self) -> None:
         """End the attempt if the endpoint stops reading the body; the listener supervises the client."""
-        loop = asyncio.get_running_loop()
+        loop = self._loop
         connection, due = self._connection, loop.time() + self._upload_timeout_s
         if connection is not None and self._body is not None and self._body.paused:
             due = connection.upload_progress_at + self._upload_timeout_s
@@ -235,7 +235,7 @@
         connection = self._connection
         if connection is None:
             return
-        loop = asyncio.get_running_loop()
+        loop = self._loop
         due = (loop.time() if connection.stream_paused else connection.last_data_at) + STREAM_IDLE_TIMEOUT_S
         if due <= loop.time():
             connection.abandon()
--- a/loadbalancer/node/upstream/pool.py
+++ b/loadbalancer/node/upstream/pool.py
@@ -50,6 +50,7 @@
         self._connections: set[ClientConnection] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._turns = TurnScheduler()
+        self._loop = asyncio.get_running_loop()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -125,7 +126,7 @@
         A second response within milliseconds of the first would be taken for the next request's response;
         during the reuse delay it ends the connection instead.
         """
-        now = asyncio.get_running_loop().time()
+        now = self._loop.time()
         reusable = sum(now - connection.idle_since >= REUSE_DELAY_S for connection in endpoint.idle)
         while reusable:
             reusable -= 1
@@ -140,7 +141,7 @@
         if self._idle_timeout_s <= 0.0 or not connection.usable or endpoint not in self._endpoints.values():
             connection.abort()
             return
-        connection.idle_since = asyncio.get_running_loop().time()
+        connection.idle_since = self._loop.time()
         endpoint.idle.append(connection)
         if self._sweep_timer is None:
             self._schedule_sweep()
@@ -170,7 +171,7 @@
         task = asyncio.current_task()
         assert task is not None
         try:
-            _, connection = await asyncio.get_running_loop().create_connection(
+            _, connection = await self._loop.create_connection(
                 lambda: ClientConnection(
                     self._connections.discard,
                     self._max_buffered_bytes,
@@ -190,12 +191,12 @@
 
     def _schedule_sweep(self) -> None:
         delay_s = self._idle_timeout_s / SWEEPS_PER_IDLE_TIMEOUT
-        self._sweep_timer = asyncio.get_running_loop().call_later(delay_s, self._sweep)
+        self._sweep_timer = self._loop.call_later(delay_s, self._sweep)
 
     def _sweep(self) -> None:
         """Close connections that have been idle for the idle timeout."""
         self._sweep_timer = None
-        idle_since_bound = asyncio.get_running_loop().time() - self._idle_timeout_s
+        idle_since_bound = self._loop.time() - self._idle_timeout_s
         for endpoint in self._endpoints.values():
             while endpoint.idle and endpoint.idle[0].idle_since < idle_since_bound:
                 endpoint.idle.pop(0).abort()
