--- a/review/support_2/platform.py
+++ b/review/support_2/platform.py
@@ -166,7 +166,11 @@
     """A node that is started by the deploy file's `run`, from the root, as the platform does it."""
 
     def __init__(
-        self, folder: Path, discovery: Discovery, shared: socket.socket | None = None, **settings: object
+        self,
+        folder: Path,
+        discovery: Discovery,
+        shared: socket.socket | None = None,
+        memory_mb: int = 128,
     ) -> None:
         """`shared`: the clients' listening socket that the platform holds on days with upgrades."""
         self.shared = shared
@@ -180,9 +184,9 @@
             "listen": f"{HOST}:{self.port}",
             "discovery": f"{HOST}:{discovery.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
             "known": discovery.page(None),
-            "settings": SETTINGS | settings,
+            "settings": SETTINGS,
         }
         self._config.write_text(json.dumps(document))
         self.process: asyncio.subprocess.Process | None = None
