Review stand-ins: a script that is ended ends its nodes, and keeps descriptor 5 free

SIGTERM to a script left its node running, and the shared socket of case 9 took a descriptor of the script's own event loop.

--- a/review/support_2/platform.py
+++ b/review/support_2/platform.py
@@ -244,6 +244,9 @@
 
 
 async def _run(case: Case, record: Record) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # ends the nodes too
     async with contextlib.AsyncExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         async with asyncio.timeout(CASE_LIMIT_S):
@@ -257,12 +260,17 @@
 
     A case returns whether the rule held. It registers the end of its nodes with the stack that it gets.
     """
+    # Taken before the event loop opens descriptors of its own; a node's shared socket is put there later.
+    os.dup2(os.open(os.devnull, os.O_RDONLY), ACCEPT_FD)
     with (folder / "record.txt").open("w") as file:
         record = Record(file)
         record.note(f"disruption: {'yes' if trouble() else 'no'}")
         try:
             code = asyncio.run(_run(case, record))
-        except Exception as error:  # any failure of the case itself is no verdict on the node
+        except (
+            Exception,
+            asyncio.CancelledError,
+        ) as error:  # a failure of the case is no verdict on the node
             record.note(f"could not run: {error!r}")
             code = NOT_RUN
     sys.exit(code)
