--- a/review/7/case.py
+++ b/review/7/case.py
@@ -81,4 +81,4 @@
     return await client == ANSWER_BYTES
 
 
-main(run, Path(__file__).parent)
+main(run, Path(__file__).with_name("record.txt"))
--- a/review/support_2/platform.py
+++ b/review/support_2/platform.py
@@ -255,22 +255,26 @@
     return HELD if held else BROKEN
 
 
-def main(case: Case, folder: Path) -> None:
-    """Run a case, write its record into its folder, and exit with its result.
+def main(case: Case, record_path: Path) -> None:
+    """Run a case, write its record to this path, and exit with its result.
 
     A case returns whether the rule held. It registers the end of its nodes with the stack that it gets.
     """
-    # Taken before the event loop opens descriptors of its own; a node's shared socket is put there later.
-    os.dup2(os.open(os.devnull, os.O_RDONLY), ACCEPT_FD)
-    with (folder / "record.txt").open("w") as file:
-        record = Record(file)
-        record.note(f"disruption: {'yes' if trouble() else 'no'}")
-        try:
-            code = asyncio.run(_run(case, record))
-        except (
-            Exception,
-            asyncio.CancelledError,
-        ) as error:  # a failure of the case is no verdict on the node
-            record.note(f"could not run: {error!r}")
-            code = NOT_RUN
+    try:
+        # Taken before the event loop opens descriptors of its own; a node's shared socket is put there later.
+        os.dup2(os.open(os.devnull, os.O_RDONLY), ACCEPT_FD)
+        with record_path.open("w") as file:
+            code = _run_recorded(case, Record(file))
+    except OSError as error:  # the record can't be written
+        print(f"could not run: {error!r}", file=sys.stderr)
+        code = NOT_RUN
     sys.exit(code)
+
+
+def _run_recorded(case: Case, record: Record) -> int:
+    record.note(f"disruption: {'yes' if trouble() else 'no'}")
+    try:
+        return asyncio.run(_run(case, record))
+    except (Exception, asyncio.CancelledError) as error:  # a failure of the case is no verdict on the node
+        record.note(f"could not run: {error!r}")
+        return NOT_RUN
