A client that reads slowly is no longer closed as stalled

What callers saw: a client that read a long response at 64 kB/s was closed, and got 3.6 of 33.6 MB.

Cause: a client counted as stalled when the write buffer stayed the same for 10 s. The kernel takes more from that buffer only once a third of its own, up to 4 MiB, is free, for which such a client needs 20 s.

Fix: TCP_INFO tells what the client has received; 10 s without any end the connection, as before.

--- a/loadbalancer/node/listener/flow_control.py
+++ b/loadbalancer/node/listener/flow_control.py
@@ -7,12 +7,14 @@
 import struct
 from collections.abc import Callable
 
-from loadbalancer.node.http.socket_buffer import readable
+from loadbalancer.node.http.receive_progress import ReceiveProgress
+from loadbalancer.node.http.socket_buffer import delivery, readable
 
 LINGER_S = 1.0  # time until the close after the last response, or after the client's last byte since then
 MIN_LINGER_S = 0.2  # at capacity, from the last response to the close
 MAX_LINGER_S = 5.0  # upper bound after the last response, even if the client keeps sending
-WRITE_STALL_TIMEOUT_S = 10.0  # a client that reads no byte of its response for this time is disconnected
+WRITE_STALL_TIMEOUT_S = 10.0  # a client that receives no byte of its response for this time is disconnected
+MAX_FINAL_STALL_S = 5.0  # the same while the process ends; a client that reads 64 kB/s pauses for up to 4 s
 
 
 def _ignore(_paused_s: float) -> None:
@@ -118,8 +120,8 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=max_unsent_bytes)
         self.full = False  # while True, no response is started
-        self._last_unsent = 0  # bytes at the last check
-        self._unchanged_since = 0.0  # loop time (s) since which the buffer size is the same
+        self._full_buffer_progress = ReceiveProgress()  # while bytes are unsent
+        self._final_progress = ReceiveProgress()
 
     @property
     def unsent(self) -> int:
@@ -127,11 +129,20 @@
         return self._transport.get_write_buffer_size()
 
     def stalled(self, now: float) -> bool:
-        """Whether, at loop time `now` (s), the client has read nothing for `WRITE_STALL_TIMEOUT_S`."""
-        unsent = self.unsent
-        if unsent != self._last_unsent or not unsent:
-            self._last_unsent, self._unchanged_since = unsent, now
-        return now - self._unchanged_since >= WRITE_STALL_TIMEOUT_S
+        """Whether, at loop time `now` (s), the client has received nothing for `WRITE_STALL_TIMEOUT_S`."""
+        if not self.unsent:
+            self._full_buffer_progress.restart()
+            return False
+        silent_s = self._full_buffer_progress.silent_s(now, delivery(self._transport))
+        return silent_s >= WRITE_STALL_TIMEOUT_S
+
+    def receives(self, now: float) -> bool:
+        """Whether, at loop time `now` (s), the client has received something in the last `MAX_FINAL_STALL_S`,
+        or all that was sent.
+
+        Called at short intervals while the process ends.
+        """
+        return self._final_progress.silent_s(now, delivery(self._transport)) < MAX_FINAL_STALL_S
 
     def set_reset(self, on: bool) -> None:
         """Set whether a close resets the connection, including the close at process exit."""
