An upload is no longer ended while its server receives and its client still sends

What callers saw: a request of 30 MiB to a server that reads 300 kB/s got a 503 after 1.0 s, with 20 MiB unsent.

Cause: two timers. The attempt ended an upload whose connection had been paused for its timeout; as with clients, the kernel takes more only after a third of its buffer. The time of the request counted from the last read at which its rest did not fit into the client's send buffer, also if it still does not.

The time of a request begins when its rest, less what waits unread (FIONREAD), fits into the send buffer; checked each 0.2 s.

--- a/loadbalancer/node/http/client_connection.py
+++ b/loadbalancer/node/http/client_connection.py
@@ -11,8 +11,9 @@
 from loadbalancer.node.http.body import HIGH_WATER_BYTES, MAX_BODY_BYTES, Body
 from loadbalancer.node.http.message_limits import MAX_FIELDS, MAX_HEAD_BYTES
 from loadbalancer.node.http.read_buffer import READ_BYTES, BoundedReadProtocol
+from loadbalancer.node.http.receive_progress import ReceiveProgress
 from loadbalancer.node.http.response import Exchange, Response
-from loadbalancer.node.http.socket_buffer import readable
+from loadbalancer.node.http.socket_buffer import delivery, readable
 from loadbalancer.node.http.turn_parser import MalformedMessageError, TurnParser
 from loadbalancer.node.http.turn_scheduler import TurnScheduler
 
@@ -93,6 +94,7 @@
         self.malformed = False  # whether the received data is no valid response, or is too long
         self.idle_since = 0.0  # loop time (s), set by the pool
         self.upload_progress_at = 0.0  # loop time (s) when the upload was last paused or resumed
+        self._upload_received = ReceiveProgress()  # by the server, while the upload is paused
         self.last_data_at = 0.0  # loop time (s) of the last bytes received
 
     # ---------------------------------------------------------------- for the owner
@@ -118,6 +120,13 @@
         """Whether the last byte of the current request has been written to the socket."""
         return self._written
 
+    def upload_silent_s(self, now: float) -> float:
+        """Return for how long, at loop time `now` (s), the server has received nothing of a paused upload."""
+        if self._transport is None:
+            return 0.0
+        silent_s = self._upload_received.silent_s(now, delivery(self._transport))
+        return min(silent_s, now - self.upload_progress_at)
+
     def start(self, data: bytes, exchange: Exchange, body: Body | None = None, chunked: bool = False) -> None:
         """Send a request: these bytes, then the body, which may not have arrived completely yet."""
         assert self._transport is not None
@@ -127,6 +136,8 @@
         self._body_size = 0
         self._complete = self._ends_with_connection = False
         self._written = False
+        self.upload_progress_at = self._loop.time()
+        self._upload_received.restart()
         # Set before the first write, which may already call `pause_writing`.
         upload = self._upload = _Upload(self, body, chunked) if body is not None else None
         self._transport.write(data)
--- a/loadbalancer/node/listener/connection.py
+++ b/loadbalancer/node/listener/connection.py
@@ -7,8 +7,9 @@
 from http import HTTPStatus
 
 from loadbalancer.node.http.body import Body
+from loadbalancer.node.http.socket_buffer import unread_bytes
 from loadbalancer.node.listener.connection_states import ClosableConnection, ConnectionOwner, ConnectionState
-from loadbalancer.node.listener.flow_control import ReadControl, WriteControl
+from loadbalancer.node.listener.flow_control import LINGER_S, ReadControl, WriteControl
 from loadbalancer.node.listener.inbound_request import InboundRequest
 from loadbalancer.node.listener.request_parser import RequestParser
 from loadbalancer.node.listener.stream_progress import MIN_SILENCE_S, StreamProgress
@@ -257,10 +258,24 @@
         self._abort()
         return None
 
+    def is_delivering(self, now: float) -> bool:
+        """Whether a response makes progress at loop time `now` (s): its server sends, and its client reads.
+
+        While the client doesn't read, the server can't send. After the response the client gets the time of
+        a lingering close.
+        """
+        stream = self._stream
+        if stream is None and not self._write_control.unsent:
+            return now - self.last_activity_at < LINGER_S
+        client_receives = self._write_control.receives(now)
+        server_hangs = stream is not None and not stream.body.paused and stream.progress.is_silent(now)
+        return client_receives and not server_hangs
+
     def earliest_end(self, now: float) -> float:
         """Return the earliest loop time (s) at which the client may have sent the last byte of the request
         that is being received; `now` if it can't have."""
-        return min(now, self._parser.earliest_end(self._read_control.unread_since(now)))
+        unread_since = self._read_control.unread_since(now)
+        return min(now, self._parser.earliest_end(now, unread_since, unread_bytes(self._transport)))
 
     def finish_stream(self, close: bool) -> None:
         """Finish a streamed response that has been written completely, and continue with the next request."""
--- a/loadbalancer/node/listener/connection_states.py
+++ b/loadbalancer/node/listener/connection_states.py
@@ -117,6 +117,14 @@
         """Parse the bytes that the last turn has left."""
         raise NotImplementedError
 
+    def is_delivering(self, now: float) -> bool:
+        """Whether a response makes progress at loop time `now` (s)."""
+        raise NotImplementedError
+
+    def abort(self) -> None:
+        """Close the connection immediately, whatever it carries."""
+        self._abort()
+
     @property
     def age_s(self) -> float:
         """The time since the connection was accepted."""
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -102,10 +102,13 @@
         if self._body_parts:
             self._flush_body()
 
-    def _remainder_fits_in_transit(self) -> bool:
-        """Whether the rest of the body is unknown, or short enough to have been sent completely."""
+    def _remainder_fits_in_transit(self, unread_bytes: int = 0) -> bool:
+        """Whether the rest of the body is unknown, or short enough to have been sent completely.
+
+        `unread_bytes` of it have arrived and wait in the kernel.
+        """
         length = None if self.request is None else self.request.content_length
-        return length is None or length - self.size <= MAX_IN_TRANSIT_BYTES
+        return length is None or length - self.size - unread_bytes <= MAX_IN_TRANSIT_BYTES
 
     def _flush_body(self) -> None:
         """Pass on the parts of the body that this turn has received, as one."""
@@ -113,12 +116,15 @@
         if self.request is not None:
             self.request.body.feed(parts[0] if len(parts) == 1 else b"".join(parts))
 
-    def earliest_end(self, unread_since: float) -> float:
+    def earliest_end(self, now: float, unread_since: float, unread_bytes: int | None) -> float:
         """Return the earliest loop time (s) at which the client may have sent the last byte of the request.
 
-        `unread_since`: the time since which bytes of this connection wait unread. The client can't have sent
-        more than the buffers of the two kernels hold.
+        `unread_since`: the time since which bytes of this connection wait unread. `unread_bytes`: their
+        number, if it is known at loop time `now` (s). The client can't have sent more than they and the send
+        buffer of its kernel hold.
         """
+        if unread_bytes is not None and not self._remainder_fits_in_transit(unread_bytes):
+            self._in_transit_since = now
         return max(unread_since, self._in_transit_since)
 
     def deadline(self) -> float:
@@ -265,7 +271,7 @@
             self._flush_body()
         self.state, self.request, self.is_first = ReceiveState.IDLE, None, False
         # The client timeout starts at the arrival, even if the bytes wait unread behind another request.
-        request.received_at = self.earliest_end(self._arrival)
+        request.received_at = max(self._arrival, self._in_transit_since)
         request.receiving = False
         request.body.end()
         self._on_received(request)
--- a/loadbalancer/node/listener/stream_progress.py
+++ b/loadbalancer/node/listener/stream_progress.py
@@ -31,6 +31,10 @@
         """Record that the client reads again at loop time `now` (s); the server could not send until then."""
         self._last_data_at = now
 
+    def is_silent(self, now: float) -> bool:
+        """Whether, at loop time `now` (s), the server has sent nothing for `MAX_SILENCE_S`."""
+        return now - self._last_data_at >= MAX_SILENCE_S
+
     @property
     def hanging_at(self) -> float:
         """The loop time (s) at which the server counts as hanging if it sends nothing until then."""
--- a/loadbalancer/node/request_registry.py
+++ b/loadbalancer/node/request_registry.py
@@ -26,6 +26,7 @@
 BACKSTOP_DELAY_S = 0.005  # a request without a response gets a 504 this long after its deadline
 UPLOAD_OVERRUN_S = 0.3  # an upload that its endpoint reads slowly is rejected this long after its deadline
 MIN_UPLOAD_CHECK_S = 0.05  # interval between checks of an upload
+UPLOAD_POLL_S = 0.2  # interval of checks whether a client may have sent its last byte
 STREAM_OVERRUN_S = 0.4  # a streamed response whose server hangs is aborted this long after its deadline
 
 
@@ -184,7 +185,8 @@
         earliest_end = active.inbound.connection.earliest_end(now)
         due = earliest_end + active.client_timeout_s + UPLOAD_OVERRUN_S
         if now < due:
-            check_at = max(now + MIN_UPLOAD_CHECK_S, due)
+            still_sending = earliest_end >= now
+            check_at = now + UPLOAD_POLL_S if still_sending else max(now + MIN_UPLOAD_CHECK_S, due)
             active.check_timer = self._loop.call_at(check_at, self._check_upload, active)
             return
         self._counts["uploads not read in time"] += 1
--- a/loadbalancer/node/upstream/attempt.py
+++ b/loadbalancer/node/upstream/attempt.py
@@ -18,6 +18,8 @@
 
 log = logging.getLogger("loadbalancer")
 
+UPLOAD_CHECKS = 20  # in the time after which an upload whose endpoint receives nothing is ended
+MIN_TIMER_S = 0.001  # less may be too little to advance the loop time
 STREAM_IDLE_TIMEOUT_S = 10.0  # a streamed body without progress for this time is abandoned
 REJECTION_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
 REJECTION_HEADER, REJECTION_VALUE = b"srv-declined", b"1"  # marks a response as a rejection
@@ -100,7 +102,7 @@
         if body is None or body.ended:
             self._timer = loop.call_at(self._deadline, self._on_timeout)
         else:
-            self._timer = loop.call_later(self._upload_timeout_s, self._watch_upload)
+            self._timer = loop.call_later(self._upload_timeout_s / UPLOAD_CHECKS, self._watch_upload)
 
     def start(self, endpoint: PooledEndpoint) -> None:
         """Write the request to an idle connection, or open a connection.
@@ -216,19 +218,19 @@
         now = self._loop.time()
         receiving = self._body is not None and not self._body.ended
         remaining_s = self._timeout_s if receiving else self._deadline - now
-        connection.upload_progress_at = now
         connection.start(self._encode_request(remaining_s), self, self._body, self._chunked)
 
     def _watch_upload(self) -> None:
-        """End the attempt if the endpoint stops reading the body; the listener supervises the client."""
-        loop = self._loop
-        connection, due = self._connection, loop.time() + self._upload_timeout_s
-        if connection is not None and self._body is not None and self._body.paused:
-            due = connection.upload_progress_at + self._upload_timeout_s
-        if due <= loop.time():
+        """End the attempt if the endpoint stops receiving the body; the listener supervises the client."""
+        now, silent_s = self._loop.time(), 0.0
+        if self._connection is not None and self._body is not None and self._body.paused:
+            silent_s = self._connection.upload_silent_s(now)
+        remaining_s = self._upload_timeout_s - silent_s
+        if remaining_s < MIN_TIMER_S:
             self._finish(AttemptResult.CONNECT_FAILED)
-        else:
-            self._timer = loop.call_at(due, self._watch_upload)
+            return
+        check_s = min(remaining_s, self._upload_timeout_s / UPLOAD_CHECKS)
+        self._timer = self._loop.call_at(now + check_s, self._watch_upload)
 
     def _watch_stream(self) -> None:
         """Abandon a streamed response if the endpoint sends nothing while the client is ready to receive."""
--- a/tests/node/test_slow_uploads.py
+++ b/tests/node/test_slow_uploads.py
@@ -101,3 +101,34 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_upload_continues_while_its_server_receives_slowly_and_the_client_still_sends():
+    """Regression: it got a 503 after 1 s, for which the kernel had not taken more from the node."""
+
+    async def main():
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            loop, size = asyncio.get_running_loop(), 30 * MIB
+            await reader.readuntil(b"\r\n\r\n")
+            slow_until = loop.time() + 4.0
+            while size:
+                data = await reader.read(16_384)
+                size -= len(data)
+                if loop.time() < slow_until:
+                    await asyncio.sleep(len(data) / 300_000)
+            writer.write(http_response())
+            await reader.read()
+            writer.close()
+
+        listening = socket.create_server(("127.0.0.1", 0))
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        server = await asyncio.start_server(serve, sock=listening, limit=16_384)
+        known = targets(s0=(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", "Ready"))
+        async with loopback_node(known=known) as node:
+            data = request("post", "q1", bytes(30 * MIB), Req_Deadline_Ms="1000")
+            status, _ = await upload(node, data)
+            assert status == 200
+            assert node.event_counts["connect_failed"] == 0
+        server.close()
+
+    asyncio.run(main())
