The list service and its agent end no connection whose peer makes progress

What callers saw: an instance or agent that was told to end cut off a list that a client was reading; a request that arrived for longer than 75 s was closed; an agent gave up a list that took over 1.5 s to arrive, and called again.

Cause: the process ended at once; the idle timeout counted from the last complete request; the call had one timeout.

Fix: a server that ends completes responses, within 60 s and with 5 s for a client that receives nothing; the idle timeout ends a request only if it stops or is slower than 48 kB/s; a list may take 60 s longer while no pause is over 1 s. Raft stops at once, as before. The probes' listener closes its connections with its address.

--- a/loadbalancer/node/control/probe_transport.py
+++ b/loadbalancer/node/control/probe_transport.py
@@ -26,7 +26,7 @@
 from loadbalancer.node.control.rejection_log import RejectionLog
 from loadbalancer.node.control.timers import RestartableTimer
 from loadbalancer.node.http.service_client import HttpClient
-from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, ServerLimits, serve
+from loadbalancer.node.http.service_server import HttpRequest, HttpResponse, HttpServer, ServerLimits, serve
 from loadbalancer.node.memory_budget import MemoryPool
 
 log = logging.getLogger("loadbalancer")
@@ -71,7 +71,7 @@
         self._clock = clock
         self._timer = RestartableTimer(self._tick)
         self._tasks = BackgroundTasks()
-        self._server: asyncio.Server | None = None
+        self._server: HttpServer | None = None
         self._call_numbers = count(1)
         self._pending_indirect: dict[int, asyncio.Future[bytes | None]] = {}  # acks awaited, by call number
         self._rejections = RejectionLog("members: call rejected (%d so far): %s")
@@ -84,7 +84,7 @@
         return self._rejections.count
 
     def listen(self, address: Address, on_listening: Callable[[], None]) -> None:
-        """Listen as soon as the address is free; in an upgrade this node's old process has to end first."""
+        """Listen as soon as the address is free; in an upgrade this node's old process frees it first."""
         self._tasks.spawn(self._listen(address, on_listening))
 
     def close(self) -> None:
@@ -94,6 +94,7 @@
         self._client.close()
         if self._server is not None:
             self._server.close()
+            self._server.abort_connections()
 
     def execute(self, actions: Sequence[Action]) -> None:
         """Execute the failure detector's actions in order."""
--- a/loadbalancer/node/http/service_client.py
+++ b/loadbalancer/node/http/service_client.py
@@ -17,6 +17,7 @@
 
 CLIENT_IDLE_TIMEOUT_S = 60.0  # less than the server's, so that usually the client closes an idle connection
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024  # a complete list of 10,000 endpoints takes about 2 MB
+MAX_PAUSE_S = 1.0  # between two parts of a response that takes longer than its timeout
 DEFAULT_TIMEOUT_S = 5.0  # limit for a request and its response
 
 
@@ -71,6 +72,7 @@
 
     def __init__(self) -> None:
         super().__init__(bytearray(READ_BYTES))
+        self.on_data: Callable[[], None] = lambda: None  # called with each read
         self._silent_bytes = 0  # received since the last callback; httptools may buffer them
         self._fields = 0  # headers and trailers of the response
         self.reusable = False  # whether it can carry another request
@@ -89,6 +91,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse the bytes; fail the exchange if they are no HTTP response."""
         self._silent_bytes += len(data)
+        self.on_data()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
@@ -175,10 +178,22 @@
     body: bytes = b"",
     timeout_s: float = DEFAULT_TIMEOUT_S,
     headers: Headers = NO_HEADERS,
+    max_transfer_s: float = 0.0,
 ) -> ReceivedResponse:
-    """Send a request on a new connection and return the response; raise OSError or TimeoutError."""
-    async with asyncio.timeout(timeout_s):
+    """Send a request on a new connection and return the response; raise OSError or TimeoutError.
+
+    While the response arrives without a pause of MAX_PAUSE_S, it may take up to `max_transfer_s` longer.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_s) as timeout:
         connection = await _connect(address)
+        latest = loop.time() + timeout_s + max_transfer_s
+
+        def extend() -> None:
+            if not timeout.expired():
+                timeout.reschedule(max(timeout.when() or 0.0, min(latest, loop.time() + MAX_PAUSE_S)))
+
+        connection.on_data = extend
         try:
             return await connection.exchange(
                 _request(address, method, target, body, {**headers, "Connection": "close"})
--- a/loadbalancer/node/http/service_server.py
+++ b/loadbalancer/node/http/service_server.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from urllib.parse import parse_qs, urlsplit
@@ -15,7 +17,9 @@
 from loadbalancer.node.address import Address
 from loadbalancer.node.http.message_limits import FIELD_BYTES, MAX_FIELDS, TooManyFieldsError
 from loadbalancer.node.http.read_buffer import READ_BYTES, BoundedReadProtocol
+from loadbalancer.node.http.receive_progress import ReceiveProgress
 from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
+from loadbalancer.node.http.socket_buffer import delivery
 from loadbalancer.node.http.turn_parser import MalformedMessageError, TurnParser
 from loadbalancer.node.http.turn_scheduler import TurnScheduler
 from loadbalancer.node.memory_budget import MemoryPool
@@ -23,6 +27,10 @@
 MAX_REQUEST_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 SERVER_IDLE_TIMEOUT_S = 75.0  # longer than any watch poll
+MIN_BYTES_PER_S = 48_000.0  # of a request that takes longer than the idle timeout
+MAX_STALL_S = 5.0  # when the server ends: a client that receives nothing for so long is disconnected
+COMPLETION_TIMEOUT_S = 60.0  # when the server ends, for all clients to receive their responses
+COMPLETION_CHECK_INTERVAL_S = 0.1
 MAX_QUEUED_REQUESTS = 8  # pipelined requests on one connection before reading pauses
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict"}
 LAST_RESPONSES = {400: b'{"error":"unreadable request"}', 503: b'{"error":"not enough memory"}'}
@@ -120,6 +128,8 @@
         self._headers: dict[str, str] = {}
         self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
+        self._receive_progress = ReceiveProgress()
+        self._received_bytes = 0  # since the connection was opened
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to handle requests; close the oldest connection if there are more than the limit."""
@@ -131,6 +141,12 @@
         if len(connections) > self._limits.connections:  # bounds the descriptors in use
             next(iter(connections)).abort()
 
+    def is_delivering(self, now: float) -> bool:
+        """Whether the client receives a response at loop time `now` (s); called at short intervals."""
+        if self._transport is None or not self._transport.get_write_buffer_size():
+            return False
+        return self._receive_progress.silent_s(now, delivery(self._transport)) < MAX_STALL_S
+
     def abort(self) -> None:
         """Close the connection immediately."""
         self._shared.open_connections.pop(self, None)
@@ -141,6 +157,7 @@
         """Parse the bytes; if they are malformed or too long, end the connection with a 400."""
         if self._ended:
             return
+        self._received_bytes += len(data)
         self._size += len(data)
         if self._size > self._limits.body + MAX_HEAD_BYTES:  # bounds the memory of an endless head
             self._end(HTTPStatus.BAD_REQUEST)
@@ -254,13 +271,23 @@
         self._url, self._headers, self._body = b"", {}, bytearray()
         self._size = self._fields = 0
 
+    async def _next_request(self) -> HttpRequest | int | None:
+        """Return the next request, or None if the client is idle or takes too long to send it."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + self._limits.idle_s + self._limits.body / MIN_BYTES_PER_S
+        received_bytes = -1
+        while received_bytes != self._received_bytes and loop.time() < give_up_at:
+            received_bytes = self._received_bytes
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._limits.idle_s):
+                    return await self._queue.get()
+        return None
+
     async def _serve(self) -> None:
         assert self._transport is not None
         while True:
-            try:
-                async with asyncio.timeout(self._limits.idle_s):
-                    request = await self._queue.get()
-            except TimeoutError:
+            request = await self._next_request()
+            if request is None:
                 self._transport.close()
                 return
             if isinstance(request, int):
@@ -274,11 +301,48 @@
             self._transport.write(response.encode(close=False))
 
 
-async def serve(address: Address, handler: Handler, limits: ServerLimits | None = None) -> asyncio.Server:
+class HttpServer:
+    """A listening server and its open connections."""
+
+    def __init__(self, server: asyncio.Server, shared: _SharedState) -> None:
+        self._server = server
+        self._shared = shared
+
+    @property
+    def sockets(self) -> Sequence[socket.socket]:
+        """The listening sockets."""
+        return self._server.sockets
+
+    def close(self) -> None:
+        """Stop listening; open connections continue."""
+        self._server.close()
+
+    def abort_connections(self) -> None:
+        """Close all connections immediately."""
+        for connection in list(self._shared.open_connections):
+            connection.abort()
+
+    async def complete_responses(self) -> None:
+        """Close the connections, those on which a client still receives a response once it is complete.
+
+        It waits `COMPLETION_TIMEOUT_S` in total, and `MAX_STALL_S` for a client that receives nothing.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + COMPLETION_TIMEOUT_S
+        while self._shared.open_connections and loop.time() < deadline:
+            for connection in list(self._shared.open_connections):
+                if not connection.is_delivering(loop.time()):
+                    connection.abort()
+            await asyncio.sleep(COMPLETION_CHECK_INTERVAL_S)
+
+
+async def serve(address: Address, handler: Handler, limits: ServerLimits | None = None) -> HttpServer:
     """Listen at the address (port 0: any free port) and respond with the handler.
 
     Raise OSError if the address can't be used.
     """
     loop = asyncio.get_running_loop()
     shared = _SharedState(handler, limits or ServerLimits())
-    return await loop.create_server(lambda: _Connection(shared), *address, reuse_address=True)
+    return HttpServer(
+        await loop.create_server(lambda: _Connection(shared), *address, reuse_address=True), shared
+    )
--- a/loadbalancer/registry/agent.py
+++ b/loadbalancer/registry/agent.py
@@ -48,6 +48,7 @@
 
 MAX_TOMBSTONES = 10_000
 MIN_BACKOFF_S = 0.05
+MAX_TRANSFER_S = 60.0  # a long list that arrives slowly may take longer by up to this time
 RESPONSE_MARGIN_S = 1.5  # the response timeout of a watch is its wait plus this margin
 EMPTY_LIST_PERIOD_S = 0.2  # interval of the reads while an empty list is not accepted yet
 FAILURES_PER_LOG_LINE = 50
@@ -159,7 +160,11 @@
         since = "" if self.source_revision is None else f"since={self.source_revision}&"
         target = f"/discovery/hosts?{since}timeout_ms={wait_ms}"
         return await send_request(
-            self.address, "GET", target, timeout_s=wait_ms / MS_PER_S + RESPONSE_MARGIN_S
+            self.address,
+            "GET",
+            target,
+            timeout_s=wait_ms / MS_PER_S + RESPONSE_MARGIN_S,
+            max_transfer_s=MAX_TRANSFER_S,
         )
 
     def _reject_stale(self, received: SourceList) -> None:
@@ -276,3 +281,4 @@
     log.info("agent_stopping", **follower.status())
     task.cancel()
     server.close()
+    await server.complete_responses()
--- a/loadbalancer/registry/service.py
+++ b/loadbalancer/registry/service.py
@@ -216,7 +216,7 @@
 
 
 async def run_instance(config: InstanceSettings, log: structlog.stdlib.BoundLogger) -> None:
-    """Serve until SIGTERM or SIGINT, then close the listener and stop the Raft member."""
+    """Serve until SIGTERM or SIGINT, then close the listener, stop the Raft member and complete responses."""
     instance = RegistryInstance(config, log)
     server = await serve(config.listen, instance.handle)
     tasks = [
@@ -230,3 +230,4 @@
     for task in tasks:
         task.cancel()
     instance.raft.destroy()
+    await server.complete_responses()
