A long response that makes progress is completed after SIGTERM

The node had ended by itself 8.6 s after SIGTERM; no SIGKILL had come.

Cause: GracefulShutdown ended the process 5 s after the drain, whatever its connections carried.

State file and lock, lease, quota and probe address, claims, discovery and the operators' address are released when requests end, so that the next process takes them over while this one still runs.

--- a/loadbalancer/node/admin/server.py
+++ b/loadbalancer/node/admin/server.py
@@ -38,10 +38,14 @@
         """Start listening; raise OSError if the address can't be used."""
         self._listener = await self.loop.create_server(lambda: AdminConnection(self), *address)
 
-    def close(self) -> None:
-        """Close the listener and all connections immediately."""
+    def stop_listening(self) -> None:
+        """Free the address; connections that are open still get their responses."""
         if self._listener is not None:
             self._listener.close()
+
+    def close(self) -> None:
+        """Close the listener and all connections immediately."""
+        self.stop_listening()
         for connection in list(self._connections):
             connection.abort()
 
--- a/loadbalancer/node/balancer_driver.py
+++ b/loadbalancer/node/balancer_driver.py
@@ -43,10 +43,16 @@
         self.before_event: list[Callable[[], None]] = []  # called before events that no action caused
         self._events: deque[Event] = deque()
         self._is_handling = False
+        self._closed = False
         self._timers: dict[str, asyncio.TimerHandle] = {}
 
     def handle_event(self, event: Event) -> None:
-        """Pass an event to the balancer and execute its actions; events caused by the actions are queued."""
+        """Pass an event to the balancer and execute its actions; events caused by the actions are queued.
+
+        Ignore it after `close`.
+        """
+        if self._closed:
+            return
         if not self._is_handling:
             for hook in self.before_event:
                 hook()
@@ -63,7 +69,8 @@
             self._is_handling = False
 
     def close(self) -> None:
-        """Cancel the timers."""
+        """Cancel the timers, and ignore all further events: no request is admitted any more."""
+        self._closed = True
         for timer in self._timers.values():
             timer.cancel()
 
--- a/loadbalancer/node/component.py
+++ b/loadbalancer/node/component.py
@@ -12,7 +12,10 @@
         """Start; the node already serves clients."""
 
     async def stop(self) -> None:
-        """Shut down gracefully; called after the last request has its response and before `close`."""
+        """Release what another process of this node needs; called once no request is served any more.
+
+        Responses may still be in progress until `close`, so the event loop must not be blocked.
+        """
 
     def close(self) -> None:
         """Release timers, sockets and files immediately, even if `stop` or `start` has not run."""
--- a/loadbalancer/node/control/control_plane.py
+++ b/loadbalancer/node/control/control_plane.py
@@ -138,7 +138,7 @@
         """Start all parts; the node already serves clients.
 
         The node enrols only once it listens for probes: being able to bind the address shows that no other
-        process of this node is alive (membership/quota_ledger.py).
+        process of this node serves requests (membership/quota_ledger.py).
         """
         self.route_activator.start()
         self._on_quota_change()
@@ -150,14 +150,24 @@
         self.lease_client.begin_drain()
 
     async def stop(self) -> None:
-        """Leave the group; call this after the last request has ended."""
-        await self.lease_client.leave()
+        """Leave the group and free the listen address; call this once no request is served any more.
+
+        Another process of this node enrols as soon as it can listen, so this one must use no quota by then.
+        """
+        try:
+            await self.lease_client.leave()
+        finally:
+            self._disconnect()
 
     def close(self) -> None:
         """Release timers, sockets and files immediately."""
+        self._disconnect()
+        self.route_activator.close()
+
+    def _disconnect(self) -> None:
         self.lease_client.close()
         self.probe_transport.close()
-        self.route_activator.close()
+        self.route_activator.cancel()
         self.freshness.close()
         self._client.close()
 
--- a/loadbalancer/node/control/route_activation.py
+++ b/loadbalancer/node/control/route_activation.py
@@ -55,10 +55,14 @@
         if self._store is not None:
             self.execute(self.participant.on_restored(self._store.load_all()))
 
-    def close(self) -> None:
-        """Cancel calls and timers, and wait for a disk write in progress."""
+    def cancel(self) -> None:
+        """Cancel calls and timers."""
         self._timer.cancel()
         self._tasks.close()
+
+    def close(self) -> None:
+        """Cancel calls and timers, and wait for a disk write in progress."""
+        self.cancel()
         if self._store is not None:
             self._store.close()
 
--- a/loadbalancer/node/executed_ids.py
+++ b/loadbalancer/node/executed_ids.py
@@ -113,6 +113,12 @@
                 generation.remove(key)
                 self._pool.release(EXECUTED_ID_BYTES)
 
+    def close(self) -> None:
+        """Forget all ids, as no request is accepted any more; the claims of this process stay for others."""
+        self._pool.release(EXECUTED_ID_BYTES * len(self))
+        self._generations = deque([set()])
+        self._sibling_claims = None
+
     def _has(self, key: int) -> bool:
         return any(key in generation for generation in self._generations)
 
--- a/loadbalancer/node/listener/listener.py
+++ b/loadbalancer/node/listener/listener.py
@@ -124,6 +124,11 @@
         """Whether the listener has stopped listening and no accepted connection is open."""
         return self._socket is None and self.has_no_clients
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether new connections may still be accepted."""
+        return self._socket is not None
+
     @property
     def at_capacity(self) -> bool:
         """Whether another connection would use a descriptor reserved for endpoints and discovery."""
@@ -268,6 +273,10 @@
         for connection in list(self.connections):
             connection.reject_partial_request()
 
+    def undelivered(self, now: float) -> list[ClosableConnection]:
+        """Return the connections that carry no response which makes progress at loop time `now` (s)."""
+        return [connection for connection in self.connections if not connection.is_delivering(now)]
+
     def _sweep(self) -> None:
         now = self.loop.time()
         for connection in list(self.connections):
@@ -326,9 +335,10 @@
                     return
                 if result is _AcceptResult.NONE_QUEUED:
                     break
-            self._stop_listening()
+            self.stop_listening()
 
-    def _stop_listening(self) -> None:
+    def stop_listening(self) -> None:
+        """Stop listening, even if connections are queued in the kernel."""
         if self._accept_timer is not None:
             self._accept_timer.cancel()
         if self._socket is not None:
@@ -338,7 +348,7 @@
 
     def close(self) -> None:
         """Stop listening and cancel all timers."""
-        self._stop_listening()
+        self.stop_listening()
         if self._drain_timer is not None:
             self._drain_timer.cancel()
         if self._sweep_timer is not None:
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -157,12 +157,13 @@
             self.pool,
             self.driver,
         )
-        self._shutdown = GracefulShutdown(
+        self._graceful_shutdown = GracefulShutdown(
             self.listener,
             self.pool,
             self.request_registry,
             self.components,
             max(service_class.client_timeout_ms for service_class in self.config.settings.classes),
+            self._on_requests_ended,
         )
 
     def _build_admin(self) -> None:
@@ -254,7 +255,7 @@
         self.stopping = True
         if self.control_plane is not None:
             self.control_plane.begin_drain()
-        await self._shutdown.run()
+        await self._graceful_shutdown.run()
         self.close()
 
     def standby(self) -> bool:
@@ -273,18 +274,35 @@
 
     def close(self) -> None:
         """Release all resources immediately."""
+        self._release_for_successor()
         self.admin_server.close()
-        if self._executed_id_log is not None:
-            self._executed_id_log.close()
-        if self.sibling_process is not None:
-            self.sibling_process.close()
         for component in self.components:
             component.close()
         self.listener.close()
-        self.watcher.close()
         self.pool.close()
         self.periodic_tasks.close()
+
+    def _on_requests_ended(self) -> None:
+        self._release_for_successor()
+        if self._executed_id_log is not None:
+            retention_s = self.request_registry.executed_ids.retention_s
+            self.loop.call_later(retention_s, self._executed_id_log.remove_files)
+
+    def _release_for_successor(self) -> None:
+        """Release what only new requests need, so that another process of this node may use it.
+
+        Responses in progress continue. May be called more than once.
+        """
+        self.admin_server.stop_listening()
+        self.watcher.close()
         self.driver.close()
+        self.pool.disable_keep_alive()
+        self.periodic_tasks.remove_tasks()
+        if self.sibling_process is not None:
+            self.sibling_process.close()
+        self.request_registry.executed_ids.close()
+        if self._executed_id_log is not None:
+            self._executed_id_log.close()
 
 
 def _watcher(config: NodeConfig, endpoint_list: EndpointList) -> EndpointListWatcher:
--- a/loadbalancer/node/periodic_tasks.py
+++ b/loadbalancer/node/periodic_tasks.py
@@ -50,6 +50,10 @@
         self.tick(self._loop.time())
         self._log_statistics()
 
+    def remove_tasks(self) -> None:
+        """Call the tasks no more; the statistics continue."""
+        self._tasks = ()
+
     def close(self) -> None:
         """Cancel both timers."""
         for timer in (self._tick_timer, self._statistics_timer):
--- a/loadbalancer/node/state/executed_id_log.py
+++ b/loadbalancer/node/state/executed_id_log.py
@@ -65,6 +65,7 @@
         self._retention_s = retention_s
         self._max_file_bytes = max_file_bytes
         self._own: deque[_OwnFile] = deque()  # the file that is written to is the last
+        self._left: list[Path] = []  # files of this process that `close` has left
         self._others: dict[str, _OtherFile] = {}
         self._created = 0
         self._failures = FailureLog()
@@ -100,14 +101,24 @@
             os.close(self._others.pop(name).descriptor)
 
     def close(self) -> None:
-        """Close all files; they stay for the other processes."""
+        """Close all files; they stay for the other processes, until `remove_files` or this process's end."""
         for own in self._own:
             os.close(own.descriptor)
+            self._left.append(own.path)
         for other in self._others.values():
             os.close(other.descriptor)
         self._own.clear()
         self._others.clear()
 
+    def remove_files(self) -> None:
+        """Remove the files of this process, which `close` has left; call it once all claims have expired.
+
+        Other processes remove them only once this one has ended.
+        """
+        while self._left:
+            with contextlib.suppress(OSError):
+                self._left.pop().unlink()
+
     # ---------------------------------------------------------------- own files
 
     def _append(self, record: bytes, now: float) -> None:
--- a/loadbalancer/node/state/state_file.py
+++ b/loadbalancer/node/state/state_file.py
@@ -34,12 +34,15 @@
         self._write_in_progress = False
         self._failure_log = FailureLog()
         self._lock_denied = False
+        self._closed = False
 
     def acquire_lock(self) -> bool:
         """Return whether this process may write the file.
 
         Each call tries to take the lock, since the process that holds it may have ended.
         """
+        if self._closed:
+            return False
         if self._lock is not None:
             return True
         try:
@@ -84,11 +87,12 @@
             self._write_in_progress = False
 
     def close(self) -> None:
-        """Release the lock, after any write in progress has ended.
+        """Release the lock for good, after any write in progress has ended; may be called in any thread.
 
         The write of a cancelled task continues in its thread. If the lock were released earlier, that write
         could overwrite a newer file of the next process.
         """
+        self._closed = True
         with self._write_lock:
             if self._lock is not None:
                 with contextlib.suppress(OSError):
--- a/loadbalancer/node/state_writer.py
+++ b/loadbalancer/node/state_writer.py
@@ -61,14 +61,18 @@
         self._write_periodically()
 
     async def stop(self) -> None:
-        """Write the file one last time."""
-        await self._write()
+        """Write the file one last time, and let another process write it."""
+        self._cancel_timer()
+        try:
+            await self._write()
+        finally:
+            # In a worker thread, as it waits for a write in progress.
+            self._loop.run_in_executor(None, self._file.close)
 
     def close(self) -> None:
         """Release the file and end the periodic writes."""
         self._file.close()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._cancel_timer()
 
     def metrics(self) -> str:
         """Return the state file's lines of GET /status/metrics."""
@@ -85,6 +89,10 @@
         self._writes.add(task)
         task.add_done_callback(self._writes.discard)
 
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
     def _write_periodically(self) -> None:
         self.write_soon()
         self._timer = self._loop.call_later(self._interval_s, self._write_periodically)
--- a/loadbalancer/registry/fleet_state.py
+++ b/loadbalancer/registry/fleet_state.py
@@ -14,7 +14,7 @@
   quota counts in the sum of every group. Members without a service may only be granted the quota that is
   still free in the fullest of the other groups.
 - Incarnations are unique over all groups and only rise. If a process enrols under another service than the
-  earlier process at the same address, one of the two has ended, as only one process at a time listens at an
+  earlier process at the same address, one of the two has left or ended, as only one at a time listens at an
   address. The state can't decide at once which one, since the new enrolment may have been delayed. The first
   renewal of the new record decides it: its process has used a response that was made after the earlier
   record, so it started after the earlier process. The earlier record is then marked as departed.
