Orders past one retention are no longer rejected for want of memory for their ids

What callers saw: at 250 orders a second and 32 MB 64% got 503 from second 33 on, at 600 and 64 MB 39% from second 55 on.

Cause: each id was retained for ten times the longest client timeout, 100 s, and took 128 bytes of an eighth of the memory budget, which is sized by what is left and not by rate times retention. The files of claims had the same limit.

Fix: an id is retained for the stated deadline after its request's end, 30 s at least, as its client waits no longer. A table of 64-bit keys takes 12 to 16 bytes an id.

--- a/loadbalancer/node/memory_budget.py
+++ b/loadbalancer/node/memory_budget.py
@@ -35,7 +35,7 @@
 EXCHANGE_BYTES = 8 * KIB  # objects of a request in progress and of its attempts
 BUFFERS_PER_EXCHANGE = 2  # of its response
 BUFFERS_PER_UPLOAD = 2  # of a request that is forwarded while it is received
-EXECUTED_ID_BYTES = 128
+EXECUTED_ID_BYTES = 16  # see key_set.py
 
 RESIDENT_PAGES_FIELD = 1
 
--- a/loadbalancer/node/node.py
+++ b/loadbalancer/node/node.py
@@ -25,7 +25,7 @@
 from loadbalancer.node.discovery.poll_policy import INITIAL_BACKOFF_S, PollPolicy
 from loadbalancer.node.discovery.watcher import EndpointListWatcher
 from loadbalancer.node.endpoint_list import EndpointList
-from loadbalancer.node.executed_ids import ExecutedIds
+from loadbalancer.node.executed_ids import MIN_RETENTION_S, ExecutedIds
 from loadbalancer.node.listener.listener import Listener
 from loadbalancer.node.listener.request_translation import MAX_TIMEOUT_FACTOR
 from loadbalancer.node.memory_budget import PROGRAM_BYTES, MemoryBudget
@@ -49,7 +49,6 @@
 # have been closed.
 INBOUND_FRACTION = 0.45
 UPSTREAM_FRACTION = 0.35
-MIN_ID_RETENTION_S = 30.0
 POLL_WAIT_FRACTION = 0.5  # of the poll deadline; the rest is for the transfer of the response
 
 
@@ -117,7 +116,7 @@
         """Return the set of executed ids, shared with the other process if there may be one."""
         longest_ms = max(service_class.client_timeout_ms for service_class in self.config.settings.classes)
         # No client waits longer for a request, and so none sends it again.
-        retention_s = max(MIN_ID_RETENTION_S, MAX_TIMEOUT_FACTOR * longest_ms / 1000.0)
+        retention_s = max(MIN_RETENTION_S, MAX_TIMEOUT_FACTOR * longest_ms / 1000.0)
         folder = self.config.executed_ids_folder
         now = self.loop.time()
         if self.config.accept_fd is None or folder is None:
--- a/loadbalancer/node/request_registry.py
+++ b/loadbalancer/node/request_registry.py
@@ -139,7 +139,7 @@
         if active.claimed or not active.executes_once:
             return True
         active.claimed = True
-        if self.executed_ids.claim(active.id, self._loop.time()):
+        if self.executed_ids.claim(active.id, self._loop.time(), active.client_timeout_s):
             return True
         self._counts["ids of another process"] += 1
         self.respond(active, HTTPStatus.BAD_GATEWAY)
@@ -302,7 +302,9 @@
         if active.answered and not active.attempts_in_flight and self.active.pop(active.id, None) is not None:
             if active.executes_once:
                 now = self._loop.time()
-                self.executed_ids.end(active.id, active.possibly_executed, active.claimed, now)
+                self.executed_ids.end(
+                    active.id, active.possibly_executed, active.claimed, now, active.client_timeout_s
+                )
             self._release_memory(active)
 
     def _release_memory(self, active: ActiveRequest) -> None:
--- a/loadbalancer/node/state/executed_id_log.py
+++ b/loadbalancer/node/state/executed_id_log.py
@@ -34,7 +34,7 @@
     path: Path
     descriptor: int
     size: int = 0  # bytes of complete records
-    last_record_at: float = 0.0  # monotonic time (s)
+    expires_at: float = 0.0  # monotonic time (s) at which no claim in it counts any more
 
 
 @dataclass(slots=True)
@@ -77,13 +77,13 @@
         self._remove_expired(now)
         return len(self._own) < MAX_FILES
 
-    def claim(self, key: int, now: float) -> None:
-        """Append a claim, at loop time `now` (s)."""
-        self._append(RECORD.pack(key, now, CLAIM), now)
+    def claim(self, key: int, now: float, retention_s: float) -> None:
+        """Append a claim, at loop time `now` (s), that counts for `retention_s`."""
+        self._append(RECORD.pack(key, now, CLAIM), now, now + min(retention_s, self._retention_s))
 
     def release(self, key: int, now: float) -> None:
         """Append a release, at loop time `now` (s)."""
-        self._append(RECORD.pack(key, now, RELEASE), now)
+        self._append(RECORD.pack(key, now, RELEASE), now, now)
 
     def read(self, ids: ExecutedIds, now: float) -> None:
         """Pass the other processes' new claims and releases to `ids`, at loop time `now` (s)."""
@@ -121,7 +121,7 @@
 
     # ---------------------------------------------------------------- own files
 
-    def _append(self, record: bytes, now: float) -> None:
+    def _append(self, record: bytes, now: float, expires_at: float) -> None:
         try:
             file = self._writable_file(now)
             _write_fully(file.descriptor, record, file.size)
@@ -129,7 +129,7 @@
             self._failures.failure("claimed id not written: %s", one_line(error))
             return
         file.size += len(record)
-        file.last_record_at = now
+        file.expires_at = max(file.expires_at, expires_at)
         self._failures.success()
 
     def _writable_file(self, now: float) -> _OwnFile:
@@ -150,7 +150,7 @@
         return self._own[-1]
 
     def _remove_expired(self, now: float) -> None:
-        while self._own and now - self._own[0].last_record_at > self._retention_s:
+        while self._own and now > self._own[0].expires_at:
             expired = self._own.popleft()
             os.close(expired.descriptor)
             with contextlib.suppress(OSError):
