--- a/loadbalancer/node/http/message_limits.py
+++ b/loadbalancer/node/http/message_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 MAX_HEAD_BYTES = 16 * 1024  # names and values of headers and trailers
+MIN_BODY_BYTES_PER_S = 48_000.0  # lowest mean rate of a body; the platform grants 64 kB/s
 MAX_FIELDS = 256  # headers and trailers
 FIELD_BYTES = 160  # memory of one field's objects, beside its text
 
--- a/loadbalancer/node/http/service_server.py
+++ b/loadbalancer/node/http/service_server.py
@@ -15,7 +15,12 @@
 from urllib.parse import parse_qs, urlsplit
 
 from loadbalancer.node.address import Address
-from loadbalancer.node.http.message_limits import FIELD_BYTES, MAX_FIELDS, TooManyFieldsError
+from loadbalancer.node.http.message_limits import (
+    FIELD_BYTES,
+    MAX_FIELDS,
+    MIN_BODY_BYTES_PER_S,
+    TooManyFieldsError,
+)
 from loadbalancer.node.http.read_buffer import READ_BYTES, BoundedReadProtocol
 from loadbalancer.node.http.receive_progress import ReceiveProgress
 from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
@@ -27,7 +32,6 @@
 MAX_REQUEST_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 SERVER_IDLE_TIMEOUT_S = 75.0  # longer than any watch poll
-MIN_BYTES_PER_S = 48_000.0  # of a request that takes longer than the idle timeout
 MAX_STALL_S = 5.0  # when the server ends: a client that receives nothing for so long is disconnected
 COMPLETION_TIMEOUT_S = 60.0  # when the server ends, for all clients to receive their responses
 COMPLETION_CHECK_INTERVAL_S = 0.1
@@ -274,7 +278,7 @@
     async def _next_request(self) -> HttpRequest | int | None:
         """Return the next request, or None if the client is idle or takes too long to send it."""
         loop = asyncio.get_running_loop()
-        give_up_at = loop.time() + self._limits.idle_s + self._limits.body / MIN_BYTES_PER_S
+        give_up_at = loop.time() + self._limits.idle_s + self._limits.body / MIN_BODY_BYTES_PER_S
         received_bytes = -1
         while received_bytes != self._received_bytes and loop.time() < give_up_at:
             received_bytes = self._received_bytes
--- a/loadbalancer/node/listener/request_parser.py
+++ b/loadbalancer/node/listener/request_parser.py
@@ -7,7 +7,12 @@
 from http import HTTPStatus
 
 from loadbalancer.node.http.body import MAX_BODY_BYTES
-from loadbalancer.node.http.message_limits import FIELD_BYTES, MAX_FIELDS, MAX_HEAD_BYTES
+from loadbalancer.node.http.message_limits import (
+    FIELD_BYTES,
+    MAX_FIELDS,
+    MAX_HEAD_BYTES,
+    MIN_BODY_BYTES_PER_S,
+)
 from loadbalancer.node.http.request_parsing import RequestCallbacks, UpgradeIgnoringParser
 from loadbalancer.node.http.turn_parser import MalformedMessageError, TurnParser
 from loadbalancer.node.listener.inbound_request import InboundRequest
@@ -15,7 +20,6 @@
 
 # A slow but legitimate client sends a head within 2 s and a body at 64 kB/s.
 HEAD_TIMEOUT_S = 2.3  # limit for receiving a head; for the first request, it starts with the connection
-MIN_BODY_BYTES_PER_S = 48_000.0  # min rate of a request body, after BODY_GRACE_S
 BODY_GRACE_S = 0.5
 MAX_BODY_PAUSE_S = 2.3  # between two parts of a body
 MAX_IN_TRANSIT_BYTES = 4 * 1024 * 1024  # the largest send buffer that Linux gives a connection by default
--- a/loadbalancer/node/shutdown.py
+++ b/loadbalancer/node/shutdown.py
@@ -9,9 +9,9 @@
 
 from loadbalancer.node.component import Component
 from loadbalancer.node.http.body import MAX_BODY_BYTES
+from loadbalancer.node.http.message_limits import MIN_BODY_BYTES_PER_S
 from loadbalancer.node.listener.inbound_request import InboundRequest
 from loadbalancer.node.listener.listener import Listener
-from loadbalancer.node.listener.request_parser import MIN_BODY_BYTES_PER_S
 from loadbalancer.node.request_registry import RequestRegistry
 from loadbalancer.node.upstream.pool import ConnectionPool
 
--- a/tests/support/paced_server.py
+++ b/tests/support/paced_server.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+from loadbalancer.node.http.client_connection import LAST_CHUNK, encode_chunk
 from loadbalancer.node.node import Node
 from tests.support.loopback import http_response, loopback_node, request, targets, wait_until
 from tests.support.raw_clients import connect
@@ -15,10 +16,6 @@
 SMALL_RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 class PacedServer:
     """Responds to a GET in `count` pieces, `pause_s` apart, the first after `delay_s`; then it may hang.
 
@@ -79,11 +76,11 @@
     async def _respond(self, writer: asyncio.StreamWriter) -> None:
         writer.write(self._head)
         for _ in range(self._count):
-            writer.write(_chunk(PIECE) if self._framing == "chunked" else PIECE)
+            writer.write(encode_chunk(PIECE) if self._framing == "chunked" else PIECE)
             await writer.drain()
             await asyncio.sleep(self._pause_s)
         if self._framing == "chunked" and not self._hangs:
-            writer.write(b"0\r\n\r\n")
+            writer.write(LAST_CHUNK)
 
 
 @contextlib.asynccontextmanager
